--- /dev/null
+++ b/src/cassiaseam/__init__.py
@@ -0,0 +1,1 @@
+"""Database proxy with session consistency."""
--- /dev/null
+++ b/src/cassiaseam/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Package `cassiaseam.admin`; see docs/design.md."""
--- /dev/null
+++ b/src/cassiaseam/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Package `cassiaseam.cli`; see docs/design.md."""
--- /dev/null
+++ b/src/cassiaseam/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Package `cassiaseam.configuration`; see docs/design.md."""
--- /dev/null
+++ b/src/cassiaseam/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Package `cassiaseam.daemon`; see docs/design.md."""
--- /dev/null
+++ b/src/cassiaseam/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Package `cassiaseam.entry`; see docs/design.md."""
--- /dev/null
+++ b/src/cassiaseam/group/__init__.py
@@ -0,0 +1,1 @@
+"""Monitoring of a database group: primary, term, quorum positions, replica ages and failover."""
--- /dev/null
+++ b/src/cassiaseam/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Package `cassiaseam.membership`; see docs/design.md."""
--- /dev/null
+++ b/src/cassiaseam/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Package `cassiaseam.observability`; see docs/design.md."""
--- /dev/null
+++ b/src/cassiaseam/owner/__init__.py
@@ -0,0 +1,1 @@
+"""Package `cassiaseam.owner`; see docs/design.md."""
--- /dev/null
+++ b/src/cassiaseam/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Package `cassiaseam.peers`; see docs/design.md."""
--- /dev/null
+++ b/src/cassiaseam/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Package `cassiaseam.platform`; see docs/design.md."""
--- /dev/null
+++ b/src/cassiaseam/reducer/__init__.py
@@ -0,0 +1,1 @@
+"""Package `cassiaseam.reducer`; see docs/design.md."""
--- /dev/null
+++ b/src/cassiaseam/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Package `cassiaseam.settings`; see docs/design.md."""
--- /dev/null
+++ b/src/cassiaseam/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Package `cassiaseam.targets`; see docs/design.md."""
--- /dev/null
+++ b/src/cassiaseam/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Package `cassiaseam.timeline`; see docs/design.md."""
--- /dev/null
+++ b/src/cassiaseam_load/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load generator and bench."""
--- /dev/null
+++ b/tests/run_all.py
@@ -0,0 +1,67 @@
+"""Run pytest and behave and print one closing line with the totals.
+
+Tests named in KNOWN-RED.txt run and are printed, but do not fail the run.
+"""
+
+import json
+import re
+import subprocess
+import sys
+import tempfile
+import xml.etree.ElementTree as ElementTree
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / 'KNOWN-RED.txt'
+
+
+def read_known_red() -> set[str]:
+    """Return the test names listed as `test: NAME` in KNOWN-RED.txt."""
+    if not KNOWN_RED.exists():
+        return set()
+    return set(re.findall(r'^test: (.+)$', KNOWN_RED.read_text(), re.MULTILINE))
+
+
+def run_pytest(report: Path) -> dict[str, bool]:
+    command = [sys.executable, '-m', 'pytest', f'--junitxml={report}', '--durations=5']
+    code = subprocess.run(command, cwd=ROOT, check=False).returncode
+    outcomes = {}
+    for case in ElementTree.parse(report).getroot().iter('testcase'):
+        name = f'{case.get("classname")}::{case.get("name")}'
+        broken = case.find('failure') is not None or case.find('error') is not None
+        outcomes[name] = not broken
+    if code not in {0, 1}:
+        outcomes['pytest exit code'] = False
+    return outcomes
+
+
+def run_behave(report: Path) -> dict[str, bool]:
+    command = [sys.executable, '-m', 'behave', '-f', 'json', '-o', str(report), '-f', 'progress']
+    subprocess.run(command, cwd=ROOT, check=False)
+    outcomes = {}
+    for feature in json.loads(report.read_text() or '[]'):
+        for scenario in feature.get('elements', []):
+            if scenario['type'] != 'background':
+                name = f'{feature["name"]}: {scenario["name"]}'
+                outcomes[name] = scenario.get('status') == 'passed'
+    if not outcomes:
+        outcomes['behave ran no scenario'] = False
+    return outcomes
+
+
+def main() -> int:
+    with tempfile.TemporaryDirectory() as folder:
+        outcomes = run_pytest(Path(folder) / 'pytest.xml')
+        outcomes.update(run_behave(Path(folder) / 'behave.json'))
+    known = read_known_red()
+    failed = [name for name, passed in outcomes.items() if not passed]
+    for name in failed:
+        label = 'known red' if name in known else 'FAILED'
+        print(f'{label}: {name}')
+    unexpected = [name for name in failed if name not in known]
+    print(f'{len(outcomes) - len(failed)} passed, {len(unexpected)} failed')
+    return 1 if unexpected else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
