--- /dev/null
+++ b/src/cassiaseam_load/figures.py
@@ -0,0 +1,32 @@
+"""Figures of a bench run, one JSON line each."""
+
+import json
+from dataclasses import asdict, dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Figure:
+    """One measured value.
+
+    Attributes:
+        figure: Name of the figure.
+        workload: Workload that it was measured under.
+        value: Measured value.
+        unit: Unit of the value.
+        baseline: Value of the simpler alternative in the same run, or None.
+    """
+
+    figure: str
+    workload: str
+    value: float
+    unit: str
+    baseline: float | None = None
+
+
+def format_figure(figure: Figure) -> str:
+    """Return the JSON line of a figure."""
+    fields = asdict(figure)
+    for name in ('value', 'baseline'):
+        if fields[name] is not None:
+            fields[name] = round(fields[name], 4)
+    return json.dumps(fields)
--- /dev/null
+++ b/src/cassiaseam_load/recorder.py
@@ -0,0 +1,78 @@
+"""Latency histograms and counters of one run."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 120_000_000
+SIGNIFICANT_DIGITS = 3
+USEFUL_WITHIN_S = 1.0
+
+
+def make_histogram() -> HdrHistogram:
+    """Return an empty histogram of microseconds."""
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+
+@dataclass(slots=True)
+class Recorder:
+    """What was measured during one run.
+
+    Latencies count from the time at which a request was due, so that a stalled system is
+    not measured less often than a fast one (coordinated omission).
+
+    Attributes:
+        reads: Latency of answered reads in microseconds.
+        writes: Latency of acknowledged writes in microseconds.
+        refusals: Latency of refusals from sending to the error in microseconds.
+        outcomes: Number of requests per outcome, 'ok' or the error kind.
+        useful: Number of answers within `USEFUL_WITHIN_S` of their due time.
+        replica_reads: Number of reads that a replica served.
+        placed_reads: Number of reads whose serving target is known.
+        write_acks_s: Times in seconds of acknowledged writes, for gaps.
+        unfinished: Requests that got no answer at all.
+    """
+
+    reads: HdrHistogram = field(default_factory=make_histogram)
+    writes: HdrHistogram = field(default_factory=make_histogram)
+    refusals: HdrHistogram = field(default_factory=make_histogram)
+    outcomes: Counter[str] = field(default_factory=Counter)
+    useful: int = 0
+    replica_reads: int = 0
+    placed_reads: int = 0
+    write_acks_s: list[float] = field(default_factory=list)
+    unfinished: int = 0
+
+    def record_answer(self, is_read: bool, due_s: float, now_s: float) -> None:
+        """Count one useful answer."""
+        histogram = self.reads if is_read else self.writes
+        latency_s = max(0, now_s - due_s)
+        histogram.record_value(max(LOWEST_US, int(latency_s * 1e6)))
+        self.outcomes['ok'] += 1
+        if latency_s <= USEFUL_WITHIN_S:
+            self.useful += 1
+        if not is_read:
+            self.write_acks_s.append(now_s)
+
+    def record_refusal(self, kind: str, sent_s: float, now_s: float) -> None:
+        """Count one error answer."""
+        self.outcomes[kind] += 1
+        self.refusals.record_value(max(LOWEST_US, int((now_s - sent_s) * 1e6)))
+
+    def record_placement(self, replica: bool) -> None:
+        """Count where a read was served."""
+        self.placed_reads += 1
+        self.replica_reads += int(replica)
+
+    def find_longest_write_gap_s(self, since_s: float, until_s: float) -> float:
+        """Return the longest time in seconds without an acknowledged write in a window."""
+        inside = [ack for ack in sorted(self.write_acks_s) if since_s <= ack <= until_s]
+        marks = [since_s, *inside, until_s]
+        return max(later - earlier for earlier, later in zip(marks, marks[1:], strict=False))
+
+
+def read_percentile_ms(histogram: HdrHistogram, percentile: float) -> float:
+    """Return a percentile in milliseconds."""
+    return histogram.get_value_at_percentile(percentile) / 1000
--- /dev/null
+++ b/src/cassiaseam_load/workloads.py
@@ -0,0 +1,77 @@
+"""Workloads of the two deployments that the project is built for."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Workload:
+    """Mix of requests and the shape of the group that serves it.
+
+    Attributes:
+        name: Name that figures carry.
+        places: Places of the targets and daemons, one each.
+        databases: Names of the databases.
+        slots: Statements that a target runs at the same time.
+        connections: Connections that a target accepts.
+        statement_ms: Service time of a statement inside a slot.
+        latency_ms: Delay of each answer of a target.
+        read_share: Share of reads among the requests.
+        aged_share: Share of reads that accept data of `max_age_ms`.
+        max_age_ms: Accepted age of data.
+        keyed_share: Share of writes that carry an idempotency key and must run at most once.
+    """
+
+    name: str
+    places: tuple[str, ...]
+    databases: tuple[str, ...]
+    slots: int
+    connections: int
+    statement_ms: float
+    latency_ms: float
+    read_share: float
+    aged_share: float
+    max_age_ms: int
+    keyed_share: float
+
+    @property
+    def read_capacity_per_s(self) -> float:
+        """Return the reads per second that the slots of all targets of one database allow."""
+        return len(self.places) * self.slots * 1000 / self.statement_ms
+
+    @property
+    def write_capacity_per_s(self) -> float:
+        """Return the writes per second that the slots of one primary allow."""
+        return max(1, self.slots - 1) * 1000 / self.statement_ms
+
+
+PUMPA_CORE = Workload(
+    name='pumpa-core',
+    places=('gyor-a', 'budapest-a', 'debrecen-a'),
+    databases=('orders', 'pumps', 'invoices'),
+    slots=5,
+    connections=75,
+    statement_ms=40,
+    latency_ms=1.5,
+    read_share=0.7,
+    aged_share=0.9,
+    max_age_ms=5000,
+    keyed_share=0.5,
+)
+
+LABEL_CATALOGUE = Workload(
+    name='label-catalogue',
+    places=('huye-a', 'kigali-b', 'nairobi-c'),
+    databases=('labels', 'glossary', 'jobs'),
+    slots=2,
+    connections=75,
+    statement_ms=20,
+    latency_ms=1.5,
+    read_share=0.9,
+    aged_share=0.95,
+    max_age_ms=2000,
+    keyed_share=0.5,
+)
+
+WORKLOADS: dict[str, Workload] = {
+    workload.name: workload for workload in (PUMPA_CORE, LABEL_CATALOGUE)
+}
