--- a/src/cassiaseam/targets/__init__.py
+++ b/src/cassiaseam/targets/__init__.py
@@ -1,1 +1,1 @@
-"""Package `cassiaseam.targets`; see docs/design.md."""
+"""Target adapter: runs statements on targets and reads their status."""
--- /dev/null
+++ b/src/cassiaseam/targets/failures.py
@@ -0,0 +1,70 @@
+"""Classification of the errors that aiomysql raises."""
+
+import struct
+from dataclasses import dataclass
+
+from pymysql.err import MySQLError
+
+from cassiaseam.reducer.target_io import StatementFailure
+from cassiaseam.targets.connection import ResultTooLarge
+
+PACKET_TOO_LARGE = 1153
+INVALID_TEXT = 1300
+# Read-only server, read-only transaction, read-only mode.
+READ_ONLY_CODES = frozenset((1290, 1792, 1836))
+# Shutdown, killed connection, killed session: the target closes the connection.
+CLOSING_CODES = frozenset((1053, 1927, 3169))
+# Codes that the client library makes up for a broken connection.
+CLIENT_CODES = range(2000, 3000)
+
+# Everything that a broken link or a malformed packet can raise in aiomysql.
+LINK_ERRORS = (OSError, EOFError, struct.error, AssertionError, IndexError, ValueError)
+STATEMENT_ERRORS = (ResultTooLarge, MySQLError, *LINK_ERRORS)
+
+
+@dataclass(frozen=True, slots=True)
+class FailureReport:
+    """Why a statement failed.
+
+    Attributes:
+        failure: Member of the closed list.
+        mysql_code: Code reported by the target, or 0.
+        message: Text for logs and callers.
+    """
+
+    failure: StatementFailure
+    mysql_code: int
+    message: str
+
+    @property
+    def closes_connection(self) -> bool:
+        """Return whether the connection cannot be used any further."""
+        return self.failure in {StatementFailure.LOST, StatementFailure.TIMEOUT}
+
+
+def classify_mysql_error(error: MySQLError) -> FailureReport:
+    """Return the failure for an error of the target or of the client library."""
+    code = error.args[0] if error.args and isinstance(error.args[0], int) else 0
+    message = str(error.args[-1]) if error.args else repr(error)
+    if code in READ_ONLY_CODES:
+        return FailureReport(StatementFailure.READ_ONLY, code, message)
+    if code == 0 or code in CLIENT_CODES or code in CLOSING_CODES:
+        return FailureReport(StatementFailure.LOST, code, message)
+    return FailureReport(StatementFailure.SQL_ERROR, code, message)
+
+
+def classify_error(error: Exception) -> FailureReport:
+    """Return the failure for any of `STATEMENT_ERRORS`.
+
+    A `TimeoutError` may come from the time limit or from the socket; in both cases the statement
+    may have run.
+    """
+    if isinstance(error, ResultTooLarge):
+        return FailureReport(StatementFailure.SQL_ERROR, PACKET_TOO_LARGE, str(error))
+    if isinstance(error, UnicodeEncodeError):
+        return FailureReport(StatementFailure.SQL_ERROR, INVALID_TEXT, str(error))
+    if isinstance(error, TimeoutError):
+        return FailureReport(StatementFailure.TIMEOUT, 0, 'no answer within the time limit')
+    if isinstance(error, MySQLError):
+        return classify_mysql_error(error)
+    return FailureReport(StatementFailure.LOST, 0, repr(error))
