--- /dev/null
+++ b/src/cassiaseam_standin/daemon_process.py
@@ -0,0 +1,145 @@
+"""Starts `cassiaseamd` processes on loopback with settings files of their own."""
+
+import asyncio
+import random
+import signal
+import socket
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from cassiaseam_standin.group_control import LOOPBACK
+
+DAEMON_MODULE = 'cassiaseam.daemon.main'
+# Below the range that the kernel gives to outgoing connections, so that a port stays free
+# between the check and its use.
+FIRST_PORT = 12_000
+LAST_PORT = 30_000
+READY_TIMEOUT_S = 20.0
+READY_POLL_S = 0.05
+STOP_TIMEOUT_S = 40.0
+
+
+class DaemonError(Exception):
+    """A daemon did not start."""
+
+
+def find_free_ports(count: int, rng: random.Random) -> list[int]:
+    """Return ports that nothing listens on, for TCP and UDP."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = rng.randrange(FIRST_PORT, LAST_PORT)
+        if port not in ports and _is_free(port):
+            ports.append(port)
+    return ports
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                return False
+    return True
+
+
+@dataclass(slots=True)
+class DaemonPorts:
+    """Ports of one daemon."""
+
+    callers: int
+    peers: int
+    admin: int
+
+
+@dataclass(slots=True)
+class DaemonProcess:
+    """One daemon process.
+
+    Attributes:
+        vm: Name of its VM.
+        place: Place of its VM.
+        ports: Ports that it listens on.
+        settings_file: Its settings.
+        process: Process at work, or None.
+    """
+
+    vm: str
+    place: str
+    ports: DaemonPorts
+    settings_file: Path
+    process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def log_file(self) -> Path:
+        """Return the file that takes its log."""
+        return self.settings_file.with_suffix('.log')
+
+    def write_settings(self, settings: dict[str, Any]) -> None:
+        """Write the settings file."""
+        self.settings_file.write_text(yaml.safe_dump(settings, sort_keys=False))
+
+    def start(self) -> None:
+        """Start the process; its log is appended to `log_file`."""
+        command = [sys.executable, '-m', DAEMON_MODULE, '--settings', str(self.settings_file)]
+        with self.log_file.open('ab') as log:
+            self.process = subprocess.Popen(
+                command, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+            )
+
+    async def wait_until_listening(self) -> None:
+        """Wait until the daemon accepts callers.
+
+        Raises:
+            DaemonError: The process ended, or does not listen in time.
+        """
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + READY_TIMEOUT_S
+        while loop.time() < end_s:
+            if self.process.poll() is not None:
+                raise DaemonError(f'{self.vm} ended with code {self.process.returncode}')
+            if await self.accepts_callers():
+                return
+            await asyncio.sleep(READY_POLL_S)
+        raise DaemonError(f'{self.vm} does not listen on port {self.ports.callers}')
+
+    async def accepts_callers(self) -> bool:
+        """Return whether the port for callers takes connections."""
+        try:
+            _, writer = await asyncio.open_connection(LOOPBACK, self.ports.callers)
+        except OSError:
+            return False
+        writer.close()
+        return True
+
+    def send_signal(self, signal_number: signal.Signals) -> None:
+        """Send a signal to this process only."""
+        if self.process is not None:
+            self.process.send_signal(signal_number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait(STOP_TIMEOUT_S)
+            self.process = None
+
+    def freeze(self) -> None:
+        """Stop the process without closing its connections."""
+        self.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a frozen process go on."""
+        self.send_signal(signal.SIGCONT)
+
+    async def stop(self) -> int:
+        """Shut down gracefully and return the exit code."""
+        self.send_signal(signal.SIGTERM)
+        code = await asyncio.to_thread(self.process.wait, STOP_TIMEOUT_S)
+        self.process = None
+        return code
