Test the stand-in target and the adapter against their contracts

Cause: faults set during a long poll took effect one poll late, and statements such as END or ROLLBACK TO changed the transaction behind the session's back. Ruled out: shorter polls, which only narrow the window. Change: a replica judges an answer by the faults in force when it arrives; the primary's long polls wake on a fault; unknown statements are refused; groups in this process and in others share one interface; contract tests.

--- a/src/cassiaseam_standin/group_launcher.py
+++ b/src/cassiaseam_standin/group_launcher.py
@@ -11,27 +11,14 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from result import Err
-
 from cassiaseam.configuration.model import TargetConfig
-from cassiaseam.messages import TargetStatus
-from cassiaseam.targets import adapter
-from cassiaseam.targets.connection import TargetConnection, execute_sql
-from cassiaseam_standin.mysql_session import CONTROL_USER
+from cassiaseam_standin.group_control import FIRST_TERM, LOOPBACK, GroupControl, GroupError
 
-LOOPBACK = '127.0.0.1'
 READY_PATTERN = re.compile(r'ready name=(\S+) port=(\d+)')
 TARGET_MODULE = 'cassiaseam_standin.target_main'
 PLATFORM_MODULE = 'cassiaseam_standin.platform_main'
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 5.0
-CALL_TIMEOUT_S = 5.0
-FIRST_TERM = 1
-LAUNCHER_PROMOTER = 'launcher'
-
-
-class LaunchError(Exception):
-    """A stand-in did not start or a group could not be set up."""
 
 
 @dataclass(slots=True)
@@ -43,24 +30,33 @@
         command: Module and arguments, without the port.
         port: TCP port; kept over a restart.
         process: Process at work, or None.
+        exit_with_parent: Whether the process ends when this one ends in any way.
     """
 
     name: str
     command: tuple[str, ...]
     port: int = 0
     process: subprocess.Popen[str] | None = None
+    exit_with_parent: bool = True
 
     @property
     def pid(self) -> int:
-        """Return the process id; raises `LaunchError` when the process does not run."""
+        """Return the process id; raises `GroupError` when the process does not run."""
         if self.process is None:
-            raise LaunchError(f'{self.name} does not run')
+            raise GroupError(f'{self.name} does not run')
         return self.process.pid
 
     def start(self) -> None:
         """Start the process, on its former port if it ran before."""
-        command = [sys.executable, '-m', *self.command, '--port', str(self.port)]
-        self.process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+        command = [sys.executable, '-m', *self.command, f'--port={self.port}']
+        if self.exit_with_parent:
+            command.append('--exit-with-parent')
+        self.process = subprocess.Popen(
+            command,
+            stdin=subprocess.PIPE if self.exit_with_parent else subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
 
     async def wait_until_ready(self) -> None:
         """Wait for the ready line and learn the port from it."""
@@ -69,7 +65,7 @@
             line = await reading
         found = READY_PATTERN.match(line)
         if found is None or found[1] != self.name:
-            raise LaunchError(f'{self.name} printed {line!r} instead of its ready line')
+            raise GroupError(f'{self.name} printed {line!r} instead of its ready line')
         self.port = int(found[2])
 
     def send_signal(self, signal_number: signal.Signals) -> None:
@@ -91,6 +87,8 @@
             return
         self.process.kill()
         self.process.wait(STOP_TIMEOUT_S)
+        if self.process.stdin is not None:
+            self.process.stdin.close()
         self.process.stdout.close()
         self.process = None
 
@@ -102,8 +100,8 @@
 
 
 @dataclass(slots=True)
-class StandinGroup:
-    """A database group of stand-in targets.
+class StandinGroup(GroupControl):
+    """A database group of stand-in targets in processes of their own.
 
     Attributes:
         targets: Processes by name, in the order of their start; the first is the first primary.
@@ -117,6 +115,10 @@
     slots: int = 5
     connections: int = 75
 
+    def list_names(self) -> tuple[str, ...]:
+        """Return the names of the targets, the first primary first."""
+        return tuple(self.targets)
+
     def build_target_config(self, name: str) -> TargetConfig:
         """Return the configuration of one target."""
         return TargetConfig(
@@ -128,67 +130,6 @@
             connections=self.connections,
         )
 
-    def list_target_configs(self) -> tuple[TargetConfig, ...]:
-        """Return the configuration of all targets."""
-        return tuple(self.build_target_config(name) for name in self.targets)
-
-    async def connect(self, name: str) -> TargetConnection:
-        """Open a connection that no fault and no connection limit refuses."""
-        config = self.build_target_config(name)
-        opened = await adapter.open_connection(config, CONTROL_USER, '', CALL_TIMEOUT_S)
-        if isinstance(opened, Err):
-            raise LaunchError(opened.err_value.message)
-        return opened.ok_value
-
-    async def read_status(self, name: str) -> TargetStatus:
-        """Return the status of one target."""
-        connection = await self.connect(name)
-        try:
-            status = await adapter.read_status(connection, CALL_TIMEOUT_S)
-        finally:
-            connection.close()
-        return status.unwrap()
-
-    async def set_fault(self, name: str, fault: str, setting: str) -> None:
-        """Set a fault on one target."""
-        connection = await self.connect(name)
-        escape = connection.protocol.escape
-        sql = f'CALL standin_fault({escape(fault)}, {escape(setting)})'
-        try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
-                await execute_sql(connection.protocol, sql)
-        finally:
-            connection.close()
-
-    async def set_up_replication(
-        self, primary: str, term: int = FIRST_TERM, promoter: str = LAUNCHER_PROMOTER
-    ) -> None:
-        """Fence all targets, promote `primary` and make the others follow it."""
-        connections = {name: await self.connect(name) for name in self.targets}
-        try:
-            for connection in connections.values():
-                fenced = await adapter.fence(connection, term, promoter, CALL_TIMEOUT_S)
-                if not fenced.unwrap().granted:
-                    raise LaunchError(f'{connection.target.name} refused term {term}')
-            promoted = connections.pop(primary)
-            (await adapter.promote(promoted, term, promoter, CALL_TIMEOUT_S)).unwrap()
-            for connection in connections.values():
-                followed = await adapter.follow(connection, promoted.target, term, CALL_TIMEOUT_S)
-                followed.unwrap()
-        finally:
-            for connection in (*connections.values(), promoted):
-                connection.close()
-
-    async def follow(self, name: str, primary: str, term: int) -> None:
-        """Make one target follow `primary`, for instance after a restart."""
-        connection = await self.connect(name)
-        config = self.build_target_config(primary)
-        try:
-            followed = await adapter.follow(connection, config, term, CALL_TIMEOUT_S)
-        finally:
-            connection.close()
-        followed.unwrap()
-
     def stop(self) -> None:
         """End all targets."""
         kill_processes(self.targets.values())
@@ -211,9 +152,12 @@
         process.kill()
 
 
-async def start_platform(arguments: Sequence[str] = ()) -> StandinProcess:
+async def start_platform(
+    arguments: Sequence[str] = (), exit_with_parent: bool = True
+) -> StandinProcess:
     """Start a stand-in platform."""
-    platform = StandinProcess('platform', (PLATFORM_MODULE, *arguments))
+    command = (PLATFORM_MODULE, *arguments)
+    platform = StandinProcess('platform', command, exit_with_parent=exit_with_parent)
     await start_processes([platform])
     return platform
 
@@ -224,6 +168,7 @@
     slots: int = 5,
     connections: int = 75,
     arguments: Sequence[str] = (),
+    exit_with_parent: bool = True,
 ) -> StandinGroup:
     """Start a group whose first target is the primary of term 1.
 
@@ -233,15 +178,21 @@
         slots: Statements that each target runs at the same time.
         connections: Client connections that each target accepts.
         arguments: Further arguments of every target, such as `--statement-ms=2`.
+        exit_with_parent: Whether the targets end when this process ends in any way.
     """
     limits = (f'--slots={slots}', f'--connections={connections}', *arguments)
     targets = {
-        name: StandinProcess(name, (TARGET_MODULE, f'--name={name}', *limits)) for name in names
+        name: StandinProcess(
+            name,
+            (TARGET_MODULE, f'--name={name}', *limits),
+            exit_with_parent=exit_with_parent,
+        )
+        for name in names
     }
     await start_processes(tuple(targets.values()))
     group = StandinGroup(targets, dict(zip(names, places, strict=False)), slots, connections)
     try:
-        await group.set_up_replication(names[0])
+        await group.change_primary(names[0], FIRST_TERM)
     except BaseException:
         group.stop()
         raise
--- a/src/cassiaseam_standin/instance.py
+++ b/src/cassiaseam_standin/instance.py
@@ -66,6 +66,9 @@
         log: Committed transactions.
         applied: Position up to which the log is visible to reads.
         engine: Data.
+        slots: Limits the running statements.
+        running_statements: Statements that run at present.
+        peak_statements: Most statements that ever ran at the same time.
         write_lock: Held by the one open write transaction.
         write_holder: Transaction that holds the lock, or None.
         changed: Set and replaced whenever a long poll may have something new to see.
@@ -86,6 +89,8 @@
         self.applied = ZERO_POSITION
         self.engine = Engine()
         self.slots = asyncio.Semaphore(limits.slots)
+        self.running_statements = 0
+        self.peak_statements = 0
         self.write_lock = asyncio.Lock()
         self.write_holder: WriteHolder | None = None
         self.changed = asyncio.Event()
@@ -94,10 +99,15 @@
     async def occupy_slot(self) -> AsyncIterator[None]:
         """Wait for a slot and spend the service time of a statement in it."""
         async with self.slots:
+            self.running_statements += 1
+            self.peak_statements = max(self.peak_statements, self.running_statements)
             service_ms = self.limits.statement_ms + self.faults.statement_delay_ms
-            if service_ms:
-                await asyncio.sleep(service_ms / MS_PER_S)
-            yield
+            try:
+                if service_ms:
+                    await asyncio.sleep(service_ms / MS_PER_S)
+                yield
+            finally:
+                self.running_statements -= 1
 
     def describe_status(self, now: float) -> dict[str, Any]:
         """Return the status of design section 5.2; `now` is monotonic time in seconds."""
--- a/src/cassiaseam_standin/mysql_session.py
+++ b/src/cassiaseam_standin/mysql_session.py
@@ -92,7 +92,7 @@
             self.server.instance,
             self.server.replication,
             self.transaction.last_commit,
-            self.server.apply_client_cut,
+            self.server.apply_faults,
         )
         answer = await run_control_function(context, sql)
         if answer is None:
@@ -186,6 +186,8 @@
 
     async def handle_reset_connection(self, data: bytes) -> None:
         """Roll back; the base class would answer without doing anything."""
+        round_trip_ms = 2 * self.session.server.instance.limits.latency_ms
+        await self.spend_latency(round_trip_ms / MS_PER_S)
         await self.session.reset()
         await self.stream.write(self.ok())
 
@@ -227,8 +229,9 @@
         users = [connection.session.username for connection in self.connections]
         return sum(user is not None and user not in EXEMPT_USERS for user in users)
 
-    def apply_client_cut(self) -> None:
-        """Close all client connections when the fault `client_cut` is in force."""
+    def apply_faults(self) -> None:
+        """Make changed faults take effect on connections and calls that are under way."""
+        self.instance.notify_changed()
         if self.instance.faults.client_cut:
             for connection in tuple(self.connections):
                 if not connection.is_exempt:
--- a/src/cassiaseam_standin/platform_main.py
+++ b/src/cassiaseam_standin/platform_main.py
@@ -5,6 +5,8 @@
 
 import argparse
 
+from cassiaseam_standin.parent_watch import add_parent_option, exit_with_parent
+
 LOOPBACK = '127.0.0.1'
 
 
@@ -14,12 +16,15 @@
     parser.add_argument('--host', default=LOOPBACK, help='IP number to listen on')
     parser.add_argument('--port', type=int, default=0, help='TCP port, 0 for any free one')
     parser.add_argument('--vm-lag-ms', type=int, default=0, help='lag of the VM list')
+    add_parent_option(parser)
     return parser.parse_args(arguments)
 
 
 def main() -> None:
     """Run the program until SIGTERM or SIGINT."""
     settings = parse_arguments()
+    if settings.exit_with_parent:
+        exit_with_parent()
 
     # Importing the reactor installs it, which must not happen when this module is only imported.
     from twisted.internet import reactor
--- a/src/cassiaseam_standin/replication.py
+++ b/src/cassiaseam_standin/replication.py
@@ -166,15 +166,23 @@
         last = self.instance.log.last
         faults = self.instance.faults
         wait_ms = POLL_WAIT_MS if self.matched.is_set() else 0
-        hold_back_ms = faults.replication_delay_ms
-        if faults.replication_pause:
-            hold_back_ms = PAUSED_HOLD_BACK_MS
+        hold_back_ms = self.find_hold_back_ms()
         values = (self.instance.name, self.term, last.term, last.offset, wait_ms, hold_back_ms)
         async with asyncio.timeout(PULL_TIMEOUT_S), connection.cursor() as cursor:
             await cursor.execute('SELECT cassiaseam_log(%s, %s, %s, %s, %s, %s)', values)
             row = await cursor.fetchone()
-        if self.is_current() and self.primary not in faults.cut_from:
-            self.accept_answer(json.loads(row[0]), time.monotonic())
+        if not self.is_current() or self.primary in faults.cut_from:
+            return
+        answer = json.loads(row[0])
+        if hold_back_ms != self.find_hold_back_ms():
+            # A fault that was set during the long poll applies to its answer.
+            answer['entries'] = []
+        self.accept_answer(answer, time.monotonic())
+
+    def find_hold_back_ms(self) -> int:
+        """Return the age that entries must have before the faults of this replica let them in."""
+        faults = self.instance.faults
+        return PAUSED_HOLD_BACK_MS if faults.replication_pause else faults.replication_delay_ms
 
     def accept_answer(self, answer: dict[str, Any], now: float) -> None:
         """Store what the primary answered."""
--- a/src/cassiaseam_standin/sql_dialect.py
+++ b/src/cassiaseam_standin/sql_dialect.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from datetime import UTC, datetime
 
+from cassiaseam_standin.standin_errors import NOT_SUPPORTED, PARSE_ERROR, StandinError
+
 
 class StatementKind(enum.Enum):
     """How the session treats a statement."""
@@ -59,7 +61,19 @@
     'ROLLBACK': StatementKind.ROLLBACK,
     'SET': StatementKind.IGNORED,
     'USE': StatementKind.IGNORED,
+    'INSERT': StatementKind.WRITE,
+    'UPDATE': StatementKind.WRITE,
+    'DELETE': StatementKind.WRITE,
+    'REPLACE': StatementKind.WRITE,
+    'CREATE': StatementKind.WRITE,
+    'DROP': StatementKind.WRITE,
+    'ALTER': StatementKind.WRITE,
 }
+# Accepting these as something simpler would make a session believe a wrong transaction state.
+UNSUPPORTED_PATTERN = re.compile(
+    r'\s*(SAVEPOINT|RELEASE|SHOW|ROLLBACK\s+(WORK\s+)?TO|SET\s.*AUTOCOMMIT\s*=\s*(0|OFF))\b',
+    re.IGNORECASE,
+)
 
 CREATE_TABLE_PATTERN = re.compile(r'\s*CREATE\s+TABLE\b', re.IGNORECASE)
 INSERT_IGNORE_PATTERN = re.compile(r'^\s*INSERT\s+IGNORE\b', re.IGNORECASE)
@@ -144,10 +158,18 @@
 
 
 def find_kind(sql: str) -> StatementKind:
-    """Return the kind of a statement whose literals were taken out."""
+    """Return the kind of a statement whose literals were taken out.
+
+    Raises:
+        StandinError: The statement is unknown or not supported.
+    """
+    if UNSUPPORTED_PATTERN.match(sql):
+        raise StandinError(NOT_SUPPORTED, f'not supported by the stand-in: {sql[:80]!r}')
     found = KEYWORD_PATTERN.match(sql)
     keyword = found[1].upper() if found else ''
-    kind = KEYWORD_KINDS.get(keyword, StatementKind.WRITE)
+    kind = KEYWORD_KINDS.get(keyword)
+    if kind is None:
+        raise StandinError(PARSE_ERROR, f'syntax error near {sql[:80]!r}')
     if kind is not StatementKind.READ:
         return kind
     if keyword == 'WITH' and WRITE_PATTERN.search(sql):
--- a/src/cassiaseam_standin/target_main.py
+++ b/src/cassiaseam_standin/target_main.py
@@ -14,6 +14,7 @@
 
 from cassiaseam_standin.instance import InstanceLimits, TargetInstance
 from cassiaseam_standin.mysql_session import TargetServer
+from cassiaseam_standin.parent_watch import add_parent_option, exit_with_parent
 
 LOOPBACK = '127.0.0.1'
 
@@ -32,6 +33,7 @@
     parser.add_argument('--statement-ms', type=float, default=limits.statement_ms)
     parser.add_argument('--latency-ms', type=float, default=limits.latency_ms)
     parser.add_argument('--lock-wait-ms', type=float, default=limits.lock_wait_ms)
+    add_parent_option(parser)
     return parser.parse_args(arguments)
 
 
@@ -65,7 +67,10 @@
     logging.use_absl_handler()
     # mysql-mimic logs every connection and every statement error.
     standard_logging.getLogger('mysql_mimic').setLevel(standard_logging.CRITICAL)
-    asyncio.run(serve_target(parse_arguments()))
+    settings = parse_arguments()
+    if settings.exit_with_parent:
+        exit_with_parent()
+    asyncio.run(serve_target(settings))
 
 
 if __name__ == '__main__':
