Add the caller listener, statement classification and forwarding

Cause: callers need a MySQL endpoint that keeps session consistency over several daemons.

The parser remains for texts whose main verb the scan does not see (WITH, a leading parenthesis, unknown words). - parameters of prepared statements by mysql-mimic: it does not escape quotes in strings, so a parameter could end the literal. - MysqlStream for reading: it buffers whatever length a header states and fails on a header that arrives in parts.

--- /dev/null
+++ b/src/cassiaseam/entry/caller_session.py
@@ -0,0 +1,275 @@
+"""Session of one caller: session statements here, other statements through the runner."""
+
+import re
+from collections.abc import Callable
+from typing import Any
+
+from mysql_mimic.results import ResultSet as SentResultSet
+from mysql_mimic.results import ensure_result_set
+from mysql_mimic.session import Session
+from mysql_mimic.types import ServerStatus
+from mysql_mimic.variables import SYSTEM_VARIABLES, GlobalVariables, SessionVariables
+from result import Err
+from sqlglot import expressions as exp
+
+from cassiaseam.entry.classification import StatementKind, classify_statement
+from cassiaseam.entry.identity import CallerDirectory
+from cassiaseam.entry.options import OPTION_PARSERS, OPTION_PREFIX, select_prefixed_options
+from cassiaseam.entry.packets import CallerError, convert_result_set
+from cassiaseam.entry.session_state import read_token, reset_session
+from cassiaseam.entry.statements import StatementRunner
+from cassiaseam.errors import ErrorKind, RequestError
+from cassiaseam.messages import Answer
+
+SERVER_VERSION = '8.0.29-cassiaseam'
+MAX_STATEMENT_CHARS = 1048576
+_LAST_INSERT_ID = re.compile(
+    r'\s*SELECT\s+LAST_INSERT_ID\s*\(\s*\)(?:\s+AS\s+(\w+))?\s*;?\s*', re.IGNORECASE
+)
+_SHOW_DATABASES = re.compile(r'\s*SHOW\s+(?:DATABASES|SCHEMAS)\s*;?\s*', re.IGNORECASE)
+# Modes that targets have by default; other modes would change how a target reads the statement.
+_DEFAULT_SQL_MODES = frozenset(
+    (
+        '',
+        'ONLY_FULL_GROUP_BY',
+        'STRICT_TRANS_TABLES',
+        'STRICT_ALL_TABLES',
+        'NO_ZERO_IN_DATE',
+        'NO_ZERO_DATE',
+        'ERROR_FOR_DIVISION_BY_ZERO',
+        'NO_ENGINE_SUBSTITUTION',
+        'TRADITIONAL',
+    )
+)
+# Targets share their connections between callers, so these cannot be set for one session.
+_FIXED_VARIABLES = frozenset(('time_zone', 'sql_select_limit', 'sql_auto_is_null'))
+_GLOBAL_VARIABLES = GlobalVariables(
+    {
+        **SYSTEM_VARIABLES,
+        'version': (str, SERVER_VERSION, False),
+        'version_comment': (str, 'cassiaseam', False),
+        'sql_mode': (str, 'STRICT_TRANS_TABLES,NO_ENGINE_SUBSTITUTION', True),
+        'tx_isolation': (str, 'READ-COMMITTED', True),
+    }
+)
+
+
+class CallerSession(Session):
+    """Session of one caller.
+
+    Attributes:
+        runner: Runs the statements that go to owners.
+        directory: Logins and grants.
+        login_done: Whether the caller has logged in.
+    """
+
+    def __init__(
+        self,
+        runner: StatementRunner,
+        directory: CallerDirectory,
+        list_databases: Callable[[], list[str]],
+    ):
+        super().__init__(SessionVariables(_GLOBAL_VARIABLES))
+        self.runner = runner
+        self.directory = directory
+        self.list_databases = list_databases
+        self.state = runner.state
+        self.login_done = False
+
+    def find_login_refusal(self) -> RequestError | None:
+        """Return why a login with a right password is refused, or None; marks it as done.
+
+        A refused login clears the user name, so that the connection ends.
+        """
+        if self.login_done or self.username is None:
+            return None
+        refusal = self._find_database_refusal(self.database) if self.database else None
+        if refusal is None:
+            self.login_done = True
+            self.state.caller = self.username
+            self.state.database = self.database or ''
+        else:
+            self.username = None
+        return refusal
+
+    def read_status_flags(self) -> int:
+        """Return the flags that tell the caller about its transaction."""
+        flags = 0
+        if self.state.autocommit:
+            flags |= ServerStatus.SERVER_STATUS_AUTOCOMMIT
+        if self.is_in_transaction():
+            flags |= ServerStatus.SERVER_STATUS_IN_TRANS
+        return flags
+
+    def is_in_transaction(self) -> bool:
+        """Return whether the session has a transaction open."""
+        return self.state.transaction is not None
+
+    async def init(self, connection: Any) -> None:
+        """Take over the connection attributes after the login."""
+        await super().init(connection)
+        self.apply_connection_attributes(connection.client_connect_attrs)
+
+    def apply_connection_attributes(self, attributes: dict[str, str]) -> None:
+        """Set options from connection attributes.
+
+        Raises:
+            CallerError: An option is unknown or malformed.
+        """
+        for name, text in select_prefixed_options(attributes).items():
+            if name == 'key':
+                message = 'a key belongs to one statement, not to a connection'
+                raise CallerError(RequestError(ErrorKind.BAD_REQUEST, message))
+            self._set_option(name, text)
+
+    async def close(self) -> None:
+        """Roll back the open transaction of a caller that is gone."""
+        self.runner.abandon_transaction()
+        await super().close()
+
+    async def reset(self) -> None:
+        """Roll back and forget what the caller set."""
+        self.runner.abandon_transaction()
+        reset_session(self.state, self.runner.clock())
+        self.runner.reset_options()
+        self.variables._values.clear()
+        self.login_done = False
+
+    async def use(self, database: str) -> None:
+        """Select another database.
+
+        Raises:
+            CallerError: It is unknown or not granted, or a transaction is open.
+        """
+        if self.is_in_transaction() and database != self.state.database:
+            message = 'a transaction is open in another database'
+            raise CallerError(RequestError(ErrorKind.UNSUPPORTED, message))
+        refusal = self._find_database_refusal(database)
+        if refusal is not None:
+            raise CallerError(refusal)
+        self.database = database
+        self.state.database = database
+
+    async def run_text(self, sql: str, attributes: dict[str, str]) -> SentResultSet:
+        """Run one statement text of the caller.
+
+        Raises:
+            CallerError: The statement failed.
+        """
+        if len(sql) > MAX_STATEMENT_CHARS:
+            message = f'{len(sql)} characters exceed {MAX_STATEMENT_CHARS}'
+            raise CallerError(RequestError(ErrorKind.TOO_LARGE, message))
+        found = classify_statement(sql)
+        if found.kind is StatementKind.SESSION:
+            return await ensure_result_set(await self.handle_query(sql, attributes))
+        return self._convert_answer(await self.runner.run_statement(sql, found, attributes))
+
+    async def handle_query(self, sql: str, attrs: dict[str, str]) -> Any:
+        """Run a session statement with the parser of `mysql_mimic`."""
+        match = _LAST_INSERT_ID.fullmatch(sql)
+        if match:
+            return [(self.state.last_insert_id,)], [match.group(1) or 'LAST_INSERT_ID()']
+        if _SHOW_DATABASES.fullmatch(sql):
+            return [(name,) for name in self._list_granted()], ['Database']
+        autocommit = self.state.autocommit
+        answer = await super().handle_query(sql, attrs)
+        self.state.autocommit = bool(self.variables.get('autocommit'))
+        if self.state.autocommit and not autocommit:
+            committed = await self.runner.commit_transaction(self.runner.options)
+            self._convert_answer(committed)
+        return answer
+
+    async def _static_query_middleware(self, q: Any) -> Any:
+        values = [_find_user_variable(item) for item in q.expression.expressions]
+        if isinstance(q.expression, exp.Select) and all(values) and values:
+            names = [item.alias_or_name or f'@{found}' for item, found in _pair(q, values)]
+            return [tuple(self._read_variable(found) for found in values)], names
+        return await super()._static_query_middleware(q)
+
+    def _set_variable(self, setitem: exp.SetItem) -> None:
+        left = setitem.this.left
+        name = left.name.lower()
+        if isinstance(left, exp.Parameter):
+            if not name.startswith(OPTION_PREFIX):
+                message = f'user variable @{name}: targets share their connections'
+                raise CallerError(RequestError(ErrorKind.UNSUPPORTED, message))
+            self._set_option(name[len(OPTION_PREFIX) :], _read_literal(setitem.this.right))
+            return
+        _check_variable(name, _read_literal(setitem.this.right))
+        super()._set_variable(setitem)
+
+    def _set_transaction(self, item: exp.SetItem) -> None:
+        characteristics = ' '.join(found.name.upper() for found in item.expressions)
+        if 'SERIALIZABLE' in characteristics or 'READ ONLY' in characteristics:
+            message = f'SET TRANSACTION {characteristics}'
+            raise CallerError(RequestError(ErrorKind.UNSUPPORTED, message))
+        super()._set_transaction(item)
+
+    def _set_option(self, name: str, text: str | None) -> None:
+        if text is None and name in OPTION_PARSERS:
+            self.runner.drop_option(name)
+            return
+        outcome = self.runner.set_option(name, text or '')
+        if isinstance(outcome, Err):
+            raise CallerError(outcome.err_value)
+
+    def _read_variable(self, name: str) -> str | None:
+        if name == 'cassiaseam_token':
+            return read_token(self.state)
+        if name == 'cassiaseam_last_target':
+            return self.state.last_target
+        option = name[len(OPTION_PREFIX) :]
+        if option in OPTION_PARSERS:
+            return self.state.option_texts.get(option)
+        raise CallerError(RequestError(ErrorKind.UNSUPPORTED, f'user variable @{name}'))
+
+    def _convert_answer(self, answer: Answer) -> SentResultSet:
+        if answer.error is not None:
+            raise CallerError(answer.error)
+        found = answer.result_set
+        if found is None:
+            return SentResultSet([], [])
+        if found.columns:
+            return convert_result_set(found)
+        self.connection.set_counters(found.affected_rows, found.last_insert_id)
+        return SentResultSet([], [])
+
+    def _find_database_refusal(self, database: str) -> RequestError | None:
+        if not self.directory.is_granted(self.username or '', database):
+            message = f'database {database!r} is not granted to {self.username!r}'
+            return RequestError(ErrorKind.ACCESS_DENIED, message)
+        if database not in self.list_databases():
+            return RequestError(ErrorKind.UNKNOWN_DATABASE, f'unknown database {database!r}')
+        return None
+
+    def _list_granted(self) -> list[str]:
+        user = self.username or ''
+        return [name for name in self.list_databases() if self.directory.is_granted(user, name)]
+
+
+def _pair(query: Any, values: list[str]) -> list[tuple[Any, str]]:
+    return list(zip(query.expression.expressions, values, strict=True))
+
+
+def _find_user_variable(item: exp.Expression) -> str:
+    plain = item.this if isinstance(item, exp.Alias) else item
+    return plain.name.lower() if isinstance(plain, exp.Parameter) else ''
+
+
+def _read_literal(right: exp.Expression) -> str | None:
+    if isinstance(right, exp.Null) or right.name.upper() == 'DEFAULT':
+        return None
+    return right.name if isinstance(right, exp.Literal | exp.Column) else right.sql('mysql')
+
+
+def _check_variable(name: str, text: str | None) -> None:
+    refused = name in _FIXED_VARIABLES
+    if name == 'sql_mode' and text is not None:
+        refused = not _DEFAULT_SQL_MODES.issuperset(text.upper().replace(' ', '').split(','))
+    if name in {'transaction_isolation', 'tx_isolation'}:
+        refused = (text or '').upper() == 'SERIALIZABLE'
+    if name in {'transaction_read_only', 'tx_read_only'}:
+        refused = (text or '0').upper() not in {'0', 'OFF', 'FALSE'}
+    if refused:
+        message = f'SET {name} = {text}: targets share their connections'
+        raise CallerError(RequestError(ErrorKind.UNSUPPORTED, message))
--- /dev/null
+++ b/src/cassiaseam/entry/forwarding.py
@@ -0,0 +1,186 @@
+"""Sends requests of callers to the owners of their databases."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+from cassiaseam.entry.retries import (
+    RETRY_AFTER_S,
+    NextStep,
+    RetryBudget,
+    choose_next_step,
+    describe_failure,
+    describe_timeout,
+)
+from cassiaseam.errors import ErrorKind, RequestError
+from cassiaseam.messages import Answer, Request, RequestKind
+
+MAX_OWNERS_TRIED = 3
+# The owner gives up earlier than the entry, so that its exact answer arrives by the deadline.
+ANSWER_MARGIN_S = 0.05
+ANSWER_MARGIN_RATIO = 0.1
+
+
+class RequestSender(Protocol):
+    """Sends a request to one owner; the local owner and the peer transport implement it."""
+
+    async def send_request(self, vm: str, request: Request, now: float) -> Answer:
+        """Return the final answer of the owner on `vm`; cancelling the call gives up."""
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardingLimits:
+    """Bounds on requests in flight.
+
+    Attributes:
+        per_caller: Requests in flight per login name.
+        per_daemon: Requests in flight of all callers of this daemon.
+    """
+
+    per_caller: int = 512
+    per_daemon: int = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class OwnedAnswer:
+    """Answer together with the owner that gave it.
+
+    Attributes:
+        answer: Final answer.
+        owner: VM of the owner that was asked last, or ''.
+    """
+
+    answer: Answer
+    owner: str = ''
+
+
+class Forwarder:
+    """Forwards requests to the ranked owners of their databases.
+
+    Attributes:
+        vm: Name of this VM.
+        rank_owners: Returns the VM names for a database, best first.
+        local: Owner role of this daemon.
+        peers: Transport to other daemons, or None for a single daemon.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        rank_owners: Callable[[str], list[str]],
+        local: RequestSender,
+        clock: Callable[[], float],
+        limits: ForwardingLimits | None = None,
+        peers: RequestSender | None = None,
+    ):
+        self.vm = vm
+        self.rank_owners = rank_owners
+        self.local = local
+        self.peers = peers
+        self.clock = clock
+        self.limits = limits or ForwardingLimits()
+        self.budget = RetryBudget()
+        self.in_flight: Counter[str] = Counter()
+        self.total_in_flight = 0
+        self.background: set[asyncio.Task] = set()
+
+    async def forward_request(self, request: Request, owner: str = '') -> OwnedAnswer:
+        """Return the final answer to a request, at the latest at its deadline.
+
+        Args:
+            request: Request with its deadline on the clock of this daemon.
+            owner: Only owner to ask, for statements of a transaction; '' asks the ranked owners.
+        """
+        refusal = self.find_admission_error(request.caller)
+        if refusal is not None:
+            return OwnedAnswer(Answer(request.request_id, error=refusal), owner)
+        self.in_flight[request.caller] += 1
+        self.total_in_flight += 1
+        self.budget.note_request()
+        try:
+            async with asyncio.timeout(max(request.deadline - self.clock(), 0)):
+                return await self._ask_owners(request, owner)
+        except TimeoutError:
+            error = describe_timeout(request)
+            return OwnedAnswer(Answer(request.request_id, error=error), owner)
+        finally:
+            self._release(request.caller)
+
+    def find_admission_error(self, caller: str) -> RequestError | None:
+        """Return the error of a request that exceeds a bound, or None."""
+        if self.total_in_flight >= self.limits.per_daemon:
+            message = f'{self.total_in_flight} requests in flight on this daemon'
+            return RequestError(ErrorKind.OVERLOADED, message, RETRY_AFTER_S)
+        if self.in_flight[caller] >= self.limits.per_caller:
+            message = f'{self.in_flight[caller]} requests in flight of caller {caller!r}'
+            return RequestError(ErrorKind.OVERLOADED, message, RETRY_AFTER_S)
+        return None
+
+    def roll_back_in_background(self, request: Request, owner: str) -> None:
+        """Send a ROLLBACK whose answer nobody waits for."""
+        task = asyncio.get_running_loop().create_task(self._roll_back(request, owner))
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
+    async def _roll_back(self, request: Request, owner: str) -> None:
+        # The daemon's own bound does not apply: a rollback frees a connection of a target.
+        try:
+            async with asyncio.timeout(max(request.deadline - self.clock(), 0)):
+                await self._send(owner, request)
+        except TimeoutError:
+            return
+
+    async def _ask_owners(self, request: Request, pinned: str) -> OwnedAnswer:
+        owners = [pinned] if pinned else self.rank_owners(request.database)[:MAX_OWNERS_TRIED]
+        if not owners:
+            message = f'no live daemon serves database {request.database!r}'
+            error = RequestError(ErrorKind.NOT_OWNER, message, RETRY_AFTER_S)
+            return OwnedAnswer(Answer(request.request_id, error=error))
+        maybe_ran = False
+        asked = ''
+        for position, owner in enumerate(owners):
+            asked = owner
+            answer = await self._send(owner, request)
+            step = choose_next_step(request, answer.error)
+            if answer.error is None or step is NextStep.RETURN:
+                break
+            maybe_ran = maybe_ran or step is NextStep.RESEND
+            is_last = position + 1 == len(owners)
+            if step is NextStep.RESEND and not is_last and not self.budget.take_retry():
+                break
+        if answer.error is not None:
+            failure = describe_failure(request, answer.error, maybe_ran)
+            answer = replace(answer, error=failure)
+        return OwnedAnswer(answer, asked)
+
+    async def _send(self, owner: str, request: Request) -> Answer:
+        now = self.clock()
+        margin = min(ANSWER_MARGIN_S, (request.deadline - now) * ANSWER_MARGIN_RATIO)
+        shortened = replace(request, deadline=request.deadline - margin)
+        if owner == self.vm:
+            return await self.local.send_request(owner, shortened, now)
+        if self.peers is None:
+            message = f'no transport to {owner!r}'
+            error = RequestError(ErrorKind.PEER_UNREACHABLE, message, RETRY_AFTER_S)
+            return Answer(request.request_id, error=error)
+        return await self.peers.send_request(owner, shortened, now)
+
+    def _release(self, caller: str) -> None:
+        self.total_in_flight -= 1
+        self.in_flight[caller] -= 1
+        if not self.in_flight[caller]:
+            del self.in_flight[caller]
+
+
+def build_rollback(request: Request, deadline: float) -> Request:
+    """Return the ROLLBACK of the transaction that `request` belongs to."""
+    return replace(
+        request,
+        request_id=f'{request.request_id}.rollback',
+        kind=RequestKind.ROLLBACK,
+        sql='',
+        deadline=deadline,
+        idempotency_key=None,
+    )
--- /dev/null
+++ b/src/cassiaseam/entry/packets.py
@@ -0,0 +1,148 @@
+"""Result sets and errors in the form that `mysql_mimic` sends to callers."""
+
+import datetime
+import struct
+from typing import Any
+
+from mysql_mimic.charset import CharacterSet
+from mysql_mimic.errors import ErrorCode, MysqlError
+from mysql_mimic.results import ResultColumn
+from mysql_mimic.results import ResultSet as SentResultSet
+from mysql_mimic.types import Capabilities, ColumnType, str_len, uint_1
+
+from cassiaseam.errors import ANSWERS, ErrorKind, RequestError
+from cassiaseam.messages import ResultSet
+
+_KINDS_OF_CODES = {
+    ErrorCode.ACCESS_DENIED_ERROR: ErrorKind.ACCESS_DENIED,
+    ErrorCode.USER_DOES_NOT_EXIST: ErrorKind.ACCESS_DENIED,
+    ErrorCode.PARSE_ERROR: ErrorKind.BAD_SQL,
+    ErrorCode.EMPTY_QUERY: ErrorKind.BAD_SQL,
+    ErrorCode.NOT_SUPPORTED_YET: ErrorKind.UNSUPPORTED,
+    ErrorCode.UNKNOWN_COM_ERROR: ErrorKind.UNSUPPORTED,
+    ErrorCode.UNKNOWN_ERROR: ErrorKind.BAD_REQUEST,
+}
+_UNUSABLE_TYPES = frozenset(
+    (
+        ColumnType.NULL,
+        ColumnType.INVALID,
+        ColumnType.TIMESTAMP2,
+        ColumnType.DATETIME2,
+        ColumnType.TIME2,
+        ColumnType.TYPED_ARRAY,
+        ColumnType.NEWDATE,
+        ColumnType.BOOL,
+    )
+)
+_DATES = frozenset((ColumnType.DATE, ColumnType.DATETIME, ColumnType.TIMESTAMP))
+_INTEGERS = {
+    ColumnType.TINY: 1,
+    ColumnType.SHORT: 2,
+    ColumnType.YEAR: 2,
+    ColumnType.INT24: 4,
+    ColumnType.LONG: 4,
+    ColumnType.LONGLONG: 8,
+}
+_KNOWN_TYPES = {int(column_type): column_type for column_type in ColumnType}
+
+
+class CallerError(MysqlError):
+    """Error that is sent to the caller.
+
+    Attributes:
+        request_error: Kind and text of the error.
+    """
+
+    def __init__(self, request_error: RequestError):
+        super().__init__(request_error.format_for_caller())
+        self.request_error = request_error
+
+
+def convert_error(error: Exception) -> RequestError:
+    """Return the request error for an exception of a command."""
+    if isinstance(error, CallerError):
+        return error.request_error
+    if isinstance(error, MysqlError):
+        kind = _KINDS_OF_CODES.get(error.code, ErrorKind.BAD_REQUEST)
+        return RequestError(kind, str(error.msg), mysql_code=int(error.code))
+    message = f'malformed or unsupported command: {type(error).__name__}'
+    return RequestError(ErrorKind.BAD_REQUEST, message)
+
+
+def make_error_packet(error: RequestError, capabilities: Capabilities) -> bytes:
+    """Return the error packet of a request error."""
+    row = ANSWERS[error.kind]
+    code = error.mysql_code or row.mysql_code
+    parts = [b'\xff', struct.pack('<H', code)]
+    if Capabilities.CLIENT_PROTOCOL_41 in capabilities:
+        parts.append(b'#')
+        parts.append(row.sqlstate.encode())
+    parts.append(error.format_for_caller().encode())
+    return b''.join(parts)
+
+
+def convert_result_set(result_set: ResultSet) -> SentResultSet:
+    """Return the rows of a target in the form that `mysql_mimic` sends."""
+    types = result_set.column_types
+    columns = []
+    for number, name in enumerate(result_set.columns):
+        code = types[number] if number < len(types) else None
+        columns.append(_build_column(name, code, result_set.rows, number))
+    return SentResultSet(rows=result_set.rows, columns=columns)
+
+
+def _build_column(name: str, code: int | None, rows: tuple, number: int) -> ResultColumn:
+    sample = next((row[number] for row in rows if row[number] is not None), None)
+    column_type = _KNOWN_TYPES.get(code) if code is not None else None
+    if column_type is None:
+        column_type = _infer_type(sample)
+    if column_type in _UNUSABLE_TYPES:
+        column_type = ColumnType.VAR_STRING
+    charset = CharacterSet.binary if isinstance(sample, bytes) else CharacterSet.utf8mb4
+    if column_type in _INTEGERS and not isinstance(sample, int | None):
+        column_type = ColumnType.VAR_STRING
+    encoder: Any = None
+    if column_type in _INTEGERS:
+        encoder = _encode_integer
+    elif column_type in _DATES:
+        encoder = _encode_date
+    elif column_type is ColumnType.TIME:
+        encoder = _encode_time
+    return ResultColumn(name, column_type, charset, binary_encoder=encoder)
+
+
+def _infer_type(sample: Any) -> ColumnType:
+    if isinstance(sample, int):
+        return ColumnType.LONGLONG
+    if isinstance(sample, float):
+        return ColumnType.DOUBLE
+    return ColumnType.BLOB if isinstance(sample, bytes) else ColumnType.VAR_STRING
+
+
+def _encode_integer(column: ResultColumn, number: Any) -> bytes:
+    width = _INTEGERS[column.type]
+    mask = (1 << (8 * width)) - 1
+    return (int(number) & mask).to_bytes(width, 'little')
+
+
+def _encode_date(column: ResultColumn, moment: Any) -> bytes:
+    try:
+        parsed = datetime.datetime.fromisoformat(str(moment))  # noqa: DTZ007
+    except ValueError:
+        # '0000-00-00' is a value of MySQL that the calendar does not know.
+        return uint_1(0)
+    date = struct.pack('<HBB', parsed.year, parsed.month, parsed.day)
+    if column.type is ColumnType.DATE:
+        return str_len(date)
+    clock = struct.pack('<BBBI', parsed.hour, parsed.minute, parsed.second, parsed.microsecond)
+    return str_len(date + clock)
+
+
+def _encode_time(_column: ResultColumn, moment: Any) -> bytes:
+    text = str(moment)
+    negative = text.startswith('-')
+    clock, _, fraction = text.lstrip('-').partition('.')
+    hours, minutes, seconds = (int(part) for part in clock.split(':'))
+    micros = int(fraction.ljust(6, '0')[:6])
+    days, hour = divmod(hours, 24)
+    return str_len(struct.pack('<BIBBBI', negative, days, hour, minutes, seconds, micros))
--- /dev/null
+++ b/src/cassiaseam/entry/retries.py
@@ -0,0 +1,100 @@
+"""Decisions on what to do after an owner failed to answer a request."""
+
+import enum
+from dataclasses import dataclass, replace
+
+from cassiaseam.errors import ErrorKind, RequestError
+from cassiaseam.messages import Request, RequestKind
+
+RETRY_BUDGET_RATIO = 0.1
+RETRY_BUDGET_BURST = 10.0
+RETRY_AFTER_S = 0.2
+# An owner sets `detail['cause']` to this when it alone is separated from the group.
+OWNER_CUT_OFF = 'owner_cut_off'
+
+_NOT_RUN_AT_OWNER = frozenset(
+    (ErrorKind.NOT_OWNER, ErrorKind.PEER_UNREACHABLE, ErrorKind.SHUTTING_DOWN)
+)
+
+
+class NextStep(enum.Enum):
+    """What the entry does with the answer of an owner."""
+
+    RETURN = 'return'
+    NEXT_OWNER = 'next_owner'
+    RESEND = 'resend'
+
+
+def choose_next_step(request: Request, error: RequestError | None) -> NextStep:
+    """Return what to do with an answer.
+
+    `RESEND` concerns requests that may have run: only reads and keyed writes qualify, because a
+    second run of them has no second effect.
+    """
+    if error is None or request.kind in {RequestKind.COMMIT, RequestKind.ROLLBACK}:
+        return NextStep.RETURN
+    if error.kind in _NOT_RUN_AT_OWNER:
+        return NextStep.NEXT_OWNER
+    if error.kind is ErrorKind.NO_PRIMARY and error.detail.get('cause') == OWNER_CUT_OFF:
+        return NextStep.NEXT_OWNER
+    if error.kind is ErrorKind.OUTCOME_UNKNOWN and may_run_twice(request):
+        return NextStep.RESEND
+    return NextStep.RETURN
+
+
+def may_run_twice(request: Request) -> bool:
+    """Return whether a second run of a request is harmless and allowed by the caller."""
+    if request.kind is RequestKind.READ:
+        return request.repeatable
+    return request.kind is RequestKind.WRITE and request.idempotency_key is not None
+
+
+def describe_failure(request: Request, error: RequestError, maybe_ran: bool) -> RequestError:
+    """Return the final error after the last attempt.
+
+    Args:
+        request: The request that failed.
+        error: Error of the last attempt.
+        maybe_ran: Whether an earlier attempt may have run.
+    """
+    if request.kind is RequestKind.READ and error.kind is ErrorKind.OUTCOME_UNKNOWN:
+        message = f'link lost during a read: {error.message}'
+        error = RequestError(ErrorKind.PEER_UNREACHABLE, message, RETRY_AFTER_S)
+    if maybe_ran and request.kind is not RequestKind.READ:
+        message = f'an earlier attempt may have run; the last one ended with {error.kind.value}'
+        return RequestError(ErrorKind.OUTCOME_UNKNOWN, message)
+    if error.kind in _NOT_RUN_AT_OWNER and error.retry_after_s is None:
+        return replace(error, retry_after_s=RETRY_AFTER_S)
+    return error
+
+
+def describe_timeout(request: Request) -> RequestError:
+    """Return the error of a request whose deadline passed without an answer."""
+    commits = request.kind is RequestKind.WRITE and request.transaction_id is None
+    if commits or request.kind is RequestKind.COMMIT:
+        message = 'no answer by the deadline; the statement may have run'
+        return RequestError(ErrorKind.OUTCOME_UNKNOWN, message)
+    message = 'no answer by the deadline'
+    return RequestError(ErrorKind.DEADLINE_EXCEEDED, message, RETRY_AFTER_S)
+
+
+@dataclass(slots=True)
+class RetryBudget:
+    """Token bucket that limits resent requests to a share of all requests.
+
+    Attributes:
+        tokens: Retries that may be sent now.
+    """
+
+    tokens: float = RETRY_BUDGET_BURST
+
+    def note_request(self) -> None:
+        """Add the share of one request."""
+        self.tokens = min(self.tokens + RETRY_BUDGET_RATIO, RETRY_BUDGET_BURST)
+
+    def take_retry(self) -> bool:
+        """Return whether a retry may be sent, and count it."""
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
--- /dev/null
+++ b/src/cassiaseam/entry/session_state.py
@@ -0,0 +1,159 @@
+"""State of one caller's session and the requests built from it."""
+
+import enum
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from cassiaseam.entry.options import RequestOptions
+from cassiaseam.errors import RequestError
+from cassiaseam.messages import Answer, Request, RequestKind
+from cassiaseam.positions import LogPosition, decode_session_token, encode_session_token
+
+
+class TransactionPhase(enum.Enum):
+    """How far a transaction has come, as the entry knows it."""
+
+    OPEN = 'open'
+    COMMIT_SENT = 'commit_sent'
+
+
+@dataclass(slots=True)
+class OpenTransaction:
+    """Transaction that a session has open.
+
+    Attributes:
+        transaction_id: Unique over all daemons.
+        database: Database the transaction runs in.
+        owner: VM of the daemon that holds the target connection.
+        phase: Whether COMMIT was sent.
+    """
+
+    transaction_id: str
+    database: str
+    owner: str
+    phase: TransactionPhase = TransactionPhase.OPEN
+
+
+@dataclass(slots=True)
+class SessionState:
+    """State of one caller's session.
+
+    Attributes:
+        session_id: Unique over all daemons.
+        entry: VM of this daemon.
+        opened_at: Time in seconds at which the session opened; a floor that is not known yet is
+            derived from status polls that started later.
+        caller: Login name, or '' before the login.
+        database: Selected database, or ''.
+        option_texts: Options set by connection attributes and session variables.
+        floors: Floor per database.
+        autocommit: Whether statements outside a transaction commit on their own.
+        transaction: Transaction in progress, or None.
+        last_target: Target that served the latest statement, or ''.
+        last_insert_id: Value that the latest insert generated, or 0.
+        request_count: Requests built so far; part of their ids.
+    """
+
+    session_id: str
+    entry: str
+    opened_at: float
+    caller: str = ''
+    database: str = ''
+    option_texts: dict[str, str] = field(default_factory=dict)
+    floors: dict[str, LogPosition] = field(default_factory=dict)
+    autocommit: bool = True
+    transaction: OpenTransaction | None = None
+    last_target: str = ''
+    last_insert_id: int = 0
+    request_count: int = 0
+
+
+def raise_floor(state: SessionState, database: str, position: LogPosition) -> None:
+    """Raise the floor of a database so that it covers `position`; it never goes down.
+
+    Term and offset are raised separately, because a log covers a position only when both are
+    reached.
+    """
+    floor = state.floors.get(database)
+    if floor is None:
+        state.floors[database] = position
+    elif not floor.covers(position):
+        state.floors[database] = LogPosition(
+            max(floor.term, position.term), max(floor.offset, position.offset)
+        )
+
+
+def apply_token(state: SessionState, token: str) -> Result[None, RequestError]:
+    """Raise the floor of the selected database to that of a session token."""
+    decoded = decode_session_token(token, state.database)
+    if isinstance(decoded, Err):
+        return decoded
+    raise_floor(state, state.database, decoded.ok_value)
+    return Ok(None)
+
+
+def read_token(state: SessionState) -> str | None:
+    """Return the session token of the selected database, or None while the floor is unknown."""
+    floor = state.floors.get(state.database)
+    return None if floor is None else encode_session_token(state.database, floor)
+
+
+def note_answer(state: SessionState, request: Request, answer: Answer) -> None:
+    """Take over what an answer says about positions, target and generated values."""
+    if answer.target:
+        state.last_target = answer.target
+    if answer.position.offset or answer.position.term:
+        raise_floor(state, request.database, answer.position)
+    if answer.result_set is not None and answer.result_set.last_insert_id:
+        state.last_insert_id = answer.result_set.last_insert_id
+
+
+def build_request(
+    state: SessionState,
+    kind: RequestKind,
+    sql: str,
+    options: RequestOptions,
+    now: float,
+) -> Request:
+    """Return the request for one statement of a session.
+
+    Args:
+        state: Session of the caller.
+        kind: What the statement does.
+        sql: Statement text; empty for BEGIN, COMMIT and ROLLBACK.
+        options: Options in force for the statement.
+        now: Monotonic time in seconds.
+    """
+    state.request_count += 1
+    transaction = state.transaction
+    database = transaction.database if transaction else state.database
+    return Request(
+        request_id=f'{state.session_id}.{state.request_count}',
+        entry=state.entry,
+        caller=state.caller,
+        session_id=state.session_id,
+        database=database,
+        kind=kind,
+        sql=sql,
+        deadline=now + options.deadline_s,
+        floor=state.floors.get(database),
+        session_opened_at=state.opened_at,
+        max_age_s=options.max_age_s,
+        idempotency_key=options.key,
+        repeatable=options.repeatable,
+        transaction_id=transaction.transaction_id if transaction else None,
+    )
+
+
+def reset_session(state: SessionState, now: float) -> None:
+    """Clear a session after COM_RESET_CONNECTION or COM_CHANGE_USER.
+
+    Floors stay: they belong to the caller's connection, and a reset must not let the next read
+    miss a write that the same connection made before.
+    """
+    state.option_texts = {}
+    state.autocommit = True
+    state.transaction = None
+    state.last_target = ''
+    state.last_insert_id = 0
