Add the owner's view of a database group

Ruled out: counting an entry of an older term as committed because a log of a later term reaches its offset. Such a log need not contain the entry until the write was acknowledged, so `is_committed` compares entries of one term only.

--- a/src/cassiaseam/group/state.py
+++ b/src/cassiaseam/group/state.py
@@ -1,5 +1,6 @@
 """State of one monitored database group."""
 
+import enum
 from dataclasses import dataclass, field
 
 from cassiaseam.configuration.model import DatabaseConfig
@@ -18,6 +19,13 @@
         poll_started_at: Start of the poll under way, or None.
         failures: Polls that failed in a row.
         fresh_as_of: Time in seconds as of which its applied data is known to be complete.
+        last_poll_at: Start in seconds of the latest poll.
+        unanswered_since: Start in seconds of the first poll since the latest answer that has no
+            answer yet, or None.
+        catch_up: Position that the target has to reach before its evidence counts again; set
+            when a restart lost log entries.
+        former_incarnation: Incarnation before the latest restart seen, or ''.
+        follow_sent_at: Time in seconds of the latest request to follow a primary, or None.
     """
 
     status: TargetStatus | None = None
@@ -26,15 +34,21 @@
     poll_started_at: float | None = None
     failures: int = 0
     fresh_as_of: float | None = None
+    last_poll_at: float = -1
+    unanswered_since: float | None = None
+    catch_up: LogPosition | None = None
+    former_incarnation: str = ''
+    follow_sent_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class QuorumSample:
-    """Highest position held by a majority-polled group.
+    """Position that covers every write acknowledged before the sample started.
 
     Attributes:
         started_at: Start in seconds of the oldest poll in the sample.
-        position: Highest `last` position among a majority of the instances.
+        position: Highest `last` position among a majority of the instances; lower when more
+            instances than a majority answered (`cassiaseam.group.samples`).
         term: Highest fenced term among them.
     """
 
@@ -43,6 +57,55 @@
     term: int = 0
 
 
+class Stage(enum.Enum):
+    """Step of a promotion under way."""
+
+    CLAIM = 'claim'
+    CATCH_UP = 'catch_up'
+    FENCE = 'fence'
+    PROMOTE = 'promote'
+
+
+@dataclass(slots=True)
+class Failover:
+    """A promotion under way.
+
+    Attributes:
+        term: Term that the new primary will lead.
+        promoter: Unique name of this attempt. An instance grants a term to one promoter only, so
+            a restarted daemon cannot reuse grants of an attempt that it no longer remembers.
+        cause: Why the promotion was started.
+        started_at: Time in seconds of the start.
+        planned: Whether the primary is in charge and is replaced on purpose.
+        preferred: Target to choose among equally advanced ones, or ''.
+        avoided: Targets that are chosen only as the last choice.
+        stage: Step under way.
+        stage_at: Time in seconds at which the step started.
+        sent_at: Time in seconds at which the messages of the step were last sent.
+        fenced_at: Time in seconds at which the first fences were sent.
+        grants: Status with which each instance granted the term.
+        refused: Instances that refused the term.
+        majority_at: Time in seconds at which a majority had granted the term, or None.
+        chosen: Target to promote, or ''.
+    """
+
+    term: int
+    promoter: str
+    cause: str
+    started_at: float
+    planned: bool = False
+    preferred: str = ''
+    avoided: frozenset[str] = frozenset()
+    stage: Stage = Stage.CLAIM
+    stage_at: float = 0
+    sent_at: float = 0
+    fenced_at: float = 0
+    grants: dict[str, TargetStatus] = field(default_factory=dict)
+    refused: set[str] = field(default_factory=set)
+    majority_at: float | None = None
+    chosen: str = ''
+
+
 @dataclass(slots=True)
 class GroupState:
     """State of one database group at its owner.
@@ -53,9 +116,25 @@
         term: Term of the primary that is in charge, or 0.
         primary: Name of the primary in charge, or ''.
         samples: Recent quorum samples, oldest first; bounded.
-        failover: State of a promotion under way (`cassiaseam.group.failover`), or None.
+        failover: State of a promotion under way, or None.
         last_failover_at: Time in seconds at which the latest promotion ended, or None.
         last_failover_gap_s: Length in seconds of the latest gap without writes, or None.
+        known_term: Highest term that any instance, promoter or the platform has shown.
+        known_position: Highest `last` position that any instance has reported.
+        primary_positions: Recent `last` positions of the primary in charge; bounded.
+        primary_contact_at: Time in seconds at which the primary was last confirmed in charge.
+        no_primary_since: Time in seconds since which no primary is in charge, or None.
+        failed_attempts: Promotions in a row that did not succeed.
+        retry_at: Time in seconds before which no promotion is started.
+        open_writes: Writes and open transactions at the primary. The owner role sets it; a
+            planned promotion waits for them for a short time.
+        next_round_at: Time in seconds of the next round of polls.
+        quick_until: Time in seconds until which rounds follow at the short interval.
+        poll_requested_at: Time in seconds of the latest request for a poll.
+        due_heap: `NodeState.group_due`, which all groups of the daemon share.
+        due_at: Time in seconds of the valid entry of this group in `due_heap`, or None.
+        fenced_above_since: Time in seconds since which a reachable instance is fenced above the
+            term in charge, or None.
     """
 
     config: DatabaseConfig
@@ -63,6 +142,20 @@
     term: int = 0
     primary: str = ''
     samples: list[QuorumSample] = field(default_factory=list)
-    failover: object | None = None
+    failover: Failover | None = None
     last_failover_at: float | None = None
     last_failover_gap_s: float | None = None
+    known_term: int = 0
+    known_position: LogPosition = ZERO_POSITION
+    primary_positions: list[tuple[float, LogPosition]] = field(default_factory=list)
+    primary_contact_at: float | None = None
+    no_primary_since: float | None = None
+    failed_attempts: int = 0
+    retry_at: float = 0
+    open_writes: int = 0
+    next_round_at: float = 0
+    quick_until: float = 0
+    poll_requested_at: float = -1
+    due_heap: list[tuple[float, str]] = field(default_factory=list)
+    due_at: float | None = None
+    fenced_above_since: float | None = None
--- /dev/null
+++ b/src/cassiaseam/group/view.py
@@ -0,0 +1,146 @@
+"""Decisions that the owner role bases on the monitored state of a group."""
+
+from cassiaseam.group.evidence import (
+    count_majority,
+    is_in_charge,
+    is_leaving,
+    is_reachable,
+    is_trusted,
+)
+from cassiaseam.group.state import GroupState, TargetView
+from cassiaseam.messages import TargetRole
+from cassiaseam.positions import ZERO_POSITION, LogPosition
+
+# Bound on the age of the poll that confirms a primary for a read without an accepted age. Four
+# rounds at the short interval, so that a lost answer does not make reads wait.
+CONFIRMATION_AGE_S = 0.2
+
+
+def find_write_primary(group: GroupState, now: float) -> str | None:
+    """Return the primary in charge that may take writes, or None during a failover."""
+    if group.failover is not None or not is_in_charge(group):
+        return None
+    return group.primary if is_reachable(group.targets[group.primary], now) else None
+
+
+def is_committed(group: GroupState, position: LogPosition, term: int) -> bool:
+    """Return whether a majority holds a write of the primary of `term`.
+
+    Only statuses that instances reported themselves count, the one of the primary included. An
+    old status remains valid evidence: an instance that held the entry while it was not fenced
+    above `term` still holds it when it grants a later fence, and every later promoter needs a
+    grant of at least one instance of this majority. An entry of an older term than `term` is
+    never confirmed here, because a log that ends in `term` need not contain it.
+    """
+    if position.term != term or position == ZERO_POSITION:
+        return False
+    holders = 0
+    for view in group.targets.values():
+        status = view.status
+        if status is None or status.term != term or status.fenced_term > term:
+            continue
+        if status.last.covers(position):
+            holders += 1
+    return holders >= count_majority(group)
+
+
+def find_quorum_floor(group: GroupState, opened_at: float) -> LogPosition | None:
+    """Return a position that covers every write acknowledged before `opened_at`.
+
+    Args:
+        group: State of the group.
+        opened_at: Time in seconds at which the session opened.
+
+    Returns:
+        Lowest position of a quorum sample started at or after `opened_at`, or None.
+    """
+    return min(
+        (sample.position for sample in group.samples if sample.started_at >= opened_at),
+        default=None,
+    )
+
+
+def find_read_targets(
+    group: GroupState,
+    floor: LogPosition,
+    max_age_s: float | None,
+    now: float,
+) -> list[str]:
+    """Return the targets that may serve a read.
+
+    Args:
+        group: State of the group.
+        floor: Position that the read has to cover.
+        max_age_s: Accepted age in seconds; None means that only the primary may serve.
+        now: Time in seconds.
+
+    Returns:
+        Target names: replicas from the freshest on, then the primary.
+    """
+    if max_age_s is None:
+        return _find_confirmed_primary(group, floor, now)
+    eligible = [
+        (name == group.primary, now - view.fresh_as_of, name)
+        for name, view in group.targets.items()
+        if _may_read(view, floor, now)
+        and view.fresh_as_of is not None
+        and now - view.fresh_as_of <= max_age_s
+        and (name == group.primary or not is_leaving(group, name))
+    ]
+    return [name for _, _, name in sorted(eligible)]
+
+
+def estimate_commit_delay_s(group: GroupState, now: float) -> float | None:
+    """Return the expected time in seconds until a majority holds a new write.
+
+    The estimate is the lag of the slowest replica that the majority needs.
+
+    Returns:
+        None when there is no primary for writes or too few replicas follow it.
+    """
+    if find_write_primary(group, now) is None:
+        return None
+    delays = sorted(
+        _measure_lag_s(group, view) + max(view.answered_at - view.status_started_at, 0)
+        for name, view in group.targets.items()
+        if name != group.primary and _follows_primary(group, view, now)
+    )
+    needed = count_majority(group) - 1
+    if needed == 0:
+        return 0
+    return delays[needed - 1] if len(delays) >= needed else None
+
+
+def _find_confirmed_primary(group: GroupState, floor: LogPosition, now: float) -> list[str]:
+    if group.failover is not None:
+        return []
+    if not is_in_charge(group, polled_after=now - CONFIRMATION_AGE_S):
+        return []
+    return [group.primary] if _may_read(group.targets[group.primary], floor, now) else []
+
+
+def _may_read(view: TargetView, floor: LogPosition, now: float) -> bool:
+    return (
+        view.status is not None and is_reachable(view, now) and view.status.applied.covers(floor)
+    )
+
+
+def _follows_primary(group: GroupState, view: TargetView, now: float) -> bool:
+    status = view.status
+    if status is None or status.role is not TargetRole.REPLICA or not is_reachable(view, now):
+        return False
+    if status.fenced_term > group.term or not is_trusted(group, status.instance):
+        return False
+    return status.term == group.term and status.follows == group.primary
+
+
+def _measure_lag_s(group: GroupState, view: TargetView) -> float:
+    # A replica that is behind the whole history lags at least as long as the history reaches.
+    history = group.primary_positions
+    if view.status is None or not history:
+        return 0
+    newest = history[-1][0]
+    for started_at, position in reversed(history):
+        if view.status.last >= position:
+            return newest - started_at
+    return newest - history[0][0]
--- a/src/cassiaseam/reducer/node_state.py
+++ b/src/cassiaseam/reducer/node_state.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from cassiaseam.configuration.model import DatabaseConfig
+
 
 @dataclass(slots=True)
 class NodeState:
@@ -14,6 +16,8 @@
         place: Place of the VM.
         rng: Source of randomness, seeded by the shell.
         groups: Monitoring state per owned database (`cassiaseam.group`).
+        group_due: Heap of `(time in seconds, database)` at which groups need a Tick.
+        database_configs: Configuration in force per database, from `DatabaseConfigured`.
         databases: Owner state per database (`cassiaseam.owner`).
         membership: State of `cassiaseam.membership`.
         configuration: State of `cassiaseam.configuration`.
@@ -24,6 +28,8 @@
     place: str
     rng: random.Random
     groups: dict[str, Any] = field(default_factory=dict)
+    group_due: list[tuple[float, str]] = field(default_factory=list)
+    database_configs: dict[str, DatabaseConfig] = field(default_factory=dict)
     databases: dict[str, Any] = field(default_factory=dict)
     membership: Any = None
     configuration: Any = None
