--- a/src/cassiaseam/owner/__init__.py
+++ b/src/cassiaseam/owner/__init__.py
@@ -1,1 +1,1 @@
-"""Package `cassiaseam.owner`; see docs/design.md."""
+"""Role of the daemon that owns a database: routing, limits, acknowledgement and transactions."""
--- /dev/null
+++ b/src/cassiaseam/owner/dispatch.py
@@ -0,0 +1,157 @@
+"""Assignment of waiting work to free slots and connections."""
+
+from cassiaseam.errors import ErrorKind
+from cassiaseam.owner.acknowledgement import keep_polling
+from cassiaseam.owner.answers import answer_kind
+from cassiaseam.owner.pool import (
+    find_transaction_limit,
+    has_free_slot,
+    has_write_slot,
+    request_connections,
+    take_idle_connection,
+)
+from cassiaseam.owner.queues import FairQueue
+from cassiaseam.owner.routing import (
+    WriteGate,
+    choose_read_route,
+    estimate_blocked_s,
+    find_write_gate,
+    note_write_gate,
+)
+from cassiaseam.owner.state import TargetPool, Turn, Work
+from cassiaseam.owner.statements import queue_read, start_read, start_write
+from cassiaseam.owner.transactions import run_ready_statements, start_begin, withdraw_statement
+
+# Callers whose oldest read has to wait are skipped, but not without bound (cost per event).
+MAX_SKIPPED_CALLERS = 8
+
+
+def dispatch_work(turn: Turn) -> None:
+    """Start what can run now and keep polls going for what cannot."""
+    database = turn.database
+    for pool in database.targets.values():
+        if pool.ready:
+            run_ready_statements(turn, pool)
+    if database.writes.size or database.begins.size:
+        dispatch_with_writes(turn)
+    elif database.primary_reads.size or database.replica_reads.size:
+        dispatch_reads(turn, None)
+    keep_polling(turn)
+
+
+def dispatch_with_writes(turn: Turn) -> None:
+    """Start reads and writes; reads come first but leave the writes one slot."""
+    gate = find_write_gate(turn)
+    if note_write_gate(turn, gate):
+        refuse_hopeless_writes(turn, gate)
+    contended = gate.pool if can_write_start_soon(turn, gate) else None
+    dispatch_reads(turn, contended)
+    if gate.pool is not None:
+        dispatch_begins(turn, gate)
+        dispatch_writes(turn, gate)
+    if contended is not None and not turn.database.writes.size:
+        dispatch_reads(turn, None)
+
+
+def can_write_start_soon(turn: Turn, gate: WriteGate) -> bool:
+    """Return whether a waiting write or BEGIN needs only a slot or a connection."""
+    pool = gate.pool
+    if pool is None:
+        return False
+    if turn.database.writes.size:
+        return True
+    return turn.database.begins.size > 0 and pool.held < find_transaction_limit(pool)
+
+
+def dispatch_reads(turn: Turn, contended: TargetPool | None) -> None:
+    """Start waiting reads, those that only the primary may serve first."""
+    for queue in (turn.database.primary_reads, turn.database.replica_reads):
+        dispatch_read_queue(turn, queue, contended)
+
+
+def dispatch_read_queue(turn: Turn, queue: FairQueue, contended: TargetPool | None) -> None:
+    """Start reads of one queue until every caller's oldest read has to wait."""
+    skipped = 0
+    while queue.size and skipped < min(len(queue.lanes), MAX_SKIPPED_CALLERS):
+        if not any(has_free_slot(pool) for pool in turn.database.targets.values()):
+            return
+        work = queue.peek_work()
+        queue.pass_turn()
+        if start_read(turn, work, contended):
+            skipped = 0
+        else:
+            skipped += 1
+
+
+def dispatch_begins(turn: Turn, gate: WriteGate) -> None:
+    """Start waiting BEGIN requests within the share of the transactions."""
+    pool = gate.pool
+    queue = turn.database.begins
+    while queue.size and has_write_slot(pool) and pool.held < find_transaction_limit(pool):
+        work = queue.peek_work()
+        if refuse_late_commit(turn, work, gate):
+            withdraw_statement(turn, work)
+            continue
+        connection = take_idle_connection(pool, work.transaction)
+        if connection is None:
+            request_connections(turn, pool, queue.size)
+            return
+        queue.pass_turn()
+        queue.remove_work(work)
+        start_begin(turn, connection, work)
+
+
+def dispatch_writes(turn: Turn, gate: WriteGate) -> None:
+    """Start waiting writes while the primary has slots and connections for them."""
+    pool = gate.pool
+    queue = turn.database.writes
+    while queue.size and has_write_slot(pool):
+        work = queue.peek_work()
+        if refuse_late_commit(turn, work, gate):
+            continue
+        connection = take_idle_connection(pool, None)
+        if connection is None:
+            request_connections(turn, pool, queue.size)
+            return
+        queue.pass_turn()
+        start_write(turn, connection, work)
+
+
+def refuse_late_commit(turn: Turn, work: Work, gate: WriteGate) -> bool:
+    """Refuse a write that a majority would not hold by its deadline."""
+    remaining_s = work.request.deadline - turn.now
+    if gate.delay_s < remaining_s:
+        return False
+    message = f'a majority needs {gate.delay_s:.3f} s, {remaining_s:.3f} s remain'
+    answer_kind(turn, work, ErrorKind.REPLICAS_BEHIND, message, gate.delay_s)
+    return True
+
+
+def refuse_hopeless_writes(turn: Turn, gate: WriteGate) -> None:
+    """Refuse the waiting writes whose deadline passes before writes are expected to work."""
+    wait_s = estimate_blocked_s(turn)
+    due = turn.now + wait_s
+    for work in turn.database.writes.list_works() + turn.database.begins.list_works():
+        if work.request.deadline <= due:
+            refuse_blocked_write(turn, work, gate, wait_s)
+
+
+def refuse_all_writes(turn: Turn) -> None:
+    """Refuse all waiting writes after they have been blocked for the longest time."""
+    gate = find_write_gate(turn)
+    for work in turn.database.writes.list_works() + turn.database.begins.list_works():
+        refuse_blocked_write(turn, work, gate, 1.0)
+
+
+def refuse_blocked_write(turn: Turn, work: Work, gate: WriteGate, wait_s: float) -> None:
+    """Refuse one write or BEGIN that cannot be sent in time."""
+    answer_kind(turn, work, gate.kind, 'writes cannot be sent now', wait_s)
+    if work.transaction is not None:
+        withdraw_statement(turn, work)
+
+
+def retry_parked_reads(turn: Turn) -> None:
+    """Queue the parked reads that a target may serve after the latest poll."""
+    for work in tuple(turn.database.parked.values()):
+        if choose_read_route(turn, work, None).eligible:
+            queue_read(turn, work)
--- /dev/null
+++ b/src/cassiaseam/owner/incarnations.py
@@ -0,0 +1,47 @@
+"""Consequences of a status for the connections to its target."""
+
+from cassiaseam.owner.breaker import record_success
+from cassiaseam.owner.drain import update_drain
+from cassiaseam.owner.pool import close_connection
+from cassiaseam.owner.state import Connection, ConnectionPhase, TargetPool, Turn
+from cassiaseam.owner.statements import lose_connection
+from cassiaseam.owner.transactions import abort_transaction
+from cassiaseam.reducer.target_io import TargetStatusReceived
+
+
+def observe_status(turn: Turn, event: TargetStatusReceived) -> None:
+    """Take a status into account unless a later poll was answered before."""
+    pool = turn.database.targets.get(event.target)
+    if pool is None or event.started_at < pool.status_started_at:
+        return
+    pool.status_started_at = event.started_at
+    if pool.writes_refused_at is not None and event.started_at >= pool.writes_refused_at:
+        pool.writes_refused_at = None
+    if event.status.incarnation != pool.incarnation:
+        pool.incarnation = event.status.incarnation
+        record_success(pool.breaker)
+    drop_earlier_incarnations(turn, pool, event)
+    update_drain(turn, pool)
+
+
+def drop_earlier_incarnations(turn: Turn, pool: TargetPool, event: TargetStatusReceived) -> None:
+    """Forget the connections that an earlier incarnation of the target accepted."""
+    incarnation = event.status.incarnation
+    for connection in tuple(pool.connections.values()):
+        opening = connection.phase is ConnectionPhase.OPENING
+        if opening or connection.incarnation == incarnation:
+            continue
+        # A connection opened after the poll started may belong to a still later incarnation.
+        if connection.opened_at <= event.started_at:
+            drop_connection(turn, connection)
+
+
+def drop_connection(turn: Turn, connection: Connection) -> None:
+    """Close a connection whose target has restarted, and end what it was used for."""
+    transaction = connection.transaction
+    if connection.phase is ConnectionPhase.RUNNING:
+        lose_connection(turn, connection, 'the target has restarted')
+    elif transaction is not None:
+        abort_transaction(turn, transaction, 'the target has restarted', close=True)
+    else:
+        close_connection(turn, connection)
--- a/src/cassiaseam/reducer/node_state.py
+++ b/src/cassiaseam/reducer/node_state.py
@@ -15,6 +15,7 @@
         rng: Source of randomness, seeded by the shell.
         groups: Monitoring state per owned database (`cassiaseam.group`).
         databases: Owner state per database (`cassiaseam.owner`).
+        owner: Owner state that all databases share, such as due times (`cassiaseam.owner`).
         membership: State of `cassiaseam.membership`.
         configuration: State of `cassiaseam.configuration`.
         entry: State of `cassiaseam.entry`.
@@ -25,6 +26,7 @@
     rng: random.Random
     groups: dict[str, Any] = field(default_factory=dict)
     databases: dict[str, Any] = field(default_factory=dict)
+    owner: Any = None
     membership: Any = None
     configuration: Any = None
     entry: Any = None
