--- a/src/cassiaseam/reducer/node_state.py
+++ b/src/cassiaseam/reducer/node_state.py
@@ -19,6 +19,7 @@
         group_due: Heap of `(time in seconds, database)` at which groups need a Tick.
         database_configs: Configuration in force per database, from `DatabaseConfigured`.
         databases: Owner state per database (`cassiaseam.owner`).
+        owner: Owner state that all databases share, such as due times (`cassiaseam.owner`).
         membership: State of `cassiaseam.membership`.
         configuration: State of `cassiaseam.configuration`.
         entry: State of `cassiaseam.entry`.
@@ -31,6 +32,7 @@
     group_due: list[tuple[float, str]] = field(default_factory=list)
     database_configs: dict[str, DatabaseConfig] = field(default_factory=dict)
     databases: dict[str, Any] = field(default_factory=dict)
+    owner: Any = None
     membership: Any = None
     configuration: Any = None
     entry: Any = None
