--- /dev/null
+++ b/src/cassiaseam/membership/detector.py
@@ -0,0 +1,317 @@
+"""Failure detector in the style of SWIM: handlers of datagrams and of its timer."""
+
+from dataclasses import replace
+
+from cassiaseam.membership.messages import (
+    Address,
+    Datagram,
+    DatagramKind,
+    HeartbeatReceived,
+    LeaveRequested,
+    MemberRecord,
+    MembershipTick,
+    MemberStatus,
+    SendDatagram,
+)
+from cassiaseam.membership.ranking import watch_peers
+from cassiaseam.membership.records import (
+    announce_own,
+    forget_member,
+    merge_record,
+    split_into_pages,
+    store_record,
+    take_updates,
+)
+from cassiaseam.membership.state import (
+    MembershipState,
+    Probe,
+    Relay,
+    choose_members,
+)
+from cassiaseam.reducer.node_state import NodeState
+from cassiaseam.reducer.registry import Effect, handles
+
+_LEAVE_ANNOUNCEMENTS = 4
+
+
+def make_datagram(
+    membership: MembershipState,
+    kind: DatagramKind,
+    sequence: int = 0,
+    subject: str = '',
+    first: MemberRecord | None = None,
+) -> Datagram:
+    """Return a datagram with the records that are being spread."""
+    return Datagram(
+        kind,
+        membership.own.vm,
+        membership.own.incarnation,
+        sequence,
+        subject,
+        membership.digest,
+        take_updates(membership, first),
+    )
+
+
+def send_ping(membership: MembershipState, target: MemberRecord, now: float) -> list[Effect]:
+    """Ping a member; one that is not alive is told so, in order that it can refute it."""
+    sequence = membership.next_sequence()
+    membership.probes[sequence] = Probe(target.vm, now)
+    first = None if target.status is MemberStatus.ALIVE else target
+    datagram = make_datagram(membership, DatagramKind.PING, sequence, target.vm, first)
+    return [SendDatagram(target.address, datagram)]
+
+
+@handles(MembershipTick)
+def handle_membership_tick(state: NodeState, event: MembershipTick, now: float) -> list[Effect]:
+    """Ping, ask others to ping, suspect and declare dead, each when it is due."""
+    membership: MembershipState = state.membership
+    effects = check_probes(state, now)
+    effects.extend(end_suspicions(membership, now))
+    effects.extend(ping_watched(membership, now))
+    if membership.next_period_at is None:
+        # A random phase spreads the pings of daemons that start together.
+        membership.next_period_at = now + state.rng.random() * membership.settings.period_s
+    if now >= membership.next_period_at:
+        # A stalled process does not catch up on missed periods.
+        membership.next_period_at = max(
+            membership.next_period_at + membership.settings.period_s, now
+        )
+        effects.extend(ping_random_member(state, now))
+    if now >= membership.next_reconnect_at:
+        membership.next_reconnect_at = now + membership.settings.reconnect_period_s
+        effects.extend(ping_dead_member(state, now))
+        effects.extend(forget_dead_members(membership, now))
+    return effects
+
+
+def ping_random_member(state: NodeState, now: float) -> list[Effect]:
+    """Ping the next member of a random order in which each comes once per round."""
+    membership: MembershipState = state.membership
+    if not membership.probe_order:
+        membership.probe_order = [vm for vm in membership.members if vm != membership.own.vm]
+        state.rng.shuffle(membership.probe_order)
+    while membership.probe_order:
+        target = membership.members.get(membership.probe_order.pop())
+        if target is not None and target.status <= MemberStatus.SUSPECT:
+            return send_ping(membership, target, now)
+    return []
+
+
+def ping_watched(membership: MembershipState, now: float) -> list[Effect]:
+    """Ping the owners that this daemon would replace."""
+    effects: list[Effect] = []
+    watched = membership.ranking.watched
+    for vm in list(membership.watch_due_at):
+        if vm not in watched:
+            membership.watch_due_at.pop(vm)
+    if watched:
+        for vm in watch_peers(membership):
+            if now >= membership.watch_due_at.get(vm, now):
+                membership.watch_due_at[vm] = now + membership.settings.watch_period_s
+                effects.extend(send_ping(membership, membership.members[vm], now))
+    return effects
+
+
+def ping_dead_member(state: NodeState, now: float) -> list[Effect]:
+    """Ping one dead member: after a partition somebody has to speak first."""
+    membership: MembershipState = state.membership
+    dead = [
+        vm for vm in membership.changed_at if membership.members[vm].status is MemberStatus.DEAD
+    ]
+    if not dead:
+        return []
+    return send_ping(membership, membership.members[state.rng.choice(dead)], now)
+
+
+def forget_dead_members(membership: MembershipState, now: float) -> list[Effect]:
+    """Drop members that were dead or left for long and are not listed."""
+    oldest_kept = now - membership.settings.forget_after_s
+    expired = [
+        vm
+        for vm, changed_at in membership.changed_at.items()
+        if changed_at < oldest_kept
+        and vm not in membership.listed
+        and membership.members[vm].status >= MemberStatus.DEAD
+    ]
+    return [effect for vm in expired for effect in forget_member(membership, vm)]
+
+
+def check_probes(state: NodeState, now: float) -> list[Effect]:
+    """Turn overdue pings into indirect ones and overdue indirect ones into suspicion."""
+    membership: MembershipState = state.membership
+    settings = membership.settings
+    effects: list[Effect] = []
+    for sequence, probe in list(membership.probes.items()):
+        waited_s = now - probe.started_at
+        if waited_s >= settings.probe_timeout_s + settings.indirect_timeout_s:
+            membership.probes.pop(sequence)
+            if probe.is_indirect:
+                effects.extend(suspect_member(membership, probe.vm, now))
+        elif waited_s >= settings.probe_timeout_s and not probe.is_indirect:
+            probe.is_indirect = True
+            effects.extend(ask_others(state, sequence, probe))
+    expired = [key for key, relay in membership.relays.items() if now > relay.expires_at]
+    for relayed in expired:
+        membership.relays.pop(relayed)
+    return effects
+
+
+def ask_others(state: NodeState, sequence: int, probe: Probe) -> list[Effect]:
+    """Ask random members to ping one that did not answer."""
+    membership: MembershipState = state.membership
+    count = membership.settings.indirect_members
+    helpers = choose_members(membership, state.rng, count, {probe.vm})
+    target = membership.members.get(probe.vm)
+    if target is None:
+        return []
+    return [
+        SendDatagram(
+            helper.address,
+            make_datagram(membership, DatagramKind.PING_REQUEST, sequence, probe.vm),
+        )
+        for helper in helpers
+    ]
+
+
+def suspect_member(membership: MembershipState, vm: str, now: float) -> list[Effect]:
+    """Suspect a member that did not answer on any way."""
+    known = membership.members.get(vm)
+    if known is None or known.status is not MemberStatus.ALIVE:
+        return []
+    suspected = replace(known, status=MemberStatus.SUSPECT)
+    return store_record(membership, suspected, now, 'no_answer')
+
+
+def end_suspicions(membership: MembershipState, now: float) -> list[Effect]:
+    """Declare suspects dead whose time to refute has passed."""
+    effects: list[Effect] = []
+    overdue = [vm for vm, ends_at in membership.suspicion_ends_at.items() if now >= ends_at]
+    for vm in overdue:
+        dead = replace(membership.members[vm], status=MemberStatus.DEAD)
+        effects.extend(store_record(membership, dead, now, 'not_refuted'))
+    return effects
+
+
+@handles(HeartbeatReceived)
+def handle_heartbeat(state: NodeState, event: HeartbeatReceived, now: float) -> list[Effect]:
+    """Merge the records of a datagram and answer it."""
+    membership: MembershipState = state.membership
+    datagram = event.datagram
+    if datagram.sender == membership.own.vm:
+        return []
+    effects: list[Effect] = []
+    for record in datagram.updates:
+        effects.extend(merge_record(membership, record, now, f'heard_from:{datagram.sender}'))
+    effects.extend(notice_sender(membership, datagram, now))
+    return effects + _ANSWERS_BY_KIND[datagram.kind](state, event, now)
+
+
+def notice_sender(membership: MembershipState, datagram: Datagram, now: float) -> list[Effect]:
+    """Take over the higher incarnation of a sender, which proves that it is alive."""
+    known = membership.members.get(datagram.sender)
+    if known is None or datagram.incarnation <= known.incarnation:
+        return []
+    alive = replace(known, incarnation=datagram.incarnation, status=MemberStatus.ALIVE)
+    return store_record(membership, alive, now, 'heard_from_itself')
+
+
+def find_claim_about(membership: MembershipState, datagram: Datagram) -> MemberRecord | None:
+    """Return what the sender has to know to refute or announce itself, or None.
+
+    An unknown sender gets a claim of its own death, so that it raises its incarnation and
+    spreads its complete record.
+    """
+    known = membership.members.get(datagram.sender)
+    if known is None:
+        dead = MemberStatus.DEAD
+        return MemberRecord(datagram.sender, datagram.incarnation, dead, '', '', 0)
+    return None if known.status is MemberStatus.ALIVE else known
+
+
+def answer_ping(state: NodeState, event: HeartbeatReceived, now: float) -> list[Effect]:
+    """Acknowledge a ping."""
+    membership: MembershipState = state.membership
+    datagram = event.datagram
+    if datagram.subject and datagram.subject != membership.own.vm:
+        # The address was taken over from another VM, whose silence must be noticed.
+        return []
+    first = find_claim_about(membership, datagram)
+    ack = make_datagram(membership, DatagramKind.ACK, datagram.sequence, membership.own.vm, first)
+    return [SendDatagram(event.address, ack)]
+
+
+def accept_ack(state: NodeState, event: HeartbeatReceived, now: float) -> list[Effect]:
+    """End a probe, or pass the ACK on to the member that asked for the ping."""
+    membership: MembershipState = state.membership
+    datagram = event.datagram
+    relay = membership.relays.pop(datagram.sequence, None)
+    if relay is not None:
+        passed_on = make_datagram(membership, DatagramKind.ACK, relay.sequence, datagram.subject)
+        return [SendDatagram(relay.requester, passed_on)]
+    probe = membership.probes.get(datagram.sequence)
+    if probe is not None and probe.vm == datagram.subject:
+        membership.probes.pop(datagram.sequence)
+    return []
+
+
+def relay_ping(state: NodeState, event: HeartbeatReceived, now: float) -> list[Effect]:
+    """Ping a member for another one."""
+    membership: MembershipState = state.membership
+    settings = membership.settings
+    target = membership.members.get(event.datagram.subject)
+    if target is None:
+        return []
+    sequence = membership.next_sequence()
+    expires_at = now + settings.probe_timeout_s + settings.indirect_timeout_s
+    membership.relays[sequence] = Relay(event.address, event.datagram.sequence, expires_at)
+    first = None if target.status is MemberStatus.ALIVE else target
+    ping = make_datagram(membership, DatagramKind.PING, sequence, target.vm, first)
+    return [SendDatagram(target.address, ping)]
+
+
+def answer_join(state: NodeState, event: HeartbeatReceived, now: float) -> list[Effect]:
+    """Send the complete view to a daemon that has just started."""
+    membership: MembershipState = state.membership
+    own = membership.own
+    return [
+        SendDatagram(
+            event.address,
+            Datagram(DatagramKind.PAGE, own.vm, own.incarnation, updates=page),
+        )
+        for page in split_into_pages(membership)
+    ]
+
+
+def accept_page(state: NodeState, event: HeartbeatReceived, now: float) -> list[Effect]:
+    """Do nothing more: the records were merged."""
+    return []
+
+
+_ANSWERS_BY_KIND = {
+    DatagramKind.PING: answer_ping,
+    DatagramKind.ACK: accept_ack,
+    DatagramKind.PING_REQUEST: relay_ping,
+    DatagramKind.JOIN: answer_join,
+    DatagramKind.PAGE: accept_page,
+}
+
+
+@handles(LeaveRequested)
+def handle_leave(state: NodeState, event: LeaveRequested, now: float) -> list[Effect]:
+    """Announce that this daemon gives up its databases, or that it has stopped."""
+    membership: MembershipState = state.membership
+    own = membership.own
+    status = MemberStatus.LEFT if event.done else own.status
+    announced = replace(own, incarnation=own.incarnation + 1, leaving=True, status=status)
+    effects = announce_own(membership, announced, now, 'leaving')
+    chosen = choose_members(membership, state.rng, _LEAVE_ANNOUNCEMENTS, set())
+    for target in chosen:
+        effects.extend(send_announcement(membership, target.address))
+    return effects
+
+
+def send_announcement(membership: MembershipState, address: Address) -> list[Effect]:
+    """Send the records being spread without asking for an answer."""
+    page = make_datagram(membership, DatagramKind.PAGE, first=membership.own)
+    return [SendDatagram(address, page)]
--- /dev/null
+++ b/src/cassiaseam/peers/codec_registry.py
@@ -0,0 +1,94 @@
+"""Registry of the codecs of messages between daemons."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from cassiaseam.peers.schema import (
+    TRAVERSAL_LIMIT_WORDS,
+    decode_text,
+    encode_text,
+    load_schema,
+)
+
+_Encoder = Callable[[Any, Any, float], None]
+_Decoder = Callable[[Any, float], Any]
+_ENCODERS: dict[type, _Encoder] = {}
+_DECODERS: dict[str, _Decoder] = {}
+
+
+class MalformedMessage(Exception):
+    """A frame that is no valid PeerMessage."""
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """One decoded frame.
+
+    Attributes:
+        wire_id: Id that links a request and its answer; 0 for other messages.
+        body: The message.
+    """
+
+    wire_id: int
+    body: Any
+
+
+def encodes(message_type: type) -> Callable[[_Encoder], _Encoder]:
+    """Register the function `(message, body, now)` that fills a PeerMessage."""
+
+    def register(encoder: _Encoder) -> _Encoder:
+        _ENCODERS[message_type] = encoder
+        return encoder
+
+    return register
+
+
+def decodes(union_field: str) -> Callable[[_Decoder], _Decoder]:
+    """Register the function `(message, now) -> body` of one member of the union."""
+
+    def register(decoder: _Decoder) -> _Decoder:
+        _DECODERS[union_field] = decoder
+        return decoder
+
+    return register
+
+
+def encode_message(wire_id: int, body: Any, now: float) -> bytes:
+    """Return the frame content of a message.
+
+    Raises:
+        KeyError: The type of `body` is not a message between daemons.
+    """
+    message = load_schema().PeerMessage.new_message(requestId=wire_id)
+    _ENCODERS[type(body)](message, body, now)
+    return message.to_bytes()
+
+
+def decode_message(frame: bytes, now: float) -> Envelope:
+    """Return the message in a frame.
+
+    Raises:
+        MalformedMessage: The frame is not a PeerMessage that this version knows.
+    """
+    schema = load_schema()
+    try:
+        with schema.PeerMessage.from_bytes(
+            frame, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+        ) as message:
+            return Envelope(message.requestId, _DECODERS[message.which()](message, now))
+    except Exception as error:
+        raise MalformedMessage(f'{len(frame)} bytes: {error}') from error
+
+
+def fill_pairs(target: Any, name: str, pairs: dict[str, str]) -> None:
+    """Write a dict of texts into the list field `name`."""
+    listed = target.init(name, len(pairs))
+    for index, (key, text) in enumerate(pairs.items()):
+        listed[index].key = encode_text(key)
+        listed[index].value = encode_text(text)
+
+
+def read_pairs(listed: Any) -> dict[str, str]:
+    """Return the dict that `fill_pairs` wrote."""
+    return {decode_text(pair.key): decode_text(pair.value) for pair in listed}
--- /dev/null
+++ b/src/cassiaseam/peers/datagrams.py
@@ -0,0 +1,127 @@
+"""Membership datagrams over UDP."""
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from absl import logging
+from twisted.internet.protocol import DatagramProtocol
+
+from cassiaseam.membership.messages import (
+    Address,
+    Datagram,
+    DatagramKind,
+    MemberRecord,
+    MemberStatus,
+)
+from cassiaseam.peers.schema import load_schema
+
+MAX_DATAGRAM_BYTES = 1200
+_STATUS_NAMES = {status: status.name.lower() for status in MemberStatus}
+_STATUS_BY_NAME = {name: status for status, name in _STATUS_NAMES.items()}
+
+
+class MalformedDatagram(Exception):
+    """Bytes that are no valid membership datagram."""
+
+
+def encode_datagram(datagram: Datagram) -> bytes:
+    """Return the packed encoding of a datagram."""
+    message = load_schema().Datagram.new_message(
+        kind=datagram.kind.value,
+        sender=datagram.sender,
+        incarnation=datagram.incarnation,
+        sequence=datagram.sequence,
+        subject=datagram.subject,
+        digest=datagram.digest,
+    )
+    listed = message.init('updates', len(datagram.updates))
+    for index, record in enumerate(datagram.updates):
+        _fill_record(listed[index], record)
+    return message.to_bytes_packed()
+
+
+def _fill_record(target: Any, record: MemberRecord) -> None:
+    target.vm = record.vm
+    target.incarnation = record.incarnation
+    target.status = _STATUS_NAMES[record.status]
+    target.leaving = record.leaving
+    target.place = record.place
+    target.host = record.host
+    target.port = record.port
+
+
+def _read_record(source: Any) -> MemberRecord:
+    return MemberRecord(
+        vm=source.vm,
+        incarnation=source.incarnation,
+        status=_STATUS_BY_NAME[str(source.status)],
+        place=source.place,
+        host=source.host,
+        port=source.port,
+        leaving=source.leaving,
+    )
+
+
+def decode_datagram(encoded: bytes) -> Datagram:
+    """Return the datagram in packed bytes.
+
+    Raises:
+        MalformedDatagram: The bytes are too long or not valid.
+    """
+    if len(encoded) > MAX_DATAGRAM_BYTES:
+        raise MalformedDatagram(f'{len(encoded)} bytes')
+    try:
+        return _read_datagram(load_schema().Datagram.from_bytes_packed(encoded))
+    except Exception as error:
+        raise MalformedDatagram(f'{len(encoded)} bytes: {error}') from error
+
+
+def _read_datagram(source: Any) -> Datagram:
+    return Datagram(
+        kind=DatagramKind(str(source.kind)),
+        sender=source.sender,
+        incarnation=source.incarnation,
+        sequence=source.sequence,
+        subject=source.subject,
+        digest=source.digest,
+        updates=tuple(_read_record(record) for record in source.updates),
+    )
+
+
+class MembershipProtocol(DatagramProtocol):
+    """UDP socket of the membership role.
+
+    Attributes:
+        on_datagram: Called with `(datagram, address)`.
+        counters: `datagrams_sent`, `datagrams_received`, `datagram_bytes_sent`,
+            `malformed_datagrams`.
+    """
+
+    def __init__(self, on_datagram: Callable[[Datagram, Address], None]):
+        self.on_datagram = on_datagram
+        self.counters: Counter[str] = Counter()
+
+    def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
+        """Decode one datagram; malformed ones are dropped and counted."""
+        self.counters['datagrams_received'] += 1
+        try:
+            decoded = decode_datagram(datagram)
+        except MalformedDatagram as error:
+            self.counters['malformed_datagrams'] += 1
+            logging.warning('event=malformed_datagram address=%s reason=%r', addr, str(error))
+            return
+        self.on_datagram(decoded, (addr[0], addr[1]))
+
+    def send(self, address: Address, datagram: Datagram) -> None:
+        """Send a datagram; an unreachable network counts as a lost datagram."""
+        encoded = encode_datagram(datagram)
+        self.counters['datagrams_sent'] += 1
+        self.counters['datagram_bytes_sent'] += len(encoded)
+        if self.transport is None:
+            return
+        try:
+            self.transport.write(encoded, address)
+        except OSError as error:
+            self.counters['datagrams_not_sent'] += 1
+            logging.warning('event=datagram_not_sent address=%s reason=%r', address, str(error))
--- /dev/null
+++ b/src/cassiaseam/peers/link.py
@@ -0,0 +1,363 @@
+"""One TCP connection between two daemons: frames, bounded sending and heartbeats."""
+
+import asyncio
+import struct
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from absl import logging
+
+from cassiaseam.messages import Answer, Request, RequestKind
+from cassiaseam.peers.codec import (
+    PROTOCOL_VERSION,
+    Envelope,
+    MalformedMessage,
+    decode_message,
+    encode_message,
+)
+from cassiaseam.peers.messages import Goodbye, Hello, Ping
+
+_LENGTH = struct.Struct('>I')
+# A heartbeat timer that fires this late shows that this process itself was stalled, so the
+# silence says nothing about the peer.
+_OWN_STALL_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class TransportLimits:
+    """Limits of the transport; times in seconds.
+
+    Attributes:
+        frame_bytes: Largest frame that is sent or accepted.
+        queue_frames: Frames that may wait per connection while the peer does not read.
+        queue_bytes: Bytes that may wait per connection.
+        requests_in_flight: Requests without an answer per connection.
+        connect_timeout_s: Time for connecting and the hello exchange.
+        idle_s: Time without traffic after which a connection is closed.
+        heartbeat_interval_s: Time between heartbeats while requests or transactions are open.
+        silence_limit_s: Silence after which a peer counts as frozen; with the interval it stays
+            under one second.
+        goodbye_timeout_s: Time that the peer has to close a connection after a goodbye.
+    """
+
+    frame_bytes: int = 32 * 1024 * 1024
+    queue_frames: int = 1024
+    queue_bytes: int = 64 * 1024 * 1024
+    requests_in_flight: int = 4096
+    connect_timeout_s: float = 1
+    idle_s: float = 60
+    heartbeat_interval_s: float = 0.2
+    silence_limit_s: float = 0.7
+    goodbye_timeout_s: float = 2
+
+
+class SendRefusal(Exception):
+    """The send queue is full, or the message exceeds the frame size."""
+
+    def __init__(self, too_large: bool, message: str):
+        super().__init__(message)
+        self.too_large = too_large
+
+
+@dataclass(slots=True, eq=False)
+class PendingRequest:
+    """A request that waits for its answer.
+
+    Attributes:
+        request: The request.
+        outcome: Future of the answer.
+        written: Whether the frame was handed to the socket.
+    """
+
+    request: Request
+    outcome: asyncio.Future[Answer]
+    written: bool = False
+
+
+@dataclass(slots=True)
+class _Frame:
+    content: bytes
+    pending: PendingRequest | None
+
+
+@dataclass(slots=True)
+class LinkContext:
+    """What the links of one transport share.
+
+    Attributes:
+        hello: Hello of this daemon.
+        limits: Limits.
+        clock: Monotonic clock in seconds.
+        on_message: Called with every message that is not link control.
+        on_closed: Called once when the link is gone.
+        on_ready: Called when the hello of the peer was accepted.
+        counters: Counters by name.
+    """
+
+    hello: Hello
+    limits: TransportLimits
+    clock: Callable[[], float]
+    on_message: Callable[['PeerLink', Envelope], None]
+    on_closed: Callable[['PeerLink', str], None]
+    on_ready: Callable[['PeerLink'], None] = lambda link: None
+    counters: Counter[str] = field(default_factory=Counter)
+
+
+class PeerLink(asyncio.Protocol):
+    """One connection, seen from one side.
+
+    Attributes:
+        vm: Name of the peer; known from the dial or from its hello.
+        dialled: Whether this side opened the connection.
+        pending: Requests in flight by wire id.
+        open_transactions: Transactions whose statements ran over this link.
+        incoming: Wire ids of requests of the peer that are not answered yet.
+        draining: Whether a goodbye was sent or received.
+    """
+
+    def __init__(self, context: LinkContext, vm: str = ''):
+        self.context = context
+        self.vm = vm
+        self.dialled = bool(vm)
+        self.ready: asyncio.Future[Hello] = asyncio.get_running_loop().create_future()
+        self.pending: dict[int, PendingRequest] = {}
+        self.open_transactions: set[str] = set()
+        self.incoming: set[int] = set()
+        self.draining = False
+        self.closed = False
+        self.close_reason = ''
+        self.incarnation = 0
+        self.transport: asyncio.Transport | None = None
+        self.received = bytearray()
+        self.queue: deque[_Frame] = deque()
+        self.queued_bytes = 0
+        self.paused = False
+        self.last_received_at = context.clock()
+        self.last_used_at = self.last_received_at
+        self.expecting_since: float | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.timer_due_at = self.last_received_at
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send the hello and start the timer of the link."""
+        self.transport = transport
+        self.last_received_at = self.context.clock()
+        self.write_frame(_Frame(encode_message(0, self.context.hello, 0), None))
+        self.schedule_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report the end of the link once."""
+        reason = 'closed by peer' if exc is None else str(exc)
+        self.finish_close(self.close_reason or reason)
+
+    def pause_writing(self) -> None:
+        """Keep further frames in the bounded queue."""
+        self.paused = True
+
+    def resume_writing(self) -> None:
+        """Write the frames that waited."""
+        self.paused = False
+        while self.queue and not self.paused and not self.closed:
+            frame = self.queue.popleft()
+            self.queued_bytes -= len(frame.content)
+            self.write_frame(frame)
+
+    def data_received(self, received: bytes) -> None:
+        """Split the stream into frames."""
+        self.last_received_at = self.context.clock()
+        self.received += received
+        self.context.counters['bytes_received'] += len(received)
+        while not self.closed and len(self.received) >= _LENGTH.size:
+            length = int.from_bytes(self.received[: _LENGTH.size])
+            if length > self.context.limits.frame_bytes:
+                self.context.counters['oversized_frames'] += 1
+                self.abort(f'frame of {length} bytes')
+                return
+            end = _LENGTH.size + length
+            if len(self.received) < end:
+                return
+            content = bytes(self.received[_LENGTH.size : end])
+            del self.received[:end]
+            self.accept_frame(content)
+
+    # receiving
+
+    def accept_frame(self, content: bytes) -> None:
+        """Decode one frame and pass it on."""
+        try:
+            envelope = decode_message(content, self.context.clock())
+        except MalformedMessage as error:
+            self.context.counters['malformed_frames'] += 1
+            self.abort(f'malformed frame: {error}')
+            return
+        if isinstance(envelope.body, Hello):
+            self.accept_hello(envelope.body)
+        elif not self.ready.done():
+            self.abort('message before hello')
+        elif isinstance(envelope.body, Ping):
+            self.accept_ping(envelope.body)
+        elif isinstance(envelope.body, Goodbye):
+            self.draining = True
+            self.close_if_drained()
+        else:
+            self.last_used_at = self.last_received_at
+            self.context.on_message(self, envelope)
+
+    def accept_hello(self, hello: Hello) -> None:
+        """Check who the peer is; another version or VM than expected ends the link."""
+        own = self.context.hello
+        if hello.protocol_version != PROTOCOL_VERSION:
+            self.context.counters['refused_versions'] += 1
+            self.abort(f'protocol version {hello.protocol_version}, not {PROTOCOL_VERSION}')
+        elif self.ready.done() or not hello.vm or hello.vm == own.vm:
+            self.abort(f'unexpected hello of vm {hello.vm!r}')
+        elif self.vm and self.vm != hello.vm:
+            self.abort(f'vm {hello.vm!r} answered at the address of {self.vm!r}')
+        else:
+            self.vm = hello.vm
+            self.incarnation = hello.incarnation
+            self.ready.set_result(hello)
+            self.context.on_ready(self)
+
+    def accept_ping(self, ping: Ping) -> None:
+        """Answer a heartbeat."""
+        self.expecting_since = None
+        if ping.wants_answer:
+            self.send(0, Ping(wants_answer=False))
+
+    # sending
+
+    def send(self, wire_id: int, body: Any, pending: PendingRequest | None = None) -> None:
+        """Write a message, or queue it while the peer does not read.
+
+        Raises:
+            SendRefusal: The queue is full or the message is too large.
+        """
+        content = encode_message(wire_id, body, self.context.clock())
+        limits = self.context.limits
+        if len(content) > limits.frame_bytes:
+            raise SendRefusal(True, f'message of {len(content)} bytes')
+        if not isinstance(body, Ping):
+            self.last_used_at = self.context.clock()
+        frame = _Frame(content, pending)
+        if not self.paused:
+            self.write_frame(frame)
+            return
+        if len(self.queue) >= limits.queue_frames or self.queued_bytes >= limits.queue_bytes:
+            self.context.counters['queue_full'] += 1
+            raise SendRefusal(False, f'{len(self.queue)} frames wait for vm {self.vm}')
+        self.queue.append(frame)
+        self.queued_bytes += len(content)
+
+    def write_frame(self, frame: _Frame) -> None:
+        """Hand a frame to the socket, unless its request was given up while it waited."""
+        if self.transport is None or self.closed:
+            return
+        if frame.pending is not None:
+            if frame.pending.outcome.done():
+                return
+            frame.pending.written = True
+        self.transport.write(_LENGTH.pack(len(frame.content)) + frame.content)
+        self.context.counters['bytes_sent'] += _LENGTH.size + len(frame.content)
+
+    def track_transaction(self, request: Request) -> None:
+        """Note a transaction, so that the link is watched and kept while it is open."""
+        if request.transaction_id is not None and request.kind is RequestKind.BEGIN:
+            self.open_transactions.add(request.transaction_id)
+
+    def forget_transaction(self, request: Request, answer: Answer) -> None:
+        """Stop watching a transaction that has ended."""
+        ended = request.kind in {RequestKind.COMMIT, RequestKind.ROLLBACK}
+        failed_begin = request.kind is RequestKind.BEGIN and answer.error is not None
+        if request.transaction_id is not None and (ended or failed_begin):
+            self.open_transactions.discard(request.transaction_id)
+
+    # timer
+
+    def is_busy(self) -> bool:
+        """Return whether requests or transactions depend on this link."""
+        return bool(self.pending or self.incoming or self.open_transactions)
+
+    def schedule_timer(self) -> None:
+        """Arrange the next heartbeat check."""
+        interval_s = self.context.limits.heartbeat_interval_s
+        self.timer_due_at = self.context.clock() + interval_s
+        self.timer = asyncio.get_running_loop().call_later(interval_s, self.run_timer)
+
+    def run_timer(self) -> None:
+        """Send a heartbeat, notice a frozen peer or close an idle link."""
+        now = self.context.clock()
+        if now - self.timer_due_at > _OWN_STALL_S and self.expecting_since is not None:
+            self.expecting_since = now
+        if self.is_busy():
+            self.check_heartbeat(now)
+        else:
+            self.expecting_since = None
+            self.check_idle(now)
+        if not self.closed:
+            self.schedule_timer()
+
+    def check_heartbeat(self, now: float) -> None:
+        """Ask a silent peer for a sign of life; abort when it gives none."""
+        limits = self.context.limits
+        if self.expecting_since is not None:
+            since = max(self.expecting_since, self.last_received_at)
+            if now - since >= limits.silence_limit_s:
+                self.context.counters['frozen_peers'] += 1
+                self.abort(f'silent for {now - since:.2f} s')
+                return
+        if not self.paused:
+            self.send(0, Ping(wants_answer=True))
+        if self.expecting_since is None:
+            self.expecting_since = now
+
+    def check_idle(self, now: float) -> None:
+        """Say goodbye on an idle link; the peer closes it, so that no request is cut off."""
+        limits = self.context.limits
+        idle_s = now - self.last_used_at
+        if self.draining:
+            if idle_s > limits.goodbye_timeout_s:
+                self.abort('drained')
+        elif self.dialled and self.ready.done() and idle_s > limits.idle_s:
+            self.say_goodbye()
+
+    def say_goodbye(self) -> None:
+        """Start no further request here and let the peer close when it is done."""
+        self.draining = True
+        try:
+            self.send(0, Goodbye())
+        except SendRefusal as refusal:
+            logging.warning('event=goodbye_not_sent vm=%s reason=%r', self.vm, str(refusal))
+
+    def close_if_drained(self) -> None:
+        """Close after a goodbye as soon as nothing depends on the link."""
+        if self.draining and not self.is_busy() and not self.closed:
+            self.close_reason = 'drained'
+            self.transport.close()
+
+    # closing
+
+    def abort(self, reason: str) -> None:
+        """End the link at once."""
+        self.close_reason = self.close_reason or reason
+        if self.transport is not None:
+            self.transport.abort()
+        self.finish_close(self.close_reason)
+
+    def finish_close(self, reason: str) -> None:
+        """Release the link; later calls do nothing."""
+        if self.closed:
+            return
+        self.closed = True
+        if self.timer is not None:
+            self.timer.cancel()
+        if not self.ready.done():
+            self.ready.set_exception(ConnectionError(reason))
+            # Marks the exception as seen; for an accepted connection nobody awaits it.
+            self.ready.exception()
+        self.queue.clear()
+        self.context.on_closed(self, reason)
--- /dev/null
+++ b/src/cassiaseam/peers/transport.py
@@ -0,0 +1,310 @@
+"""Requests and messages between daemons over TCP."""
+
+import asyncio
+import itertools
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from absl import logging
+
+from cassiaseam.errors import ErrorKind, RequestError
+from cassiaseam.messages import Answer, Request, RequestKind
+from cassiaseam.peers.codec import PROTOCOL_VERSION, Envelope
+from cassiaseam.peers.link import (
+    LinkContext,
+    PeerLink,
+    PendingRequest,
+    SendRefusal,
+    TransportLimits,
+)
+from cassiaseam.peers.link_table import LinkTable, PeerUnreachable, Resolver, TlsContexts
+from cassiaseam.peers.messages import CancelRequest, Hello
+
+RETRY_AFTER_S = 0.1
+_KINDS_THAT_CHANGE_DATA = frozenset((RequestKind.WRITE, RequestKind.COMMIT))
+
+
+@dataclass(frozen=True, slots=True)
+class _IncomingRequest:
+    """Where the answer to a request of a peer has to go."""
+
+    link: PeerLink
+    wire_id: int
+    request: Request
+
+
+def make_error_answer(request: Request, kind: ErrorKind, message: str) -> Answer:
+    """Return the final answer for a request that got none from its owner."""
+    retry_after_s = RETRY_AFTER_S
+    if kind in {ErrorKind.OUTCOME_UNKNOWN, ErrorKind.TOO_LARGE}:
+        retry_after_s = None
+    return Answer(request.request_id, error=RequestError(kind, message, retry_after_s))
+
+
+def find_loss_kind(pending: PendingRequest) -> ErrorKind:
+    """Return how a request ends when its link is lost."""
+    if pending.written and pending.request.kind in _KINDS_THAT_CHANGE_DATA:
+        return ErrorKind.OUTCOME_UNKNOWN
+    return ErrorKind.PEER_UNREACHABLE
+
+
+class PeerTransport:
+    """Exchange of requests and messages with the other daemons.
+
+    Attributes:
+        on_request: Called with `(vm, request)` for each request of a peer or of this daemon; the
+            answer is given by `send_answer`.
+        on_message: Called with `(vm, message)` for every other message.
+        on_peer_lost: Called with the VM name when the last link to it broke, as opposed to
+            being closed while idle.
+        counters: Counters by name, such as `unknown_answers`.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        incarnation: int,
+        resolve_address: Resolver,
+        limits: TransportLimits | None = None,
+        tls: TlsContexts | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.vm = vm
+        self.limits = limits or TransportLimits()
+        self.clock = clock
+        self.on_request: Callable[[str, Request], None] = self.refuse_request
+        self.on_message: Callable[[str, Any], None] = lambda peer, message: None
+        self.on_peer_lost: Callable[[str], None] = lambda peer: None
+        hello = Hello(vm, incarnation, PROTOCOL_VERSION)
+        context = LinkContext(hello, self.limits, clock, self.accept_message, self.fail_link)
+        self.counters = context.counters
+        self.table = LinkTable(context, resolve_address, tls)
+        self.incoming: dict[tuple[str, str], _IncomingRequest] = {}
+        self.local: dict[str, PendingRequest] = {}
+        self.wire_ids = itertools.count(1)
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen on a numeric address and return the port in use."""
+        return await self.table.listen(host, port)
+
+    async def stop(self) -> None:
+        """Close the listener and every link; requests in flight end as after a loss."""
+        await self.table.close()
+
+    # requests
+
+    async def send_request(self, vm: str, request: Request, now: float) -> Answer:
+        """Return the final answer of `vm`; never raises and never outlasts the deadline.
+
+        Args:
+            vm: Owner of the database.
+            request: Request whose deadline is on the clock of this transport.
+            now: Time in seconds on that clock.
+        """
+        outcome = asyncio.get_running_loop().create_future()
+        pending = PendingRequest(request, outcome)
+        remaining_s = request.deadline - now
+        if remaining_s <= 0:
+            return make_error_answer(request, ErrorKind.DEADLINE_EXCEEDED, 'deadline passed')
+        if vm == self.vm:
+            return await self.run_locally(pending, remaining_s)
+        try:
+            async with asyncio.timeout(remaining_s):
+                link = await self.table.obtain_link(vm)
+        except (PeerUnreachable, TimeoutError) as error:
+            message = f'vm {vm} cannot be reached: {error}'
+            return make_error_answer(request, ErrorKind.PEER_UNREACHABLE, message)
+        return await self.run_on_link(link, pending, request.deadline - self.clock())
+
+    async def run_locally(self, pending: PendingRequest, remaining_s: float) -> Answer:
+        """Run a request on this daemon without a connection."""
+        request = pending.request
+        pending.written = True
+        self.local[request.request_id] = pending
+        try:
+            self.on_request(self.vm, request)
+            return await self.wait_for_answer(pending, remaining_s, None)
+        finally:
+            self.local.pop(request.request_id, None)
+
+    async def run_on_link(
+        self, link: PeerLink, pending: PendingRequest, remaining_s: float
+    ) -> Answer:
+        """Send a request over a link and wait for its answer."""
+        request = pending.request
+        if len(link.pending) >= self.limits.requests_in_flight:
+            message = f'{len(link.pending)} requests in flight to vm {link.vm}'
+            return make_error_answer(request, ErrorKind.OVERLOADED, message)
+        wire_id = next(self.wire_ids)
+        link.pending[wire_id] = pending
+        link.track_transaction(request)
+        try:
+            link.send(wire_id, request, pending)
+            answer = await self.wait_for_answer(pending, remaining_s, link)
+        except SendRefusal as refusal:
+            kind = ErrorKind.TOO_LARGE if refusal.too_large else ErrorKind.OVERLOADED
+            answer = make_error_answer(request, kind, str(refusal))
+        except asyncio.CancelledError:
+            link.open_transactions.discard(request.transaction_id)
+            raise
+        finally:
+            link.pending.pop(wire_id, None)
+        link.forget_transaction(request, answer)
+        link.close_if_drained()
+        return answer
+
+    async def wait_for_answer(
+        self, pending: PendingRequest, remaining_s: float, link: PeerLink | None
+    ) -> Answer:
+        """Wait until the answer, the loss of the link, the deadline or a cancellation."""
+        try:
+            async with asyncio.timeout(remaining_s):
+                return await pending.outcome
+        except TimeoutError:
+            self.cancel_request(pending, link)
+            return self.make_timeout_answer(pending)
+        except asyncio.CancelledError:
+            self.cancel_request(pending, link)
+            raise
+
+    def make_timeout_answer(self, pending: PendingRequest) -> Answer:
+        """Return the answer of a request that reached its deadline."""
+        kind = ErrorKind.DEADLINE_EXCEEDED
+        if pending.written and pending.request.kind in _KINDS_THAT_CHANGE_DATA:
+            kind = ErrorKind.OUTCOME_UNKNOWN
+        return make_error_answer(pending.request, kind, 'no answer of the owner by the deadline')
+
+    def cancel_request(self, pending: PendingRequest, link: PeerLink | None) -> None:
+        """Tell the owner that nobody waits for an answer any more."""
+        pending.outcome.cancel()
+        request = pending.request
+        cancel = CancelRequest(request.database, request.request_id)
+        if link is None:
+            self.on_message(self.vm, cancel)
+        elif pending.written:
+            self.send_on_link(link, 0, cancel)
+
+    def send_answer(self, vm: str, answer: Answer) -> bool:
+        """Answer a request that `on_request` received; return False when nobody waits for it."""
+        found = self.incoming.pop((vm, answer.request_id), None)
+        if vm == self.vm:
+            return self.settle(self.local.pop(answer.request_id, None), answer)
+        if found is None or found.link.closed:
+            self.counters['answers_without_link'] += 1
+            return False
+        link = found.link
+        link.incoming.discard(found.wire_id)
+        sent = self.send_answer_on_link(link, found.wire_id, answer)
+        link.forget_transaction(found.request, answer)
+        link.close_if_drained()
+        return sent
+
+    def send_answer_on_link(self, link: PeerLink, wire_id: int, answer: Answer) -> bool:
+        """Send an answer; a peer that reads no answers loses the link instead of waiting."""
+        try:
+            link.send(wire_id, answer)
+        except SendRefusal as refusal:
+            if not refusal.too_large:
+                link.abort(f'answers are not read: {refusal}')
+                return False
+            error = RequestError(ErrorKind.TOO_LARGE, f'answer: {refusal}')
+            link.send(wire_id, Answer(answer.request_id, error=error, target=answer.target))
+        return True
+
+    def settle(self, pending: PendingRequest | None, answer: Answer) -> bool:
+        """Hand an answer to the request it belongs to."""
+        if pending is None or pending.outcome.done():
+            self.counters['unknown_answers'] += 1
+            return False
+        pending.outcome.set_result(answer)
+        return True
+
+    def refuse_request(self, vm: str, request: Request) -> None:
+        """Answer a request that arrives before the owner role is connected."""
+        error = make_error_answer(request, ErrorKind.NOT_OWNER, 'daemon is starting')
+        self.send_answer(vm, error)
+
+    # links
+
+    def accept_message(self, link: PeerLink, envelope: Envelope) -> None:
+        """Pass on a message of a peer."""
+        body = envelope.body
+        if isinstance(body, Answer):
+            self.accept_answer(link, envelope.wire_id, body)
+        elif isinstance(body, Request):
+            self.accept_request(link, envelope.wire_id, body)
+        else:
+            if isinstance(body, CancelRequest):
+                self.drop_incoming(link.vm, body.request_id)
+            self.on_message(link.vm, body)
+
+    def accept_answer(self, link: PeerLink, wire_id: int, answer: Answer) -> None:
+        """Give an answer to the request with its id; any other answer is dropped."""
+        pending = link.pending.get(wire_id)
+        if pending is not None and pending.request.request_id != answer.request_id:
+            pending = None
+        self.settle(pending, answer)
+
+    def accept_request(self, link: PeerLink, wire_id: int, request: Request) -> None:
+        """Pass a request of a peer to the owner role."""
+        self.drop_incoming(link.vm, request.request_id)
+        self.incoming[link.vm, request.request_id] = _IncomingRequest(link, wire_id, request)
+        link.incoming.add(wire_id)
+        link.track_transaction(request)
+        self.on_request(link.vm, request)
+
+    def drop_incoming(self, vm: str, request_id: str) -> None:
+        """Forget a request whose answer nobody waits for."""
+        found = self.incoming.pop((vm, request_id), None)
+        if found is not None:
+            found.link.incoming.discard(found.wire_id)
+
+    def fail_link(self, link: PeerLink, reason: str) -> None:
+        """End what depends on a lost link."""
+        was_busy = link.is_busy()
+        for pending in list(link.pending.values()):
+            if not pending.outcome.done():
+                message = f'link to vm {link.vm} lost: {reason}'
+                kind = find_loss_kind(pending)
+                pending.outcome.set_result(make_error_answer(pending.request, kind, message))
+        lost = [key for key, found in self.incoming.items() if found.link is link]
+        for key in lost:
+            self.incoming.pop(key)
+        is_last = self.table.forget_link(link)
+        if link.incarnation and (was_busy or (is_last and not link.draining)):
+            logging.info('event=peer_lost vm=%s reason=%r', link.vm, reason)
+            self.on_peer_lost(link.vm)
+
+    # messages
+
+    def send_message(self, vm: str, message: Any) -> None:
+        """Send a message that has no answer of its own; it is lost when the peer is gone."""
+        if vm == self.vm:
+            self.on_message(vm, message)
+            return
+        link = self.table.find_link(vm)
+        if link is not None:
+            self.send_on_link(link, 0, message)
+            return
+        dial = self.table.start_dial(vm)
+        dial.add_done_callback(lambda done: self.send_after_dial(done, message))
+
+    def send_after_dial(self, dial: 'asyncio.Task[PeerLink]', message: Any) -> None:
+        """Send a message that waited for its link."""
+        if dial.cancelled() or dial.exception() is not None:
+            self.counters['messages_lost'] += 1
+            return
+        self.send_on_link(dial.result(), 0, message)
+
+    def send_on_link(self, link: PeerLink, wire_id: int, message: Any) -> None:
+        """Send a message on a link, or count it as lost."""
+        if link.closed:
+            self.counters['messages_lost'] += 1
+            return
+        try:
+            link.send(wire_id, message)
+        except SendRefusal as refusal:
+            self.counters['messages_lost'] += 1
+            logging.warning('event=message_lost vm=%s reason=%r', link.vm, str(refusal))
