--- a/src/cassiaseam/settings/__init__.py
+++ b/src/cassiaseam/settings/__init__.py
@@ -1,1 +1,1 @@
-"""Package `cassiaseam.settings`; see docs/design.md."""
+"""Settings of one daemon: validated models and the YAML loader."""
--- /dev/null
+++ b/src/cassiaseam/settings/model.py
@@ -0,0 +1,166 @@
+"""Validated settings of one daemon.
+
+Durations are seconds and sizes are bytes once they are validated.
+"""
+
+import enum
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, HttpUrl
+
+from cassiaseam.settings.units import DurationS, IpNumber, SizeBytes, SocketAddress
+
+Name = Annotated[str, Field(pattern='^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$')]
+Port = Annotated[int, Field(ge=1, le=65535)]
+ServiceName = Annotated[str, Field(pattern=r'^(\*|[A-Za-z0-9][A-Za-z0-9_.-]{0,62})$')]
+ALL_DATABASES = '*'
+
+
+class Role(enum.Enum):
+    """What the holder of an API token may do; each role includes the ones before it."""
+
+    VIEWER = 'viewer'
+    OPERATOR = 'operator'
+    ADMINISTRATOR = 'administrator'
+
+
+class Section(BaseModel):
+    """Base of all sections: unknown keys are errors and values never change."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+class ListenSettings(Section):
+    """Addresses that the daemon listens on."""
+
+    callers: SocketAddress
+    peers: SocketAddress
+    admin: SocketAddress
+
+
+class UserSettings(Section):
+    """A login name of callers; an empty grant list means no database."""
+
+    name: Name
+    password_file: Path
+    databases: tuple[ServiceName, ...]
+
+
+class TokenSettings(Section):
+    """A bearer token of the administration API."""
+
+    team: Name
+    role: Role
+    databases: tuple[ServiceName, ...] = (ALL_DATABASES,)
+    token_file: Path
+
+
+class CertificateSettings(Section):
+    """PEM files of one listener; `authority_file` makes peer certificates mandatory."""
+
+    certificate_file: Path
+    key_file: Path
+    authority_file: Path | None = None
+
+
+class PeerCertificateSettings(CertificateSettings):
+    """PEM files between daemons, which always check each other."""
+
+    authority_file: Path
+
+
+class TlsSettings(Section):
+    """Certificates per listener; a listener without one speaks plain TCP."""
+
+    callers: CertificateSettings | None = None
+    admin: CertificateSettings | None = None
+    peers: PeerCertificateSettings | None = None
+
+
+class LimitSettings(Section):
+    """Limits of one daemon."""
+
+    deadline: DurationS = 5.0
+    max_deadline: DurationS = 60.0
+    queue: Annotated[int, Field(ge=1, le=100_000)] = 256
+    sessions: Annotated[int, Field(ge=1, le=1_000_000)] = 10_000
+    statement_size: SizeBytes = 1 << 20
+    response_size: SizeBytes = 16 << 20
+    timeline_records: Annotated[int, Field(ge=16, le=1_000_000)] = 10_000
+    drain: DurationS = 30.0
+
+
+class LatencySettings(Section):
+    """Expected one-way latencies and connection cost, used for estimates in plans."""
+
+    between_places: DurationS = 0.0015
+    between_regions: DurationS = 0.008
+    to_callers: DurationS = 0.003
+    connection_open: DurationS = 0.012
+
+
+class TargetSettings(Section):
+    """One target of the static configuration."""
+
+    name: Name
+    host: IpNumber
+    port: Port
+    place: Name
+    slots: Annotated[int, Field(ge=1, le=10_000)] = 5
+    connections: Annotated[int, Field(ge=2, le=100_000)] = 75
+
+
+class DatabaseSettings(Section):
+    """One database of the static configuration."""
+
+    targets: Annotated[tuple[TargetSettings, ...], Field(min_length=1, max_length=15)]
+    max_age: dict[ServiceName, DurationS] = Field(default_factory=dict)
+    queue_limit: Annotated[int, Field(ge=1, le=100_000)] = 256
+    drain_limit: DurationS = 30.0
+    owner: Name | None = None
+    granted: tuple[Name, ...] = ()
+
+
+class PlatformSettings(Section):
+    """The platform's object API."""
+
+    url: HttpUrl
+    timeout: DurationS = 2.0
+    token_file: Path | None = None
+
+
+class TargetLoginSettings(Section):
+    """Login that the daemon uses on targets."""
+
+    user: Name
+    password_file: Path
+
+
+class Settings(Section):
+    """Settings of one daemon.
+
+    Attributes:
+        vm: Name of the VM; unique over all VMs.
+        place: Data centre of the VM.
+        region: Region of the place.
+        advertise: IP number that other daemons use; the peer address when absent.
+        seeds: Peer addresses to ask while the platform is down at start.
+        databases: Used only while the platform holds no configuration.
+    """
+
+    vm: Name
+    place: Name
+    region: Name
+    listen: ListenSettings
+    advertise: IpNumber | None = None
+    platform: PlatformSettings
+    seeds: tuple[SocketAddress, ...] = ()
+    target_login: TargetLoginSettings | None = None
+    users: tuple[UserSettings, ...] = ()
+    tokens: tuple[TokenSettings, ...] = ()
+    tls: TlsSettings = TlsSettings()
+    limits: LimitSettings = LimitSettings()
+    latency: LatencySettings = LatencySettings()
+    log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
+    databases: dict[Name, DatabaseSettings] = Field(default_factory=dict)
