--- a/src/cassiaseam/settings/problems.py
+++ b/src/cassiaseam/settings/problems.py
@@ -86,7 +86,7 @@
         return str(context['error'])
     if kind == 'string_pattern_mismatch':
         return SERVICE_FORM if r'\*' in context['pattern'] else NAME_FORM
-    if kind in _TEMPLATES:
-        return _TEMPLATES[kind].format(**context)
-    form = _FORMS.get(kind)
-    return form or item['msg']
+    template = _TEMPLATES.get(kind)
+    if template is not None:
+        return template.format(**context)
+    return _FORMS.get(kind) or item['msg']
