Add the time line, log events and metrics

Cause: operators have to see decisions of all daemons in causal order, and logs and metrics must neither leak statements nor grow with caller names. Ruled out: wall-clock order (jumps back after a clock step); vector clocks, whose size grows with 1,400 nodes; a clock that adopts any remote stamp, since one wrong VM would move all others into the future. Change: hybrid logical clock with a drift bound, bounded buffer with sequence numbers per run, merge with marks for unreachable, restarted and overwritten sources, JSON lines and one HTML page; key=value events over absl; metrics over aioprometheus with a bound on label sets.

--- a/src/cassiaseam/observability/__init__.py
+++ b/src/cassiaseam/observability/__init__.py
@@ -1,1 +1,1 @@
-"""Package `cassiaseam.observability`; see docs/design.md."""
+"""Log lines and metrics."""
--- a/src/cassiaseam/timeline/__init__.py
+++ b/src/cassiaseam/timeline/__init__.py
@@ -1,1 +1,1 @@
-"""Package `cassiaseam.timeline`; see docs/design.md."""
+"""Time line of decisions: hybrid logical clock, bounded buffer, merge and output."""
--- /dev/null
+++ b/tests/operations/test_observability.py
@@ -0,0 +1,58 @@
+import pytest
+
+from cassiaseam.observability.logs import bind_log_ids, format_log_event, log_event
+from cassiaseam.observability.metrics import MetricSpec, MetricsRegistry, MetricType
+
+
+@pytest.mark.parametrize(
+    ('fields', 'line'),
+    [
+        ({'database': 'orders', 'term': 3}, 'event=e database=orders term=3'),
+        ({'cause': 'two words'}, 'event=e cause="two words"'),
+        ({'cause': 'line\nevent=forged'}, 'event=e cause="line\\nevent=forged"'),
+        ({'cause': 'a="b"'}, 'event=e cause="a=\\"b\\""'),
+        ({'cause': ''}, 'event=e cause=""'),
+        ({'absent': None, 'leaving': True}, 'event=e leaving=true'),
+        ({'sql': "SELECT 'name'", 'password': 'x'}, 'event=e sql=hidden password=hidden'),
+    ],
+)
+def test_line_cannot_be_forged_and_shows_no_statement_text(fields, line):
+    assert format_log_event('e', fields) == line
+
+
+def test_ids_are_part_of_every_line_inside_the_block_only():
+    with bind_log_ids(request_id='r1', trace_id='t1'):
+        assert format_log_event('e', {'a': 1}) == 'event=e request_id=r1 trace_id=t1 a=1'
+    assert format_log_event('e', {}) == 'event=e'
+
+
+def test_percent_signs_in_values_are_not_formatted(caplog):
+    log_event('e', level='error', cause='100%s')
+    assert 'event=e cause="100%s"' in caplog.text
+
+
+def test_label_sets_stay_bounded_when_callers_invent_names():
+    registry = MetricsRegistry()
+    registry.define_metric(MetricSpec('c_total', 'c', MetricType.COUNTER, ('caller',), 3))
+    for number in range(100):
+        registry.add_to_counter('c_total', caller=f'caller-{number}')
+    text = registry.render_text().decode()
+    assert text.count('c_total{') == 4
+    assert 'c_total{caller="other"} 97' in text
+
+
+def test_undefined_label_or_second_definition_is_refused():
+    registry = MetricsRegistry()
+    spec = MetricSpec('g', 'g', MetricType.GAUGE)
+    registry.define_metric(spec)
+    with pytest.raises(LookupError):
+        registry.set_gauge('g', 1, caller='a')
+    with pytest.raises(ValueError, match='twice'):
+        registry.define_metric(spec)
+
+
+def test_histogram_is_rendered_with_its_buckets():
+    registry = MetricsRegistry()
+    registry.define_metric(MetricSpec('h_seconds', 'h', MetricType.HISTOGRAM))
+    registry.observe_value('h_seconds', 0.02)
+    assert 'h_seconds_bucket{le="0.025"} 1' in registry.render_text().decode()
