--- /dev/null
+++ b/src/cassiaseam/daemon/main.py
@@ -0,0 +1,52 @@
+"""Program `cassiaseamd`."""
+
+import argparse
+import asyncio
+import sys
+from typing import Any
+
+from absl import logging
+from result import Err
+
+
+def parse_arguments(arguments: list[str] | None = None) -> argparse.Namespace:
+    """Return the command line arguments."""
+    parser = argparse.ArgumentParser(prog='cassiaseamd', description='Database proxy daemon.')
+    parser.add_argument('--settings', required=True, metavar='FILE', help='YAML settings file')
+    return parser.parse_args(arguments)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the daemon until SIGTERM and return the exit code."""
+    parsed = parse_arguments(arguments)
+    from cassiaseam.daemon.settings_file import read_runtime_settings  # noqa: PLC0415
+    from cassiaseam.observability.logs import set_log_level  # noqa: PLC0415
+
+    read = read_runtime_settings(parsed.settings)
+    if isinstance(read, Err):
+        sys.stderr.write(f'{read.err_value}\n')
+        return 2
+    logging.use_absl_handler()
+    set_log_level(read.ok_value.log_level)
+    return run_daemon(read.ok_value)
+
+
+def run_daemon(settings: Any) -> int:
+    """Run a daemon on the asyncio reactor of Twisted."""
+    from twisted.internet import asyncioreactor  # noqa: PLC0415
+
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    asyncioreactor.install(loop)
+    from twisted.internet import reactor  # noqa: PLC0415
+
+    from cassiaseam.daemon.supervision import DaemonSupervisor  # noqa: PLC0415
+
+    supervisor = DaemonSupervisor(reactor, settings)
+    supervisor.schedule()
+    reactor.run()
+    return supervisor.exit_code
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/src/cassiaseam/daemon/settings_file.py
@@ -0,0 +1,55 @@
+"""Settings of the runtime from a settings file."""
+
+from result import Err, Ok, Result
+
+from cassiaseam.daemon.runtime import RuntimeSettings
+from cassiaseam.daemon.target_service import TargetCredentials
+from cassiaseam.entry.identity import CallerLogin, hash_password
+from cassiaseam.entry.listener import ListenerLimits
+from cassiaseam.entry.statements import DeadlineLimits
+from cassiaseam.settings.loader import (
+    Secrets,
+    build_database_configs,
+    load_settings,
+    read_secrets,
+)
+from cassiaseam.settings.model import Settings
+
+
+def read_runtime_settings(path: str) -> Result[RuntimeSettings, str]:
+    """Read a settings file and its secret files; the error lists all problems."""
+    loaded = load_settings(path)
+    if isinstance(loaded, Err):
+        return Err('\n'.join(str(problem) for problem in loaded.err_value))
+    secrets = read_secrets(loaded.ok_value)
+    if isinstance(secrets, Err):
+        return Err('\n'.join(str(problem) for problem in secrets.err_value))
+    return Ok(build_runtime_settings(loaded.ok_value, secrets.ok_value))
+
+
+def build_runtime_settings(settings: Settings, secrets: Secrets) -> RuntimeSettings:
+    """Return the settings of the runtime."""
+    login = settings.target_login
+    limits = settings.limits
+    return RuntimeSettings(
+        vm=settings.vm,
+        place=settings.place,
+        callers=(settings.listen.callers.host, settings.listen.callers.port),
+        peers=(settings.listen.peers.host, settings.listen.peers.port),
+        credentials=TargetCredentials(login.user if login else '', secrets.target_password),
+        logins=tuple(
+            CallerLogin(user.name, hash_password(secrets.passwords[user.name]), user.databases)
+            for user in settings.users
+        ),
+        databases=build_database_configs(settings),
+        seeds=tuple((seed.host, seed.port) for seed in settings.seeds),
+        advertise=settings.advertise or '',
+        limits=ListenerLimits(
+            sessions=limits.sessions,
+            statement_bytes=limits.statement_size,
+            deadlines=DeadlineLimits(limits.deadline, limits.max_deadline),
+        ),
+        shutdown_limit_s=limits.drain,
+        timeline_records=limits.timeline_records,
+        log_level=settings.log_level,
+    )
--- a/src/cassiaseam/entry/caller_session.py
+++ b/src/cassiaseam/entry/caller_session.py
@@ -1,7 +1,6 @@
 """Session of one caller: session statements here, other statements through the runner."""
 
 import re
-from collections.abc import Callable
 from typing import Any
 
 from mysql_mimic.results import ResultSet as SentResultSet
@@ -63,16 +62,10 @@
         login_done: Whether the caller has logged in.
     """
 
-    def __init__(
-        self,
-        runner: StatementRunner,
-        directory: CallerDirectory,
-        list_databases: Callable[[], list[str]],
-    ):
+    def __init__(self, runner: StatementRunner, directory: CallerDirectory):
         super().__init__(SessionVariables(_GLOBAL_VARIABLES))
         self.runner = runner
         self.directory = directory
-        self.list_databases = list_databases
         self.state = runner.state
         self.login_done = False
 
@@ -83,7 +76,9 @@
         """
         if self.login_done or self.username is None:
             return None
-        refusal = self._find_database_refusal(self.database) if self.database else None
+        refusal = None
+        if self.database:
+            refusal = self.directory.find_refusal(self.username, self.database)
         if refusal is None:
             self.login_done = True
             self.state.caller = self.username
@@ -144,7 +139,7 @@
         if self.is_in_transaction() and database != self.state.database:
             message = 'a transaction is open in another database'
             raise CallerError(RequestError(ErrorKind.UNSUPPORTED, message))
-        refusal = self._find_database_refusal(database)
+        refusal = self.directory.find_refusal(self.username or '', database)
         if refusal is not None:
             raise CallerError(refusal)
         self.database = database
@@ -170,7 +165,8 @@
         if match:
             return [(self.state.last_insert_id,)], [match.group(1) or 'LAST_INSERT_ID()']
         if _SHOW_DATABASES.fullmatch(sql):
-            return [(name,) for name in self._list_granted()], ['Database']
+            granted = self.directory.list_granted(self.username or '')
+            return [(name,) for name in granted], ['Database']
         autocommit = self.state.autocommit
         answer = await super().handle_query(sql, attrs)
         self.state.autocommit = bool(self.variables.get('autocommit'))
@@ -234,18 +230,6 @@
         self.connection.set_counters(found.affected_rows, found.last_insert_id)
         return SentResultSet([], [])
 
-    def _find_database_refusal(self, database: str) -> RequestError | None:
-        if not self.directory.is_granted(self.username or '', database):
-            message = f'database {database!r} is not granted to {self.username!r}'
-            return RequestError(ErrorKind.ACCESS_DENIED, message)
-        if database not in self.list_databases():
-            return RequestError(ErrorKind.UNKNOWN_DATABASE, f'unknown database {database!r}')
-        return None
-
-    def _list_granted(self) -> list[str]:
-        user = self.username or ''
-        return [name for name in self.list_databases() if self.directory.is_granted(user, name)]
-
 
 def _pair(query: Any, values: list[str]) -> list[tuple[Any, str]]:
     return list(zip(query.expression.expressions, values, strict=True))
--- a/src/cassiaseam/entry/listener.py
+++ b/src/cassiaseam/entry/listener.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import uuid
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from absl import logging
@@ -14,7 +13,7 @@
 from cassiaseam.entry.identity import CallerDirectory
 from cassiaseam.entry.packets import make_error_packet
 from cassiaseam.entry.session_state import SessionState
-from cassiaseam.entry.statements import StatementRunner
+from cassiaseam.entry.statements import DeadlineLimits, StatementRunner
 from cassiaseam.entry.stream import CallerReader, CallerStream
 from cassiaseam.errors import ErrorKind, RequestError
 
@@ -32,11 +31,13 @@
         sessions: Callers connected at the same time.
         statement_bytes: Size of a statement text.
         login_timeout_s: Seconds that a login may take.
+        deadlines: Deadlines of statements.
     """
 
     sessions: int = 2000
     statement_bytes: int = 1048576
     login_timeout_s: float = LOGIN_TIMEOUT_S
+    deadlines: DeadlineLimits = DeadlineLimits()
 
 
 class CallerListener:
@@ -45,7 +46,6 @@
     Attributes:
         forwarder: Takes the statements of all sessions.
         directory: Logins and grants.
-        list_databases: Returns the names of the configured databases.
         connections: Open connections.
     """
 
@@ -53,12 +53,10 @@
         self,
         forwarder: Forwarder,
         directory: CallerDirectory,
-        list_databases: Callable[[], list[str]],
         limits: ListenerLimits | None = None,
     ):
         self.forwarder = forwarder
         self.directory = directory
-        self.list_databases = list_databases
         self.limits = limits or ListenerLimits()
         self.control = LocalControl()
         self.connections: set[CallerConnection] = set()
@@ -138,8 +136,8 @@
     def _build_connection(self, stream: CallerStream) -> CallerConnection:
         clock = self.forwarder.clock
         state = SessionState(uuid.uuid4().hex, self.forwarder.vm, opened_at=clock())
-        runner = StatementRunner(state, self.forwarder, clock)
-        session = CallerSession(runner, self.directory, self.list_databases)
+        runner = StatementRunner(state, self.forwarder, clock, self.limits.deadlines)
+        session = CallerSession(runner, self.directory)
         return CallerConnection(
             stream=stream,
             session=session,
--- a/src/cassiaseam/entry/statements.py
+++ b/src/cassiaseam/entry/statements.py
@@ -1,13 +1,14 @@
 """Runs the statements of one caller session through the forwarder."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from result import Err, Ok, Result
 
 from cassiaseam.entry.classification import Classification, StatementKind
 from cassiaseam.entry.forwarding import Forwarder, OwnedAnswer, build_rollback
 from cassiaseam.entry.options import (
+    DEFAULT_DEADLINE_S,
     RequestOptions,
     parse_leading_comment,
     select_prefixed_options,
@@ -32,13 +33,26 @@
     (
         ErrorKind.BAD_REQUEST,
         ErrorKind.BAD_SQL,
+        ErrorKind.OVERLOADED,
         ErrorKind.STATEMENT_FAILED,
         ErrorKind.TOO_LARGE,
         ErrorKind.UNKNOWN_OBJECT,
         ErrorKind.UNSUPPORTED,
     )
 )
-_DEFAULT_OPTIONS = RequestOptions()
+
+
+@dataclass(frozen=True, slots=True)
+class DeadlineLimits:
+    """Deadlines of statements.
+
+    Attributes:
+        default_s: Seconds for statements without a stated deadline.
+        max_s: Longest deadline in seconds that a caller may state.
+    """
+
+    default_s: float = DEFAULT_DEADLINE_S
+    max_s: float = 60.0
 
 
 class StatementRunner:
@@ -49,16 +63,24 @@
         options: Options set for the whole session.
     """
 
-    def __init__(self, state: SessionState, forwarder: Forwarder, clock: Callable[[], float]):
+    def __init__(
+        self,
+        state: SessionState,
+        forwarder: Forwarder,
+        clock: Callable[[], float],
+        limits: DeadlineLimits | None = None,
+    ):
         self.state = state
         self.forwarder = forwarder
         self.clock = clock
-        self.options = _DEFAULT_OPTIONS
+        self.limits = limits or DeadlineLimits()
+        self.defaults = RequestOptions(deadline_s=self.limits.default_s)
+        self.options = self.defaults
 
     def set_option(self, name: str, text: str) -> Result[None, RequestError]:
         """Set an option for the following statements of the session."""
         texts = {**self.state.option_texts, name: text}
-        validated = validate_options(texts)
+        validated = self._validate(texts)
         if isinstance(validated, Err):
             return validated
         self.state.option_texts = texts
@@ -70,11 +92,11 @@
     def drop_option(self, name: str) -> None:
         """Forget an option of the session."""
         if self.state.option_texts.pop(name, None) is not None:
-            self.options = replace(self.options, **{name: getattr(_DEFAULT_OPTIONS, name)})
+            self.options = self._validate(self.state.option_texts).unwrap_or(self.defaults)
 
     def reset_options(self) -> None:
         """Forget all options of the session."""
-        self.options = _DEFAULT_OPTIONS
+        self.options = self.defaults
 
     async def run_statement(
         self, sql: str, found: Classification, attributes: Mapping[str, object]
@@ -156,7 +178,7 @@
         if transaction is None:
             return
         request = build_request(
-            self.state, RequestKind.ROLLBACK, '', _DEFAULT_OPTIONS, self.clock()
+            self.state, RequestKind.ROLLBACK, '', RequestOptions(), self.clock()
         )
         self.state.transaction = None
         self.forwarder.roll_back_in_background(request, transaction.owner)
@@ -242,7 +264,7 @@
             own = {**select_prefixed_options(attributes), **own}
         if not own:
             return Ok(self.options)
-        validated = validate_options({**self.state.option_texts, **own})
+        validated = self._validate({**self.state.option_texts, **own})
         if isinstance(validated, Err):
             return validated
         if 'key' in own and self.state.transaction is not None:
@@ -254,6 +276,18 @@
                 return applied
         return validated
 
+    def _validate(self, texts: Mapping[str, str]) -> Result[RequestOptions, RequestError]:
+        validated = validate_options(texts)
+        if isinstance(validated, Err):
+            return validated
+        options = validated.ok_value
+        if 'deadline' not in texts:
+            return Ok(replace(options, deadline_s=self.limits.default_s))
+        if options.deadline_s > self.limits.max_s:
+            message = f'deadline {options.deadline_s:g}s exceeds {self.limits.max_s:g}s'
+            return Err(RequestError(ErrorKind.BAD_REQUEST, message))
+        return validated
+
     def _use_session_token(self) -> Result[None, RequestError]:
         token = self.options.token
         self.drop_option('token')
--- a/src/cassiaseam/owner/handlers.py
+++ b/src/cassiaseam/owner/handlers.py
@@ -65,7 +65,6 @@
 Effects = list[Any]
 
 
-
 def begin_turn(node: NodeState, name: str, now: float, effects: Effects) -> Turn | None:
     """Handle what is due and return the turn of one database, or None when it is unknown."""
     owner = ensure_owner_state(node)
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -5,6 +5,7 @@
 import pymysql
 import pytest
 
+from cassiaseam.configuration.model import DatabaseConfig
 from cassiaseam.entry.forwarding import Forwarder
 from cassiaseam.entry.identity import CallerDirectory, CallerLogin, hash_password
 from cassiaseam.entry.listener import CallerListener, ListenerLimits
@@ -55,12 +56,12 @@
         self.thread.start()
         logins = [
             CallerLogin('shop', hash_password('secret'), ('orders', 'labels')),
-            CallerLogin('open', hash_password('other')),
+            CallerLogin('open', hash_password('other'), ('*',)),
         ]
         forwarder = Forwarder('vm1', lambda _: ['vm1'], self.owner, time.monotonic)
-        databases = ['orders', 'labels', 'internal']
-        directory = CallerDirectory(logins)
-        self.listener = CallerListener(forwarder, directory, lambda: databases, limits)
+        configs = {name: DatabaseConfig(name, ()) for name in ('orders', 'labels', 'internal')}
+        directory = CallerDirectory(logins, configs)
+        self.listener = CallerListener(forwarder, directory, limits)
         self.port = self.run(self.listener.start('127.0.0.1', 0))
 
     def run(self, coroutine):
@@ -69,7 +70,7 @@
     def connect(self, **changes):
         settings = {'user': 'shop', 'password': 'secret', 'database': 'orders'}
         settings.update(changes)
-        return pymysql.connect(host='127.0.0.1', port=self.port, **settings)
+        return pymysql.connect(host='127.0.0.1', port=self.port, ssl_disabled=True, **settings)
 
     def wait_until(self, condition):
         for _ in range(500):
--- /dev/null
+++ b/tests/entry/test_forwarding.py
@@ -0,0 +1,164 @@
+import asyncio
+import time
+from dataclasses import replace
+
+import pytest
+
+from cassiaseam.entry.classification import classify_statement
+from cassiaseam.entry.forwarding import Forwarder, ForwardingLimits
+from cassiaseam.entry.retries import OWNER_CUT_OFF, RetryBudget
+from cassiaseam.entry.session_state import SessionState, raise_floor
+from cassiaseam.entry.statements import StatementRunner
+from cassiaseam.errors import ErrorKind, RequestError
+from cassiaseam.messages import Answer, Request, RequestKind, ResultSet
+from cassiaseam.positions import LogPosition
+
+
+class Owners:
+    """Owners by VM name, each with the error it answers with; None answers with a result."""
+
+    def __init__(self, **errors):
+        self.errors = errors
+        self.asked = []
+
+    async def send_request(self, vm, request, now):
+        self.asked.append((vm, request.kind.value))
+        error = self.errors[vm]
+        if error == 'never':
+            await asyncio.Event().wait()
+        if isinstance(error, ErrorKind):
+            error = RequestError(error)
+        if error is not None and request.kind not in {RequestKind.BEGIN, RequestKind.ROLLBACK}:
+            return Answer(request.request_id, error=error)
+        return Answer(request.request_id, ResultSet(), target='a', position=LogPosition(1, 1))
+
+
+def build_forwarder(owners, limits=None):
+    ranked = list(owners.errors)
+    return Forwarder('vm1', lambda _: ranked, owners, time.monotonic, limits, peers=owners)
+
+
+def build_request(kind, **changes):
+    deadline = time.monotonic() + 5
+    request = Request('r1', 'vm1', 'shop', 's1', 'orders', RequestKind(kind), 'x', deadline)
+    return replace(request, **changes)
+
+
+cut_off = RequestError(ErrorKind.NO_PRIMARY, detail={'cause': OWNER_CUT_OFF})
+UNKNOWN = ErrorKind.OUTCOME_UNKNOWN
+KEYED = {'idempotency_key': 'k'}
+
+
+@pytest.mark.parametrize(
+    ('kind', 'changes', 'first', 'second', 'expected', 'asked'),
+    [
+        ('write', {}, ErrorKind.NOT_OWNER, None, None, 2),
+        ('write', {}, ErrorKind.PEER_UNREACHABLE, None, None, 2),
+        ('write', {}, ErrorKind.SHUTTING_DOWN, None, None, 2),
+        ('begin', {}, None, None, None, 1),
+        ('write', {}, cut_off, None, None, 2),
+        ('write', {}, ErrorKind.NO_PRIMARY, None, ErrorKind.NO_PRIMARY, 1),
+        ('write', {}, ErrorKind.OVERLOADED, None, ErrorKind.OVERLOADED, 1),
+        ('write', {}, UNKNOWN, None, UNKNOWN, 1),
+        ('write', KEYED, UNKNOWN, None, None, 2),
+        ('write', KEYED, UNKNOWN, ErrorKind.NOT_OWNER, UNKNOWN, 2),
+        ('read', {}, UNKNOWN, None, None, 2),
+        ('read', {'repeatable': False}, UNKNOWN, None, ErrorKind.PEER_UNREACHABLE, 1),
+        ('read', {}, UNKNOWN, UNKNOWN, ErrorKind.PEER_UNREACHABLE, 2),
+        ('write', {}, ErrorKind.NOT_OWNER, ErrorKind.NOT_OWNER, ErrorKind.NOT_OWNER, 2),
+        ('commit', {}, ErrorKind.PEER_UNREACHABLE, None, ErrorKind.PEER_UNREACHABLE, 1),
+    ],
+)
+def test_second_owner_is_asked_only_when_nothing_runs_twice(
+    kind, changes, first, second, expected, asked
+):
+    owners = Owners(vm1=first, vm2=second)
+    request = build_request(kind, **changes)
+    owned = asyncio.run(build_forwarder(owners).forward_request(request))
+    error = owned.answer.error
+    assert (error.kind if error else None) is expected
+    assert len(owners.asked) == asked
+
+
+@pytest.mark.parametrize(
+    ('kind', 'changes', 'expected'),
+    [
+        ('read', {}, ErrorKind.DEADLINE_EXCEEDED),
+        ('write', {}, UNKNOWN),
+        ('write', {'transaction_id': 't'}, ErrorKind.DEADLINE_EXCEEDED),
+        ('commit', {'transaction_id': 't'}, UNKNOWN),
+    ],
+)
+def test_silent_owner_never_holds_a_caller_beyond_its_deadline(kind, changes, expected):
+    request = build_request(kind, deadline=time.monotonic() + 0.02, **changes)
+    forwarder = build_forwarder(Owners(vm1='never'))
+    owned = asyncio.run(forwarder.forward_request(request))
+    assert owned.answer.error.kind is expected
+    assert forwarder.total_in_flight == 0
+
+
+@pytest.mark.parametrize('limits', [ForwardingLimits(1, 9), ForwardingLimits(9, 1)])
+def test_requests_over_a_bound_are_refused_at_once(limits):
+    async def scenario():
+        forwarder = build_forwarder(Owners(vm1='never'), limits)
+        first = asyncio.create_task(forwarder.forward_request(build_request('read')))
+        await asyncio.sleep(0)
+        refused = await forwarder.forward_request(build_request('read'))
+        first.cancel()
+        await asyncio.gather(first, return_exceptions=True)
+        return refused.answer.error.kind, forwarder.total_in_flight
+
+    assert asyncio.run(scenario()) == (ErrorKind.OVERLOADED, 0)
+
+
+def test_retries_stay_below_a_share_of_the_requests():
+    budget = RetryBudget()
+    taken = 0
+    for _ in range(1000):
+        budget.note_request()
+        taken += budget.take_retry()
+    assert taken <= 1000 * 0.1 + 10
+
+
+@pytest.mark.parametrize(
+    ('error', 'statement_kind', 'commit_kind', 'survives'),
+    [
+        (ErrorKind.STATEMENT_FAILED, ErrorKind.STATEMENT_FAILED, ErrorKind.STATEMENT_FAILED, True),
+        (ErrorKind.OVERLOADED, ErrorKind.OVERLOADED, ErrorKind.TRANSACTION_ABORTED, True),
+        (
+            RequestError(ErrorKind.STATEMENT_FAILED, mysql_code=1213),
+            ErrorKind.STATEMENT_FAILED,
+            ErrorKind.STATEMENT_FAILED,
+            False,
+        ),
+        (
+            ErrorKind.PEER_UNREACHABLE,
+            ErrorKind.TRANSACTION_ABORTED,
+            ErrorKind.TRANSACTION_ABORTED,
+            False,
+        ),
+        (UNKNOWN, ErrorKind.TRANSACTION_ABORTED, UNKNOWN, False),
+    ],
+)
+def test_lost_owner_aborts_the_transaction_and_the_session_goes_on(
+    error, statement_kind, commit_kind, survives
+):
+    async def run(sql):
+        owners = Owners(vm2=error, vm1=None)
+        state = SessionState('s1', 'vm1', time.monotonic(), 'shop', 'orders')
+        runner = StatementRunner(state, build_forwarder(owners), time.monotonic)
+        for text in ('BEGIN', sql):
+            answer = await runner.run_statement(text, classify_statement(text), {})
+        return answer.error.kind, state.transaction is not None
+
+    assert asyncio.run(run('UPDATE t SET a = 1')) == (statement_kind, survives)
+    assert asyncio.run(run('COMMIT')) == (commit_kind, False)
+
+
+@pytest.mark.parametrize('steps', [[(1, 10), (2, 5)], [(2, 5), (1, 10)], [(2, 10), (1, 1)]])
+def test_floor_never_goes_down(steps):
+    state = SessionState('s1', 'vm1', 0)
+    for step in steps:
+        raise_floor(state, 'orders', LogPosition(*step))
+        assert state.floors['orders'].covers(LogPosition(*step))
+    assert state.floors['orders'] == LogPosition(2, 10)
