Run reads, acknowledged writes and transactions through the owner role

Ruled out: dropping work in flight when ownership is lost. The group role forgets a group at once, so the owner role keeps the group state and enters the statuses that it polls itself until its writes are decided.

Conclusion: read, autocommit write with majority and transaction work.

--- a/src/cassiaseam/owner/acknowledgement.py
+++ b/src/cassiaseam/owner/acknowledgement.py
@@ -5,9 +5,16 @@
 from cassiaseam.group.monitoring import request_poll
 from cassiaseam.group.state import GroupState
 from cassiaseam.owner.answers import answer_kind, answer_result
-from cassiaseam.owner.state import TimerKind, Turn, Work, WorkPhase, schedule_timer
+from cassiaseam.owner.state import (
+    TimerKind,
+    Turn,
+    Work,
+    WorkPhase,
+    is_monitored,
+    schedule_timer,
+)
 from cassiaseam.positions import LogPosition
-from cassiaseam.reducer.target_io import StatementFinished
+from cassiaseam.reducer.target_io import PollTarget, StatementFinished
 
 SHORTEST_POLL_GAP_S = 0.002
 LONGEST_POLL_GAP_S = 0.05
@@ -46,7 +53,7 @@
     committed: LogPosition | None = None
     pending: LogPosition | None = None
     for work in works:
-        if turn.group is None or turn.group.term > work.term:
+        if turn.group.term > work.term:
             answer_unknown(turn, work, f'term {work.term} ended before a majority held the write')
             continue
         position = find_commit_position(turn, work)
@@ -93,15 +100,22 @@
 def keep_polling(turn: Turn) -> None:
     """Ask for polls as long as requests wait for them, at growing intervals."""
     database = turn.database
-    if turn.group is None or not (database.committing or database.parked):
+    if not (database.committing or database.parked):
         return
     due = database.poll_requested_at + database.poll_gap_s
     if due <= turn.now:
         database.poll_requested_at = turn.now
         longer_s = max(database.poll_gap_s, SHORTEST_POLL_GAP_S) * POLL_GAP_GROWTH
         database.poll_gap_s = min(longer_s, LONGEST_POLL_GAP_S)
-        turn.effects.extend(request_poll(turn.group, turn.now))
+        turn.effects.extend(ask_for_statuses(turn))
         due = turn.now + database.poll_gap_s
     if not database.poll_timer_due:
         database.poll_timer_due = True
         schedule_timer(turn, due, TimerKind.POLL)
+
+
+def ask_for_statuses(turn: Turn) -> list[PollTarget]:
+    """Return the polls of all targets, also while the group role does not monitor them."""
+    if is_monitored(turn):
+        return request_poll(turn.group, turn.now)
+    return [PollTarget(turn.database.name, name) for name in turn.group.targets]
--- a/src/cassiaseam/owner/drain.py
+++ b/src/cassiaseam/owner/drain.py
@@ -8,7 +8,6 @@
     TargetPool,
     TimerKind,
     Turn,
-    WorkPhase,
     schedule_timer,
 )
 from cassiaseam.owner.transactions import abort_transaction
@@ -50,7 +49,7 @@
 
 def is_leaving(turn: Turn, pool: TargetPool) -> bool:
     """Return whether the vendor announced that a target is going away."""
-    view = turn.group.targets.get(pool.config.name) if turn.group is not None else None
+    view = turn.group.targets.get(pool.config.name)
     return view is not None and view.status is not None and view.status.leaving
 
 
@@ -120,8 +119,3 @@
 def has_work_in_flight(node: NodeState) -> bool:
     """Return whether any owned database has a request or a transaction in flight."""
     return any(is_database_busy(database) for database in node.databases.values())
-
-
-def count_committing(database: DatabaseState) -> int:
-    """Return how many writes wait for a majority."""
-    return sum(work.phase is WorkPhase.COMMITTING for work in database.committing.values())
--- a/src/cassiaseam/owner/expiry.py
+++ b/src/cassiaseam/owner/expiry.py
@@ -36,6 +36,7 @@
     Work,
     WorkPhase,
     schedule_timer,
+    start_turn,
 )
 from cassiaseam.owner.statements import build_deadline_error, refuse_unserved_read
 from cassiaseam.owner.transactions import (
@@ -84,7 +85,7 @@
         database = node.databases.get(name)
         if database is None:
             continue
-        turn = Turn(node, owner, database, node.groups.get(name), now, effects)
+        turn = start_turn(node, database, now, effects)
         EXPIRY_HANDLERS[kind](turn, subject)
         dispatch_work(turn)
         finish_release(turn)
--- a/src/cassiaseam/owner/handlers.py
+++ b/src/cassiaseam/owner/handlers.py
@@ -38,6 +38,7 @@
     WorkPhase,
     ensure_owner_state,
     schedule_timer,
+    start_turn,
 )
 from cassiaseam.owner.statements import finish_statement, lose_connection
 from cassiaseam.owner.terms import observe_term
@@ -65,7 +66,6 @@
 Effects = list[Any]
 
 
-
 def begin_turn(node: NodeState, name: str, now: float, effects: Effects) -> Turn | None:
     """Handle what is due and return the turn of one database, or None when it is unknown."""
     owner = ensure_owner_state(node)
@@ -74,8 +74,8 @@
     database = node.databases.get(name)
     if database is None:
         return None
-    turn = Turn(node, owner, database, node.groups.get(name), now, effects)
-    if turn.group is not None and turn.group.term != database.term:
+    turn = start_turn(node, database, now, effects)
+    if turn.group.term != database.term:
         observe_term(turn)
     return turn
 
@@ -83,8 +83,7 @@
 def end_turn(turn: Turn) -> Effects:
     """Start what the event made possible and return all effects."""
     dispatch_work(turn)
-    if turn.group is not None:
-        turn.group.open_writes = count_open_writes(turn)
+    turn.group.open_writes = count_open_writes(turn)
     if not turn.database.owns:
         finish_release(turn)
     return turn.effects
@@ -297,15 +296,14 @@
     turn = begin_turn(node, event.database, now, effects)
     group = node.groups.get(event.database)
     if event.owns and turn is None and group is not None:
-        database = DatabaseState(event.database, group.config, term=group.term)
+        database = DatabaseState(event.database, group.config, group, term=group.term)
         node.databases[event.database] = database
-        turn = Turn(node, ensure_owner_state(node), database, group, now, effects)
+        turn = start_turn(node, database, now, effects)
     if turn is None:
         return effects
     if event.owns:
         turn.database.owns = True
-        config = group.config if group is not None else turn.database.config
-        apply_configuration(turn, config)
+        apply_configuration(turn, turn.group.config)
     else:
         release_ownership(turn)
     return end_turn(turn)
@@ -328,7 +326,7 @@
     effects: Effects = []
     owner = ensure_owner_state(node)
     for database in start_shutdown(node, owner):
-        turn = Turn(node, owner, database, node.groups.get(database.name), now, effects)
+        turn = start_turn(node, database, now, effects)
         due = now + database.config.drain_limit_s
         schedule_timer(turn, due, TimerKind.OWNERSHIP)
     return effects
--- a/src/cassiaseam/owner/incarnations.py
+++ b/src/cassiaseam/owner/incarnations.py
@@ -3,7 +3,7 @@
 from cassiaseam.owner.breaker import record_success
 from cassiaseam.owner.drain import update_drain
 from cassiaseam.owner.pool import close_connection
-from cassiaseam.owner.state import Connection, ConnectionPhase, TargetPool, Turn
+from cassiaseam.owner.state import Connection, ConnectionPhase, TargetPool, Turn, is_monitored
 from cassiaseam.owner.statements import lose_connection
 from cassiaseam.owner.transactions import abort_transaction
 from cassiaseam.reducer.target_io import TargetStatusReceived
@@ -15,6 +15,8 @@
     if pool is None or event.started_at < pool.status_started_at:
         return
     pool.status_started_at = event.started_at
+    if not is_monitored(turn):
+        enter_status(turn, event)
     if pool.writes_refused_at is not None and event.started_at >= pool.writes_refused_at:
         pool.writes_refused_at = None
     if event.status.incarnation != pool.incarnation:
@@ -24,6 +26,17 @@
     update_drain(turn, pool)
 
 
+def enter_status(turn: Turn, event: TargetStatusReceived) -> None:
+    """Enter a status into the group state of a database that is being given up.
+
+    Its writes in flight still need evidence that a majority holds them.
+    """
+    view = turn.group.targets.get(event.target)
+    if view is not None and event.started_at >= view.status_started_at:
+        view.status = event.status
+        view.status_started_at = event.started_at
+
+
 def drop_earlier_incarnations(turn: Turn, pool: TargetPool, event: TargetStatusReceived) -> None:
     """Forget the connections that an earlier incarnation of the target accepted."""
     incarnation = event.status.incarnation
--- a/src/cassiaseam/owner/routing.py
+++ b/src/cassiaseam/owner/routing.py
@@ -53,8 +53,6 @@
 
 def list_read_pools(turn: Turn, work: Work) -> list[TargetPool]:
     """Return the targets that may serve a read and take new work, replicas first."""
-    if turn.group is None:
-        return []
     floor = resolve_floor(turn, work)
     if floor is None:
         return []
@@ -130,8 +128,6 @@
 
 def is_any_target_reachable(turn: Turn) -> bool:
     """Return whether any target could serve a read without a floor and of any age."""
-    if turn.group is None:
-        return False
     names = group_view.find_read_targets(turn.group, ZERO_POSITION, float('inf'), turn.now)
     targets = turn.database.targets
     return any(name in targets and accepts_new_work(targets[name]) for name in names)
@@ -139,8 +135,6 @@
 
 def find_write_gate(turn: Turn) -> WriteGate:
     """Return the primary that takes writes now, or the reason why there is none."""
-    if turn.group is None:
-        return WriteGate(None)
     primary = group_view.find_write_primary(turn.group, turn.now)
     pool = turn.database.targets.get(primary) if primary is not None else None
     if pool is None or not accepts_new_work(pool) or pool.writes_refused_at is not None:
@@ -173,6 +167,6 @@
     elapsed_s = turn.now - blocked_at
     if elapsed_s >= WRITE_WAIT_LIMIT_S:
         return None
-    gap_s = turn.group.last_failover_gap_s if turn.group is not None else None
+    gap_s = turn.group.last_failover_gap_s
     expected_s = EXPECTED_GAP_S if gap_s is None else min(gap_s, WRITE_WAIT_LIMIT_S)
     return max(expected_s - elapsed_s, SHORTEST_EXPECTED_WAIT_S)
--- a/src/cassiaseam/owner/state.py
+++ b/src/cassiaseam/owner/state.py
@@ -204,6 +204,8 @@
     Attributes:
         name: Name of the database.
         config: Configuration in force.
+        group: Monitoring state of the database. After the loss of ownership it is no longer
+            monitored, and only statuses that the owner role asks for are entered.
         owns: Whether this daemon accepts new work for it.
         term: Term of the group that was last acted on.
         targets: Pool per target.
@@ -229,6 +231,7 @@
 
     name: str
     config: DatabaseConfig
+    group: GroupState
     owns: bool = True
     term: int = 0
     targets: dict[str, TargetPool] = field(default_factory=dict)
@@ -279,7 +282,7 @@
         node: State of the daemon.
         owner: State shared by all databases.
         database: State of the database.
-        group: Monitoring state of the database, or None when it is not monitored.
+        group: Monitoring state of the database.
         now: Time in seconds.
         effects: Effects collected so far.
     """
@@ -287,7 +290,7 @@
     node: NodeState
     owner: OwnerState
     database: DatabaseState
-    group: GroupState | None
+    group: GroupState
     now: float
     effects: list[Any]
 
@@ -299,6 +302,19 @@
     return node.owner
 
 
+def start_turn(node: NodeState, database: DatabaseState, now: float, effects: list[Any]) -> Turn:
+    """Return the turn of one database."""
+    group = node.groups.get(database.name)
+    if group is not None:
+        database.group = group
+    return Turn(node, ensure_owner_state(node), database, database.group, now, effects)
+
+
+def is_monitored(turn: Turn) -> bool:
+    """Return whether the group role still monitors the group of the database."""
+    return turn.database.name in turn.node.groups
+
+
 def schedule_timer(turn: Turn, due: float, kind: TimerKind, subject: Any = None) -> None:
     """Schedule something for the database of the turn at `due` seconds."""
     entry = (due, next(turn.owner.sequence), kind, turn.database.name, subject)
@@ -307,7 +323,7 @@
 
 def read_applied_position(turn: Turn, target: str) -> LogPosition:
     """Return the applied position in the latest status of a target."""
-    view = turn.group.targets.get(target) if turn.group is not None else None
+    view = turn.group.targets.get(target)
     if view is None or view.status is None:
         return ZERO_POSITION
     return view.status.applied
--- /dev/null
+++ b/tests/test_owner_requests.py
@@ -0,0 +1,60 @@
+from owner_world import OwnerWorld
+
+from cassiaseam.errors import ErrorKind
+from cassiaseam.messages import RequestKind
+from cassiaseam.positions import ZERO_POSITION, LogPosition
+from cassiaseam.reducer.target_io import ExecutionMode
+
+READ, WRITE, BEGIN = RequestKind.READ, RequestKind.WRITE, RequestKind.BEGIN
+COMMIT = RequestKind.COMMIT
+
+
+def test_read_within_age_goes_to_a_replica_and_carries_its_position():
+    world = OwnerWorld()
+    request_id = world.request(max_age_s=5, floor=ZERO_POSITION)
+    run = world.finish()
+    answer = world.answers[request_id]
+    assert run.target in {'b', 'c'}
+    assert answer.replica
+    assert answer.position == LogPosition(1, 10)
+
+
+def test_read_without_age_goes_to_the_primary():
+    world = OwnerWorld()
+    world.request(floor=ZERO_POSITION)
+    assert world.finish().target == 'a'
+
+
+def test_write_is_answered_only_after_a_majority_holds_it():
+    world = OwnerWorld()
+    request_id = world.request(WRITE)
+    world.commit()
+    world.poll()
+    assert request_id not in world.answers
+    world.replicate(['b'])
+    world.now += 0.01
+    world.poll()
+    assert world.answers[request_id].position == LogPosition(1, 11)
+
+
+def test_transaction_runs_on_one_connection_that_is_reset_before_reuse():
+    world = OwnerWorld()
+    fields = {'transaction_id': 't1'}
+    world.request(BEGIN, **fields)
+    runs = [world.finish()]
+    world.request(WRITE, **fields)
+    runs.append(world.finish())
+    committed = world.request(COMMIT, **fields)
+    runs.append(world.commit())
+    world.replicate()
+    world.now += 0.01
+    world.poll()
+    assert world.answers[committed].error is None
+    assert len({run.connection_id for run in runs}) == 1
+    assert [run.mode for run in runs] == [
+        ExecutionMode.BEGIN,
+        ExecutionMode.IN_TRANSACTION,
+        ExecutionMode.COMMIT,
+    ]
+    late = world.request(WRITE, **fields)
+    assert world.error(late) is ErrorKind.TRANSACTION_ABORTED
