Give the stand-in targets a password in the cluster launcher

Cause: settings refuse an empty password file, and a stand-in without a password refuses every login that sends one; the daemons' status polls failed with 1045. Ruled out: allowing empty passwords in settings, which would hide a missing secret. Change: targets start with a password; the launcher's control login needs none.

--- a/src/cassiaseam_standin/cluster.py
+++ b/src/cassiaseam_standin/cluster.py
@@ -26,11 +26,12 @@
 PORTS_PER_DAEMON = 3
 START_ATTEMPTS = 3
 TARGET_USER = 'cassiaseam'
+TARGET_PASSWORD = 'standin'
 CALLER_USER = 'dealer'
 CALLER_PASSWORD = 'reservation'
 ADMIN_TOKEN = 'administrator-token'
 SECRETS = {
-    'target.password': '',
+    'target.password': TARGET_PASSWORD,
     'caller.password': CALLER_PASSWORD,
     'admin.token': ADMIN_TOKEN,
 }
@@ -102,7 +103,7 @@
             places=shape.places,
             slots=shape.slots,
             connections=shape.connections,
-            arguments=shape.target_arguments,
+            arguments=(f'--password={TARGET_PASSWORD}', *shape.target_arguments),
             exit_with_parent=shape.exit_with_parent,
         )
 
--- a/src/cassiaseam_standin/mysql_session.py
+++ b/src/cassiaseam_standin/mysql_session.py
@@ -41,7 +41,8 @@
     async def get_user(self, username: str) -> User:
         """Return the login `username`."""
         auth_string = None
-        if self.password:
+        # The launcher's own login works whatever password the callers need.
+        if self.password and username != CONTROL_USER:
             auth_string = NativePasswordAuthPlugin.create_auth_string(self.password)
         return User(username, auth_string, NativePasswordAuthPlugin.name)
 
