--- a/src/cassiaseam_standin/platform_http.py
+++ b/src/cassiaseam_standin/platform_http.py
@@ -94,12 +94,11 @@
 
 def read_json_body(request: Request) -> Any:
     """Return the body; raises `BadCall` when it is too large or no JSON."""
-    body = request.content.read(MAX_VALUE_BYTES + 1)
-    if len(body) > MAX_VALUE_BYTES:
+    if len(request.body) > MAX_VALUE_BYTES:
         message = f'body exceeds {MAX_VALUE_BYTES} bytes'
         raise BadCall(http.REQUEST_ENTITY_TOO_LARGE, message)
     try:
-        return json.loads(body)
+        return json.loads(request.body)
     except ValueError as error:
         raise BadCall(http.BAD_REQUEST, f'body is no JSON: {error}') from None
 
@@ -172,6 +171,8 @@
         path = request.path.decode().lstrip('/')
         route, _, rest = path.partition('/')
         note_lost_client(request)
+        # Twisted closes the body with the connection, but a delayed call still needs it.
+        request.body = request.content.read(MAX_VALUE_BYTES + 1)
         if route in CONTROL_ROUTES:
             self.answer(request, route, rest)
             return NOT_DONE_YET
