--- a/src/cassiaseam/targets/adapter.py
+++ b/src/cassiaseam/targets/adapter.py
@@ -23,7 +23,7 @@
     StatementFinished,
 )
 from cassiaseam.targets import keyed_statements
-from cassiaseam.targets.connection import TargetConnection, connect_to_target
+from cassiaseam.targets.connection import TargetConnection, connect_to_target, encode_text
 from cassiaseam.targets.failures import (
     STATEMENT_ERRORS,
     FailureReport,
@@ -190,6 +190,11 @@
     """Return why a statement cannot be sent at all, or None."""
     if connection.is_closed:
         return FailureReport(StatementFailure.NOT_SENT, 0, 'connection is closed')
+    try:
+        encode_text(f'{effect.sql}{effect.idempotency_key}')
+    except UnicodeEncodeError as error:
+        # Found out later, it would leave the transaction of a keyed statement open.
+        return classify_error(error)
     if effect.mode in KEYED_MODES and not effect.idempotency_key:
         message = f'mode {effect.mode.value} without an idempotency key'
         return FailureReport(StatementFailure.SQL_ERROR, MISSING_ARGUMENT, message)
--- a/src/cassiaseam/targets/connection.py
+++ b/src/cassiaseam/targets/connection.py
@@ -131,6 +131,11 @@
     return TargetConnection(target, protocol)
 
 
+def encode_text(text: str) -> bytes:
+    """Return the bytes that aiomysql sends; raises `UnicodeEncodeError` for lone surrogates."""
+    return text.encode('utf-8', 'surrogateescape')
+
+
 def estimate_row_bytes(row: tuple) -> int:
     """Return the approximate size of a row in bytes."""
     return sum(len(field) if isinstance(field, (str, bytes)) else NUMBER_BYTES for field in row)
--- a/src/cassiaseam/targets/keyed_statements.py
+++ b/src/cassiaseam/targets/keyed_statements.py
@@ -5,7 +5,12 @@
 
 from cassiaseam.messages import ResultSet
 from cassiaseam.reducer.target_io import ExecutionMode, RunStatement
-from cassiaseam.targets.connection import ProtocolConnection, ResultTooLarge, execute_sql
+from cassiaseam.targets.connection import (
+    ProtocolConnection,
+    ResultTooLarge,
+    encode_text,
+    execute_sql,
+)
 from cassiaseam.targets.statements import ModeOutcome, read_last_commit, runs
 from cassiaseam.targets.status import read_applied_position
 
@@ -32,7 +37,7 @@
 
 def compute_fingerprint(effect: RunStatement) -> str:
     """Return the fingerprint of a request: its mode and its statement."""
-    return xxhash.xxh3_128_hexdigest(f'{effect.mode.value}:{effect.sql}'.encode())
+    return xxhash.xxh3_128_hexdigest(encode_text(f'{effect.mode.value}:{effect.sql}'))
 
 
 def find_error_code(error: MySQLError) -> int:
--- a/tests/standin/test_standin_sessions.py
+++ b/tests/standin/test_standin_sessions.py
@@ -119,12 +119,29 @@
     run_in_group(scenario, names=('a',))
 
 
-def test_write_waiting_in_a_slot_commits_after_a_fence():
+def test_aborted_transaction_reads_other_data():
     async def scenario(group):
         (writer,) = await connect_with_table(group, 'w')
+        await run_mode(writer, BEGIN)
+        await run_mode(writer, INSIDE, INSERT)
+        await group.fence('a', 2)
+        assert (await run_mode(writer, INSIDE, COUNT)).failure is StatementFailure.READ_ONLY
+        await run_mode(writer, ROLLBACK)
+        assert await count_rows(writer) == 0
+
+    run_in_group(scenario, names=('a',))
+
+
+@pytest.mark.parametrize('mode', [WRITE, COMMIT])
+def test_write_waiting_in_a_slot_commits_after_a_fence(mode):
+    async def scenario(group):
+        (writer,) = await connect_with_table(group, 'w')
+        if mode is COMMIT:
+            await run_mode(writer, BEGIN)
+            await run_mode(writer, INSIDE, INSERT)
         await group.set_fault('a', 'statement_delay_ms', '100')
-        waiting = asyncio.create_task(run_mode(writer, WRITE, INSERT))
-        while not group.find_instance('a').write_lock.locked():
+        waiting = asyncio.create_task(run_mode(writer, mode, INSERT))
+        while not group.find_instance('a').running_statements:
             await asyncio.sleep(0.001)
         group.find_instance('a').fence(2, 'other')
         assert (await waiting).failure is StatementFailure.READ_ONLY
--- a/tests/targets/test_target_keys.py
+++ b/tests/targets/test_target_keys.py
@@ -94,12 +94,25 @@
     run_in_group(scenario, names=('a',))
 
 
+@pytest.mark.parametrize(('sql', 'key'), [("SELECT '\ud800'", KEY), (INSERT, '\ud800')])
+def test_text_that_cannot_be_sent_leaves_a_transaction_open(sql, key):
+    async def scenario(group):
+        first, second = await connect_with_table(group, 2)
+        finished = await run_mode(first, Mode.KEYED_WRITE, sql, key=key)
+        assert (finished.failure, finished.mysql_code) == (Failure.SQL_ERROR, 1300)
+        assert not first.protocol.get_transaction_status()
+        assert (await run_mode(second, Mode.KEYED_WRITE, INSERT, key=KEY)).failure is None
+
+    run_in_group(scenario, names=('a',))
+
+
 def test_duplicate_that_waited_too_long_runs_or_breaks_the_connection():
     async def scenario(group):
         first, second = await connect_with_table(group, 2)
         await run_mode(first, Mode.KEYED_BEGIN, key=KEY)
         finished = await run_mode(second, Mode.KEYED_BEGIN, key=KEY)
         assert (finished.failure, finished.mysql_code) == (Failure.SQL_ERROR, 1205)
+        assert not second.protocol.get_transaction_status()
         assert (await run_mode(first, Mode.COMMIT)).failure is None
         assert (await run_mode(second, Mode.KEYED_BEGIN, key=KEY)).replayed
 
