--- /dev/null
+++ b/src/cassiaseam/group/detection.py
@@ -0,0 +1,147 @@
+"""Detects that a group needs another primary."""
+
+from cassiaseam.group.evidence import (
+    count_majority,
+    is_in_charge,
+    is_leaving,
+    is_reachable,
+    is_trusted,
+)
+from cassiaseam.group.state import GroupState, TargetView
+from cassiaseam.messages import TargetRole
+
+# Replicas that heard from the primary within this time vouch for it when only the owner is cut.
+HEARD_LIMIT_S = 0.5
+LOST_LIMIT_S = 1.0
+# Another promoter usually finishes within this time, so that both do not compete.
+UNCLEAR_GRACE_S = 0.3
+UNKNOWN_GRACE_S = 0.7
+# A follow needs time to take effect before the age of the contact means anything.
+FOLLOW_GRACE_S = 1.0
+# When all replicas are cut from each other, no promotion helps; this bounds the attempts.
+PROMOTION_INTERVAL_S = 2.0
+
+
+def update_health(group: GroupState, now: float) -> None:
+    """Note since when no primary is in charge and whether polls should hasten."""
+    view = group.targets.get(group.primary)
+    charged = view is not None and is_in_charge(group)
+    # A planned promotion starts from a primary in charge; its gap starts when it starts.
+    if not charged or not is_reachable(view, now):
+        if group.no_primary_since is None:
+            group.no_primary_since = now
+        group.suspicious = True
+        return
+    group.no_primary_since = None
+    cut = is_cut_from_replicas(group, HEARD_LIMIT_S, now)
+    group.suspicious = cut or view.failures > 0
+    if not cut and group.failover is None:
+        group.primary_contact_at = max(group.primary_contact_at or 0, view.status_started_at)
+
+
+def detect_failure(group: GroupState, now: float) -> str:
+    """Return why another primary has to be promoted, or '' when there is no reason.
+
+    A daemon that does not reach a majority never has a reason, because it could only fence the
+    instances that it does reach.
+    """
+    reachable = [
+        view
+        for name, view in group.targets.items()
+        if is_reachable(view, now) and is_trusted(group, name)
+    ]
+    if len(reachable) < count_majority(group):
+        return ''
+    if group.no_primary_since is None:
+        recent = group.last_failover_at is not None and (
+            now - group.last_failover_at < PROMOTION_INTERVAL_S
+        )
+        cut = not recent and is_cut_from_replicas(group, LOST_LIMIT_S, now)
+        return 'a majority of replicas lost the primary' if cut else ''
+    missing_s = now - group.no_primary_since
+    view = group.targets.get(group.primary)
+    if view is None:
+        return _detect_unknown(group, reachable, missing_s, now)
+    if is_reachable(view, now):
+        return 'the primary is no longer in charge' if missing_s >= UNCLEAR_GRACE_S else ''
+    if _is_vouched_for(group, reachable, now):
+        return ''
+    return f'the primary failed {view.failures} polls'
+
+
+def detect_departure(group: GroupState, now: float) -> str:
+    """Return why the primary in charge should be replaced on purpose, or ''."""
+    if group.no_primary_since is not None or not is_leaving(group, group.primary):
+        return ''
+    for name, view in group.targets.items():
+        if name == group.primary or is_leaving(group, name):
+            continue
+        if is_reachable(view, now) and view.status.follows == group.primary:
+            return 'the primary is draining or leaving'
+    return ''
+
+
+def is_cut_from_replicas(group: GroupState, limit_s: float, now: float) -> bool:
+    """Return whether too few replicas heard from the primary for it to reach a majority."""
+    lost = 0
+    for name, view in group.targets.items():
+        if name != group.primary and _has_lost_primary(group, view, limit_s, now):
+            lost += 1
+    return lost > len(group.targets) - count_majority(group)
+
+
+def _has_lost_primary(group: GroupState, view: TargetView, limit_s: float, now: float) -> bool:
+    status = view.status
+    if status is None or status.follows != group.primary or status.term != group.term:
+        return False
+    if status.primary_contact_age_s < limit_s or not _is_recent(view, now):
+        return False
+    return view.follow_sent_at is None or now - view.follow_sent_at >= FOLLOW_GRACE_S
+
+
+def _is_recent(view: TargetView, now: float) -> bool:
+    return now - view.status_started_at < HEARD_LIMIT_S
+
+
+def _is_vouched_for(group: GroupState, reachable: list[TargetView], now: float) -> bool:
+    """Return whether a reachable replica may still hear from the primary.
+
+    A replica whose status is not recent may do so; the next poll tells.
+    """
+    for view in reachable:
+        status = view.status
+        if status.role is not TargetRole.REPLICA or not status.follows:
+            continue
+        if group.primary and status.follows != group.primary:
+            continue
+        if status.fenced_term > max(status.term, group.term):
+            continue
+        if not _is_recent(view, now) or status.primary_contact_age_s < HEARD_LIMIT_S:
+            return True
+    return False
+
+
+def _detect_unknown(
+    group: GroupState,
+    reachable: list[TargetView],
+    missing_s: float,
+    now: float,
+) -> str:
+    if len(reachable) == len(group.targets) and not any(
+        view.status.term or view.status.fenced_term for view in reachable
+    ):
+        return 'the group has no primary yet'
+    if missing_s < UNKNOWN_GRACE_S or _is_vouched_for(group, reachable, now):
+        return ''
+    return 'no primary is known'
+
+
+def find_fenced_above(group: GroupState, now: float) -> list[str]:
+    """Return reachable instances that cannot follow because they are fenced above the term."""
+    return [
+        name
+        for name, view in group.targets.items()
+        if is_reachable(view, now)
+        and view.status.fenced_term > group.term
+        and is_trusted(group, name)
+    ]
--- a/src/cassiaseam/group/evidence.py
+++ b/src/cassiaseam/group/evidence.py
@@ -40,6 +40,13 @@
     return not blank or group.known_position == ZERO_POSITION
 
 
+def remember_lost_data(group: GroupState, name: str) -> None:
+    """Keep the distrust in a blank instance before a fence or a follow gives it a term."""
+    view = group.targets[name]
+    if view.status is not None and view.catch_up is None and not is_trusted(group, name):
+        view.catch_up = group.known_position
+
+
 def is_leaving(group: GroupState, name: str) -> bool:
     """Return whether operators drain a target or the vendor announced that it goes away."""
     view = group.targets.get(name)
--- /dev/null
+++ b/src/cassiaseam/group/handlers.py
@@ -0,0 +1,279 @@
+"""Handlers of the group role, and the decisions after each event."""
+
+from cassiaseam.configuration.model import (
+    DatabaseConfig,
+    DatabaseConfigured,
+    DatabaseRemoved,
+    OwnershipChanged,
+)
+from cassiaseam.group.detection import (
+    detect_departure,
+    detect_failure,
+    find_fenced_above,
+    update_health,
+)
+from cassiaseam.group.events import PromotionRequested
+from cassiaseam.group.failover import (
+    advance_failover,
+    start_failover,
+    take_claim_answer,
+    take_fence_answer,
+    take_promote_answer,
+)
+from cassiaseam.group.monitoring import (
+    expire_polls,
+    fail_poll,
+    hasten_rounds,
+    request_poll,
+    schedule_group,
+    start_due_polls,
+    take_due_groups,
+)
+from cassiaseam.group.records import record_decision
+from cassiaseam.group.repair import repair_followers
+from cassiaseam.group.state import GroupState, TargetView
+from cassiaseam.group.statuses import accept_status
+from cassiaseam.reducer.common import Tick
+from cassiaseam.reducer.node_state import NodeState
+from cassiaseam.reducer.registry import Effect, handles
+from cassiaseam.reducer.target_io import (
+    FenceAnswered,
+    FollowAnswered,
+    PromoteAnswered,
+    TargetStatusFailed,
+    TargetStatusReceived,
+    TermClaimAnswered,
+)
+
+# An instance that a failed promoter fenced cannot follow the term in charge. Promoting the primary
+# again brings it back, after a time in which that promoter may still succeed.
+FENCED_ABOVE_GRACE_S = 2.0
+
+
+@handles(DatabaseConfigured)
+def apply_config(node_state: NodeState, event: DatabaseConfigured, now: float) -> list[Effect]:
+    """Keep the newest configuration of a database and apply it to its group."""
+    config = event.config
+    known = node_state.database_configs.get(config.name)
+    if known is not None and known.version > config.version:
+        return []
+    node_state.database_configs[config.name] = config
+    group = node_state.groups.get(config.name)
+    if group is None:
+        return []
+    _apply_targets(group, config)
+    group.next_round_at = now
+    return advance_group(node_state, group, now)
+
+
+@handles(DatabaseRemoved)
+def remove_database(node_state: NodeState, event: DatabaseRemoved, now: float) -> list[Effect]:
+    """Forget a database that is no longer configured."""
+    node_state.database_configs.pop(event.database, None)
+    _drop_group(node_state, event.database)
+    return []
+
+
+@handles(OwnershipChanged)
+def change_ownership(node_state: NodeState, event: OwnershipChanged, now: float) -> list[Effect]:
+    """Start or stop monitoring the group of a database."""
+    if not event.owns:
+        _drop_group(node_state, event.database)
+        return []
+    config = node_state.database_configs.get(event.database)
+    if config is None or event.database in node_state.groups:
+        return []
+    group = GroupState(config, due_heap=node_state.group_due, next_round_at=now)
+    group.known_term = node_state.group_terms.get(event.database, 0)
+    _apply_targets(group, config)
+    node_state.groups[event.database] = group
+    return advance_group(node_state, group, now)
+
+
+@handles(Tick)
+def run_due_groups(node_state: NodeState, event: Tick, now: float) -> list[Effect]:
+    """Advance the groups whose timers are due."""
+    effects: list[Effect] = []
+    for group in take_due_groups(node_state, now):
+        effects.extend(advance_group(node_state, group, now))
+    return effects
+
+
+@handles(TargetStatusReceived)
+def receive_status(
+    node_state: NodeState,
+    event: TargetStatusReceived,
+    now: float,
+) -> list[Effect]:
+    """Take over a status."""
+    group = _find_group(node_state, event.database, event.target)
+    if group is None or event.status.instance != event.target:
+        return []
+    effects: list[Effect] = []
+    effects.extend(accept_status(node_state, group, event.started_at, event.status, now))
+    effects.extend(advance_group(node_state, group, now))
+    return effects
+
+
+@handles(TargetStatusFailed)
+def receive_poll_failure(
+    node_state: NodeState,
+    event: TargetStatusFailed,
+    now: float,
+) -> list[Effect]:
+    """Count a failed poll."""
+    group = _find_group(node_state, event.database, event.target)
+    if group is None:
+        return []
+    fail_poll(group.targets[event.target], event.started_at)
+    return advance_group(node_state, group, now)
+
+
+@handles(TermClaimAnswered)
+def receive_claim(node_state: NodeState, event: TermClaimAnswered, now: float) -> list[Effect]:
+    """Continue a promotion after the claim of its term."""
+    group = node_state.groups.get(event.database)
+    if group is None:
+        return []
+    effects = take_claim_answer(node_state, group, event, now)
+    return effects + advance_group(node_state, group, now)
+
+
+@handles(FenceAnswered)
+def receive_fence(node_state: NodeState, event: FenceAnswered, now: float) -> list[Effect]:
+    """Take over the status in the answer of a fence and count the grant."""
+    group = _find_group(node_state, event.database, event.target)
+    if group is None:
+        return []
+    effects = take_fence_answer(node_state, group, event, now)
+    if event.status is not None:
+        group.known_term = max(group.known_term, event.status.fenced_term)
+    return effects + advance_group(node_state, group, now)
+
+
+@handles(PromoteAnswered)
+def receive_promotion(node_state: NodeState, event: PromoteAnswered, now: float) -> list[Effect]:
+    """Continue a promotion after the answer of the chosen target."""
+    group = _find_group(node_state, event.database, event.target)
+    if group is None:
+        return []
+    effects = take_promote_answer(node_state, group, event, now)
+    return effects + advance_group(node_state, group, now)
+
+
+@handles(FollowAnswered)
+def receive_follow(node_state: NodeState, event: FollowAnswered, now: float) -> list[Effect]:
+    """Poll after a follow, so that its effect is seen at once."""
+    group = _find_group(node_state, event.database, event.target)
+    if group is None or not event.succeeded:
+        return []
+    return request_poll(group, now) + advance_group(node_state, group, now)
+
+
+@handles(PromotionRequested)
+def request_promotion(
+    node_state: NodeState,
+    event: PromotionRequested,
+    now: float,
+) -> list[Effect]:
+    """Start a planned promotion, or record why it is not started."""
+    group = node_state.groups.get(event.database)
+    if group is None:
+        return []
+    update_health(group, now)
+    refusal = _find_refusal(group, event.target)
+    if refusal:
+        record = record_decision(
+            node_state,
+            group,
+            'promotion_refused',
+            refusal,
+            reason=event.reason,
+        )
+        return [record]
+    effects = start_failover(
+        node_state,
+        group,
+        now,
+        event.reason,
+        planned=True,
+        preferred=event.target,
+    )
+    return effects + advance_group(node_state, group, now)
+
+
+def advance_group(node_state: NodeState, group: GroupState, now: float) -> list[Effect]:
+    """Take the steps that are due in one group and schedule its next timer."""
+    expire_polls(group, now)
+    update_health(group, now)
+    effects: list[Effect] = []
+    if group.failover is not None:
+        effects.extend(advance_failover(node_state, group, now))
+    elif now >= group.retry_at:
+        effects.extend(_start_needed_promotion(node_state, group, now))
+    if group.failover is None and group.no_primary_since is None:
+        effects.extend(repair_followers(node_state, group, now))
+    hasten_rounds(group, now)
+    effects.extend(start_due_polls(group, now))
+    schedule_group(group, now)
+    return effects
+
+
+def _start_needed_promotion(
+    node_state: NodeState,
+    group: GroupState,
+    now: float,
+) -> list[Effect]:
+    cause = detect_failure(group, now)
+    if cause:
+        return start_failover(node_state, group, now, cause)
+    cause = detect_departure(group, now)
+    if cause:
+        return start_failover(node_state, group, now, cause, planned=True)
+    if group.no_primary_since is not None or not find_fenced_above(group, now):
+        group.fenced_above_since = None
+        return []
+    if group.fenced_above_since is None:
+        group.fenced_above_since = now
+    if now - group.fenced_above_since < FENCED_ABOVE_GRACE_S:
+        return []
+    group.fenced_above_since = None
+    cause = 'an instance is fenced above the term in charge'
+    return start_failover(
+        node_state,
+        group,
+        now,
+        cause,
+        planned=True,
+        preferred=group.primary,
+    )
+
+
+def _find_refusal(group: GroupState, target: str) -> str:
+    if group.failover is not None:
+        return 'a promotion is under way'
+    if group.no_primary_since is not None:
+        return 'no primary is in charge'
+    if target and target not in group.targets:
+        return f'unknown target {target!r}'
+    return ''
+
+
+def _find_group(node_state: NodeState, database: str, target: str) -> GroupState | None:
+    group = node_state.groups.get(database)
+    return group if group is not None and target in group.targets else None
+
+
+def _apply_targets(group: GroupState, config: DatabaseConfig) -> None:
+    group.config = config
+    names = [target.name for target in config.targets]
+    for name in group.targets.keys() - set(names):
+        del group.targets[name]
+    for name in names:
+        group.targets.setdefault(name, TargetView())
+
+
+def _drop_group(node_state: NodeState, database: str) -> None:
+    group = node_state.groups.pop(database, None)
+    if group is not None:
+        node_state.group_terms[database] = group.known_term
--- /dev/null
+++ b/src/cassiaseam/group/monitoring.py
@@ -0,0 +1,127 @@
+"""Schedule of status polls and timers of a group."""
+
+import heapq
+
+from cassiaseam.group.state import GroupState, TargetView
+from cassiaseam.reducer.node_state import NodeState
+from cassiaseam.reducer.target_io import PollTarget
+
+IDLE_POLL_S = 1.0
+QUICK_POLL_S = 0.05
+# A group that stays without a primary, such as one whose majority is lost, is polled less often
+# after a while, because no promotion can succeed until instances return.
+SLOW_POLL_S = 0.25
+SLOW_POLL_AFTER_S = 10.0
+POLL_TIMEOUT_S = 0.3
+# Lower bound of the distance between polls of one target. Without it an owner that waits for a
+# commit polls a near target thousands of times per second.
+REQUEST_SPACING_S = 0.005
+# The short interval continues this long after a request, so that a lost poll is repeated.
+QUICK_HOLD_S = 0.5
+
+
+def request_poll(group: GroupState, now: float) -> list[PollTarget]:
+    """Poll the group at once and at the short interval for a while.
+
+    The owner calls this when it waits for a commit, a floor or a confirmed primary. A target whose
+    poll is under way is polled again after the answer, because that poll may have been too early.
+
+    Args:
+        group: State of the group.
+        now: Time in seconds.
+
+    Returns:
+        Effects that start the polls.
+    """
+    group.poll_requested_at = now
+    group.quick_until = now + QUICK_HOLD_S
+    group.next_round_at = min(group.next_round_at, now + QUICK_POLL_S)
+    polls = start_due_polls(group, now)
+    schedule_group(group, now)
+    return polls
+
+
+def start_due_polls(group: GroupState, now: float) -> list[PollTarget]:
+    """Return the polls that a round or a request makes due; at most one per target under way."""
+    round_due = now >= group.next_round_at
+    if round_due:
+        group.next_round_at = now + _choose_interval_s(group, now)
+    polls = []
+    for name, view in group.targets.items():
+        if view.poll_started_at is not None:
+            continue
+        if round_due or _is_requested(group, view, now):
+            view.poll_started_at = now
+            view.last_poll_at = now
+            if view.unanswered_since is None:
+                view.unanswered_since = now
+            polls.append(PollTarget(group.config.name, name))
+    return polls
+
+
+def expire_polls(group: GroupState, now: float) -> None:
+    """Count polls without an answer within the time limit as failed."""
+    for view in group.targets.values():
+        started_at = view.poll_started_at
+        if started_at is not None and now - started_at >= POLL_TIMEOUT_S:
+            fail_poll(view, started_at)
+
+
+def fail_poll(view: TargetView, started_at: float) -> None:
+    """Count the poll under way as failed; answers of earlier polls change nothing."""
+    if view.poll_started_at is not None and started_at >= view.poll_started_at:
+        view.poll_started_at = None
+        view.failures += 1
+
+
+def hasten_rounds(group: GroupState, now: float) -> None:
+    """Bring the next round of polls forward to the short interval."""
+    group.next_round_at = min(group.next_round_at, now + _choose_interval_s(group, now))
+
+
+def schedule_group(group: GroupState, now: float) -> None:
+    """Enter the next time at which the group needs a Tick into the heap of the daemon."""
+    due_at = group.next_round_at
+    for view in group.targets.values():
+        if view.poll_started_at is not None:
+            due_at = min(due_at, view.poll_started_at + POLL_TIMEOUT_S)
+        elif view.last_poll_at < group.poll_requested_at:
+            due_at = min(due_at, view.last_poll_at + REQUEST_SPACING_S)
+    if group.due_at is None or due_at < group.due_at or group.due_at <= now:
+        group.due_at = due_at
+        heapq.heappush(group.due_heap, (due_at, group.config.name))
+
+
+def take_due_groups(node_state: NodeState, now: float) -> list[GroupState]:
+    """Remove and return the groups whose time has come; other groups are not visited."""
+    due = []
+    heap = node_state.group_due
+    while heap and heap[0][0] <= now:
+        due_at, database = heapq.heappop(heap)
+        group = node_state.groups.get(database)
+        # An entry is superseded when the group was scheduled earlier since or was removed.
+        if group is not None and group.due_at == due_at:
+            group.due_at = None
+            due.append(group)
+    return due
+
+
+def find_next_due(node_state: NodeState) -> float | None:
+    """Return the time in seconds of the earliest timer of all groups, for the shell's Tick."""
+    return node_state.group_due[0][0] if node_state.group_due else None
+
+
+def _is_requested(group: GroupState, view: TargetView, now: float) -> bool:
+    return (
+        view.last_poll_at < group.poll_requested_at
+        and now - view.last_poll_at >= REQUEST_SPACING_S
+    )
+
+
+def _choose_interval_s(group: GroupState, now: float) -> float:
+    if group.failover is not None or now < group.quick_until:
+        return QUICK_POLL_S
+    if group.no_primary_since is None:
+        return QUICK_POLL_S if group.suspicious else IDLE_POLL_S
+    lasting = now - group.no_primary_since >= SLOW_POLL_AFTER_S
+    return SLOW_POLL_S if lasting else QUICK_POLL_S
--- /dev/null
+++ b/src/cassiaseam/group/repair.py
@@ -0,0 +1,64 @@
+"""Makes instances follow the primary in charge."""
+
+from cassiaseam.group.evidence import is_reachable, remember_lost_data
+from cassiaseam.group.records import record_decision
+from cassiaseam.group.state import GroupState, TargetView
+from cassiaseam.messages import TargetRole
+from cassiaseam.reducer.node_state import NodeState
+from cassiaseam.reducer.registry import Effect
+from cassiaseam.reducer.target_io import FollowPrimary
+
+REPAIR_INTERVAL_S = 1.0
+
+
+def repair_followers(node_state: NodeState, group: GroupState, now: float) -> list[Effect]:
+    """Make every reachable instance follow the primary in charge.
+
+    This covers instances that return with an old term, follow a dead primary or nobody, or missed
+    the request of the promotion.
+    """
+    effects: list[Effect] = []
+    for name, view in group.targets.items():
+        if name == group.primary or not _needs_follow(group, view, now):
+            continue
+        effects.extend(follow_target(node_state, group, name, group.primary, group.term, now))
+    return effects
+
+
+def follow_target(
+    node_state: NodeState,
+    group: GroupState,
+    name: str,
+    primary: str,
+    term: int,
+    now: float,
+) -> list[Effect]:
+    """Return the effects that make one target follow a primary."""
+    view = group.targets[name]
+    view.follow_sent_at = now
+    remember_lost_data(group, name)
+    follows = '' if view.status is None else view.status.follows
+    cause = f'followed {follows or "nobody"}'
+    return [
+        record_decision(
+            node_state,
+            group,
+            'follow_requested',
+            cause,
+            target=name,
+            primary=primary,
+        ),
+        FollowPrimary(group.config.name, name, primary, term),
+    ]
+
+
+def _needs_follow(group: GroupState, view: TargetView, now: float) -> bool:
+    status = view.status
+    if status is None or status.fenced_term > group.term:
+        return False
+    follows = status.role is TargetRole.REPLICA and status.follows == group.primary
+    if follows and status.term == group.term:
+        return False
+    if view.follow_sent_at is not None and now - view.follow_sent_at < REPAIR_INTERVAL_S:
+        return False
+    return is_reachable(view, now)
--- /dev/null
+++ b/src/cassiaseam/group/samples.py
@@ -0,0 +1,87 @@
+"""Quorum samples and what they say about the age of replicas."""
+
+from cassiaseam.group.evidence import count_majority, is_trusted
+from cassiaseam.group.state import GroupState, QuorumSample, TargetView
+from cassiaseam.positions import LogPosition
+
+SAMPLE_LIMIT = 128
+# Older samples are at least this far apart, so that the bounded history reaches several seconds
+# back while polls follow each other within milliseconds.
+SAMPLE_SPACING_S = 0.05
+
+
+def add_quorum_samples(group: GroupState) -> None:
+    """Derive samples from the latest statuses and update the age of every target.
+
+    A write that was acknowledged before the polls started is held by a majority. Of `answered`
+    instances at least `answered - (instances - majority)` hold it, so the position of that rank
+    covers the write. More answers than a majority thus give a lower position.
+    """
+    polled = sorted(
+        (
+            (view.status_started_at, view.status.last, view.status.fenced_term)
+            for name, view in group.targets.items()
+            if view.status is not None and is_trusted(group, name)
+        ),
+        reverse=True,
+    )
+    majority = count_majority(group)
+    changed = False
+    for answered in range(majority, len(polled) + 1):
+        part = polled[:answered]
+        rank = answered - (len(group.config.targets) - majority)
+        position = sorted((entry[1] for entry in part), reverse=True)[rank - 1]
+        term = max(entry[2] for entry in part)
+        changed |= _add_sample(group, QuorumSample(part[-1][0], position, term))
+    if changed:
+        for view in group.targets.values():
+            update_freshness(group, view)
+
+
+def update_freshness(group: GroupState, view: TargetView) -> None:
+    """Set the time as of which the applied data of a target is complete."""
+    if view.status is None:
+        return
+    for sample in reversed(group.samples):
+        if view.fresh_as_of is not None and sample.started_at <= view.fresh_as_of:
+            return
+        if view.status.applied.covers(sample.position):
+            view.fresh_as_of = sample.started_at
+            return
+
+
+def note_primary_position(group: GroupState, started_at: float, position: LogPosition) -> None:
+    """Add to the history of the primary's log, from which the lag of replicas is measured."""
+    history = group.primary_positions
+    if len(history) > 1 and history[-1][0] - history[-2][0] < SAMPLE_SPACING_S:
+        history.pop()
+    history.append((started_at, position))
+    if len(history) > SAMPLE_LIMIT:
+        del history[0]
+
+
+def _add_sample(group: GroupState, sample: QuorumSample) -> bool:
+    """Insert a sample and return whether the history changed."""
+    samples = group.samples
+    if not samples or sample.started_at > samples[-1].started_at:
+        if len(samples) > 1 and samples[-1].started_at - samples[-2].started_at < SAMPLE_SPACING_S:
+            samples.pop()
+        samples.append(sample)
+        if len(samples) > SAMPLE_LIMIT:
+            del samples[0]
+        return True
+    return _lower_samples(samples, sample)
+
+
+def _lower_samples(samples: list[QuorumSample], sample: QuorumSample) -> bool:
+    # A position that covers everything up to a time also does so for every earlier time.
+    changed = False
+    for index in range(len(samples) - 1, -1, -1):
+        known = samples[index]
+        if known.started_at > sample.started_at:
+            continue
+        if known.position <= sample.position:
+            break
+        samples[index] = QuorumSample(known.started_at, sample.position, sample.term)
+        changed = True
+    return changed
--- a/src/cassiaseam/group/state.py
+++ b/src/cassiaseam/group/state.py
@@ -85,6 +85,7 @@
         fenced_at: Time in seconds at which the first fences were sent.
         grants: Status with which each instance granted the term.
         refused: Instances that refused the term.
+        unreached: Instances that the latest fence or promotion did not reach.
         majority_at: Time in seconds at which a majority had granted the term, or None.
         chosen: Target to promote, or ''.
     """
@@ -102,6 +103,7 @@
     fenced_at: float = 0
     grants: dict[str, TargetStatus] = field(default_factory=dict)
     refused: set[str] = field(default_factory=set)
+    unreached: set[str] = field(default_factory=set)
     majority_at: float | None = None
     chosen: str = ''
 
@@ -124,6 +126,7 @@
         primary_positions: Recent `last` positions of the primary in charge; bounded.
         primary_contact_at: Time in seconds at which the primary was last confirmed in charge.
         no_primary_since: Time in seconds since which no primary is in charge, or None.
+        suspicious: Whether polls fail or replicas lose their primary, so that polls hasten.
         failed_attempts: Promotions in a row that did not succeed.
         retry_at: Time in seconds before which no promotion is started.
         open_writes: Writes and open transactions at the primary. The owner role sets it; a
@@ -150,6 +153,7 @@
     primary_positions: list[tuple[float, LogPosition]] = field(default_factory=list)
     primary_contact_at: float | None = None
     no_primary_since: float | None = None
+    suspicious: bool = False
     failed_attempts: int = 0
     retry_at: float = 0
     open_writes: int = 0
--- a/src/cassiaseam/reducer/node_state.py
+++ b/src/cassiaseam/reducer/node_state.py
@@ -17,7 +17,10 @@
         rng: Source of randomness, seeded by the shell.
         groups: Monitoring state per owned database (`cassiaseam.group`).
         group_due: Heap of `(time in seconds, database)` at which groups need a Tick.
-        database_configs: Configuration in force per database, from `DatabaseConfigured`.
+        group_terms: Highest term known per database that this daemon no longer owns. A term is
+            not used twice, because late answers carry only the term.
+        group_terms: dict[str, int] = field(default_factory=dict)
+    database_configs: Configuration in force per database, from `DatabaseConfigured`.
         databases: Owner state per database (`cassiaseam.owner`).
         membership: State of `cassiaseam.membership`.
         configuration: State of `cassiaseam.configuration`.
@@ -29,6 +32,7 @@
     rng: random.Random
     groups: dict[str, Any] = field(default_factory=dict)
     group_due: list[tuple[float, str]] = field(default_factory=list)
+    group_terms: dict[str, int] = field(default_factory=dict)
     database_configs: dict[str, DatabaseConfig] = field(default_factory=dict)
     databases: dict[str, Any] = field(default_factory=dict)
     membership: Any = None
--- /dev/null
+++ b/src/cassiaseam/reducer/roles.py
@@ -0,0 +1,5 @@
+"""Imports the role packages, which registers their handlers in this order."""
+
+from cassiaseam.group import handlers as group_handlers
+
+ROLES = (group_handlers,)
