--- a/src/cassiaseam/owner/acknowledgement.py
+++ b/src/cassiaseam/owner/acknowledgement.py
@@ -43,7 +43,7 @@
     if work.position is not None:
         return work.position
     view = turn.group.targets.get(work.target)
-    if view is None or view.status is None or view.status_started_at < work.finished_at:
+    if view is None or view.status is None or view.status_started_at <= work.finished_at:
         return None
     return view.status.last if view.status.term == work.term else None
 
--- a/src/cassiaseam/owner/drain.py
+++ b/src/cassiaseam/owner/drain.py
@@ -42,7 +42,7 @@
         schedule_timer(turn, turn.now, TimerKind.BREAKER, pool)
         return
     pool.drain_started_at = turn.now
-    close_idle_connections(turn, pool, turn.now)
+    close_idle_connections(turn, pool)
     due = turn.now + turn.database.config.drain_limit_s
     schedule_timer(turn, due, TimerKind.DRAIN, pool)
 
--- a/src/cassiaseam/owner/expiry.py
+++ b/src/cassiaseam/owner/expiry.py
@@ -171,7 +171,7 @@
 def expire_idle_connections(turn: Turn, pool: TargetPool) -> None:
     """Close connections that have been idle over the limit."""
     pool.idle_timer_due = False
-    close_idle_connections(turn, pool, turn.now - IDLE_LIMIT_S)
+    close_idle_connections(turn, pool, IDLE_LIMIT_S)
     if pool.idle:
         pool.idle_timer_due = True
         due = pool.idle[0].since + IDLE_LIMIT_S
--- a/src/cassiaseam/owner/handlers.py
+++ b/src/cassiaseam/owner/handlers.py
@@ -162,28 +162,31 @@
     effects: Effects = []
     owner = ensure_owner_state(node)
     run_due_timers(node, owner, now, effects)
-    requests = dict(owner.requests_by_entry.get(event.entry, {}))
-    transactions = dict(owner.transactions_by_entry.get(event.entry, {}))
-    touched = {}
+    requests = owner.requests_by_entry.get(event.entry, {})
+    transactions = owner.transactions_by_entry.get(event.entry, {})
     names = {*requests.values(), *transactions.values()}
-    for name in names:
+    for name in sorted(names):
         turn = begin_turn(node, name, now, effects)
         if turn is not None:
-            touched[name] = turn
-    for request_id, name in requests.items():
-        work = touched[name].database.works.get(request_id) if name in touched else None
-        if work is not None:
-            cancel_work(touched[name], work)
-    for transaction_id, name in transactions.items():
-        turn = touched.get(name)
-        transaction = turn.database.transactions.get(transaction_id) if turn else None
-        if transaction is not None:
-            leave_transaction(turn, transaction, 'the entry daemon was lost')
-    for turn in touched.values():
-        end_turn(turn)
+            drop_entry(turn, event.entry)
+            end_turn(turn)
     return effects
 
 
+def drop_entry(turn: Turn, entry: str) -> None:
+    """Drop the requests and transactions of an entry daemon in one database."""
+    database = turn.database
+    works = [work for work in database.works.values() if work.request.entry == entry]
+    # All are marked before the first is withdrawn, because BEGIN takes its statements with it.
+    for lost in works:
+        lost.cancelled = True
+    for lost in works:
+        cancel_work(turn, lost)
+    for transaction in tuple(database.transactions.values()):
+        if transaction.entry == entry:
+            leave_transaction(turn, transaction, 'the entry daemon was lost')
+
+
 def find_connection(turn: Turn, target: str, connection_id: str) -> Connection | None:
     """Return a connection that is not forgotten, or None."""
     pool = turn.database.targets.get(target)
--- a/src/cassiaseam/owner/incarnations.py
+++ b/src/cassiaseam/owner/incarnations.py
@@ -17,7 +17,7 @@
     pool.status_started_at = event.started_at
     if not is_monitored(turn):
         enter_status(turn, event)
-    if pool.writes_refused_at is not None and event.started_at >= pool.writes_refused_at:
+    if pool.writes_refused_at is not None and event.started_at > pool.writes_refused_at:
         pool.writes_refused_at = None
     if event.status.incarnation != pool.incarnation:
         pool.incarnation = event.status.incarnation
--- a/src/cassiaseam/owner/pool.py
+++ b/src/cassiaseam/owner/pool.py
@@ -108,9 +108,9 @@
         schedule_timer(turn, turn.now + IDLE_LIMIT_S, TimerKind.POOL_IDLE, pool)
 
 
-def close_idle_connections(turn: Turn, pool: TargetPool, idle_since: float) -> None:
-    """Close connections that have been idle since `idle_since` seconds or longer."""
-    while pool.idle and pool.idle[0].since <= idle_since:
+def close_idle_connections(turn: Turn, pool: TargetPool, idle_s: float = 0) -> None:
+    """Close connections that have been idle for `idle_s` seconds or longer."""
+    while pool.idle and pool.idle[0].since + idle_s <= turn.now:
         close_connection(turn, pool.idle[0])
 
 
@@ -233,7 +233,7 @@
     if not record_failure(pool.breaker, turn.node.rng, turn.now):
         return
     schedule_timer(turn, pool.breaker.open_until, TimerKind.BREAKER, pool)
-    close_idle_connections(turn, pool, turn.now)
+    close_idle_connections(turn, pool)
 
 
 def probe_target(turn: Turn, pool: TargetPool) -> None:
