Add the platform client and the distribution of configuration

A conditional write carries its own id and those of the writes before it, so that a lost answer is settled by reading back, even when other writes followed. Comparing only the latest id was ruled out: a write that took effect and was replaced would look like a conflict.

The HTTP agent connects to IP numbers without the resolver threads of twisted and sends bodies without the cooperator of the global reactor, so that it works on any running asyncio loop.

Shards travel as a notice of versions followed by a pull: with documents pushed to four members each, every daemon would receive each document about four times.

--- /dev/null
+++ b/src/cassiaseam/configuration/state.py
@@ -0,0 +1,104 @@
+"""State of the configuration role."""
+
+import struct
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+import xxhash
+
+from cassiaseam.configuration.document import SHARD_COUNT, format_shard_key
+from cassiaseam.configuration.model import DatabaseConfig
+from cassiaseam.reducer.node_state import NodeState
+
+
+@dataclass(frozen=True, slots=True)
+class Shard:
+    """One shard in force.
+
+    Attributes:
+        version: Revision of the store; 0 when the shard is unknown.
+        document: Compressed document.
+        names: Its databases.
+    """
+
+    version: int = 0
+    document: bytes = b''
+    names: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Pull:
+    """A version that a peer was asked for.
+
+    Attributes:
+        version: Version of the shard.
+        asked_at: Time in seconds.
+    """
+
+    version: int
+    asked_at: float
+
+
+@dataclass(slots=True)
+class ConfigurationState:
+    """Configuration in force at one daemon.
+
+    Attributes:
+        shards: One per number.
+        databases: Configuration by database.
+        rejected: Highest version per shard that could not be read.
+        pulls: Versions asked for by shard.
+        asked_peers: Peers asked for their shards at the start.
+        has_read_store: Whether the store was asked at the start.
+        is_watching: Whether this daemon watches the store.
+        compared_at: Time in seconds of the latest comparison after a differing digest.
+        watch_checked_at: Time in seconds at which the watchers were last computed.
+    """
+
+    shards: list[Shard] = field(default_factory=lambda: [Shard()] * SHARD_COUNT)
+    databases: dict[str, DatabaseConfig] = field(default_factory=dict)
+    rejected: dict[int, int] = field(default_factory=dict)
+    pulls: dict[int, Pull] = field(default_factory=dict)
+    asked_peers: set[str] = field(default_factory=set)
+    has_read_store: bool = False
+    is_watching: bool = False
+    compared_at: float | None = None
+    watch_checked_at: float | None = None
+
+    def list_versions(self) -> tuple[int, ...]:
+        """Return the version of every shard."""
+        return tuple(shard.version for shard in self.shards)
+
+    def compute_digest(self) -> int:
+        """Return a hash of 8 bytes over all versions."""
+        packed = struct.pack(f'>{SHARD_COUNT}Q', *self.list_versions())
+        return xxhash.xxh3_64_intdigest(packed)
+
+
+def create_configuration() -> ConfigurationState:
+    """Return the state of a daemon that knows no configuration."""
+    return ConfigurationState()
+
+
+def read_versions_in_force(state: NodeState) -> dict[str, int]:
+    """Return the version in force per shard object, without unknown shards."""
+    configuration: ConfigurationState = state.configuration
+    versions = enumerate(configuration.list_versions())
+    return {format_shard_key(number): version for number, version in versions if version}
+
+
+def find_database(state: NodeState, database: str) -> DatabaseConfig | None:
+    """Return the configuration in force of a database, or None."""
+    return state.configuration.databases.get(database)
+
+
+def find_changed(
+    before: dict[str, DatabaseConfig], databases: Iterable[DatabaseConfig]
+) -> list[DatabaseConfig]:
+    """Return the databases whose configuration differs in more than its version."""
+    changed = []
+    for config in databases:
+        known = before.get(config.name)
+        if known is None or replace(known, version=config.version) != config:
+            changed.append(config)
+    return changed
--- a/src/cassiaseam/membership/vm_list.py
+++ b/src/cassiaseam/membership/vm_list.py
@@ -67,7 +67,9 @@
     state: NodeState, event: DatabaseConfigured, now: float
 ) -> list[Effect]:
     """Rank the owners of a database that is new or was changed."""
-    membership: MembershipState = state.membership
+    membership: MembershipState | None = state.membership
+    if membership is None:
+        return []
     register_database(membership.ranking, event.config, registered=True)
     return report_ownership(membership, {event.config.name})
 
@@ -75,6 +77,8 @@
 @handles(DatabaseRemoved)
 def handle_database_removed(state: NodeState, event: DatabaseRemoved, now: float) -> list[Effect]:
     """Give up a database that is no longer configured."""
-    membership: MembershipState = state.membership
+    membership: MembershipState | None = state.membership
+    if membership is None:
+        return []
     remove_database(membership.ranking, event.database)
     return report_ownership(membership, {event.database})
--- /dev/null
+++ b/src/cassiaseam/platform/client.py
@@ -0,0 +1,306 @@
+"""Client of the platform's object store and VM list."""
+
+import asyncio
+import random
+import secrets
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, TypeVar
+from urllib.parse import quote, urlencode
+
+from cachetools import LRUCache
+from pydantic import BaseModel, ValidationError
+from result import Err, Ok, Result
+
+from cassiaseam.errors import ErrorKind, RequestError
+from cassiaseam.platform.breaker import BackoffSettings
+from cassiaseam.platform.http import CallFailed, HttpCall, HttpCaller, HttpReply
+from cassiaseam.platform.model import (
+    WRITE_IDS_FIELD,
+    BatchDocument,
+    ConflictDocument,
+    ObjectBatch,
+    ObjectDocument,
+    StoredObject,
+    VersionDocument,
+    VmDocument,
+    split_stored,
+)
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 409
+# Ids of earlier writes kept in a value, so that a lost answer can still be decided after other
+# writes have followed.
+KEPT_WRITE_IDS = 8
+# Stands for the state before an object was created.
+_NOTHING_WRITTEN = ''
+_KNOWN_OBJECTS = 1024
+_WATCH_MARGIN_S = 2.0
+
+DocumentT = TypeVar('DocumentT', bound=BaseModel)
+
+
+@dataclass(slots=True)
+class ConditionalWrite:
+    """A conditional write until its outcome is known.
+
+    Attributes:
+        key: Key of the object.
+        version: Version that the object has to have.
+        write_id: Unique id of the write.
+        base_ids: Ids of the writes up to `version`, or None when they are not known.
+        document: Value with the ids.
+        may_have_arrived: Whether an attempt ended without an answer.
+    """
+
+    key: str
+    version: int
+    write_id: str
+    base_ids: tuple[str, ...] | None
+    document: dict[str, Any]
+    may_have_arrived: bool = False
+
+
+class PlatformClient:
+    """Object store and VM list of the platform.
+
+    Every method returns an error of kind PLATFORM_UNAVAILABLE when the platform does not answer
+    and INTERNAL when its answer is not valid.
+
+    Attributes:
+        caller: HTTP calls, with their counters.
+        write_ids: Ids of the writes per key and version, as last seen.
+    """
+
+    def __init__(
+        self,
+        base_url: str,
+        reactor: Any,
+        rng: random.Random,
+        settings: BackoffSettings | None = None,
+        token: str = '',
+        timeout_s: float = 1,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.settings = settings or BackoffSettings()
+        self.timeout_s = timeout_s
+        self.caller = HttpCaller(base_url, reactor, rng, self.settings, token, clock)
+        self.counters = self.caller.counters
+        self.write_ids: LRUCache[str, tuple[int, tuple[str, ...]]] = LRUCache(_KNOWN_OBJECTS)
+
+    async def close(self) -> None:
+        """Close the connections to the platform."""
+        await self.caller.close()
+
+    # reading
+
+    async def read_object(self, key: str) -> Result[StoredObject | None, RequestError]:
+        """Return an object, or None when it does not exist."""
+        reply = await self.run_repeatable(HttpCall('GET', make_object_path(key)))
+        if reply.is_ok() and reply.unwrap().status == HTTP_NOT_FOUND:
+            return Ok(None)
+        checked = reply.and_then(lambda ok: parse_reply(ok, ObjectDocument))
+        return checked.map(self.note_object)
+
+    async def list_objects(self, prefix: str) -> Result[ObjectBatch, RequestError]:
+        """Return the objects whose keys start with `prefix`."""
+        query = urlencode({'prefix': prefix})
+        reply = await self.run_repeatable(HttpCall('GET', f'/objects?{query}'))
+        return reply.and_then(lambda ok: parse_reply(ok, BatchDocument)).map(self.note_batch)
+
+    async def watch_objects(
+        self, prefix: str, after: int, wait_s: float
+    ) -> Result[ObjectBatch, RequestError]:
+        """Wait for objects that were written after a revision; the batch may be empty."""
+        query = urlencode({'prefix': prefix, 'after': after, 'timeout_ms': int(wait_s * 1000)})
+        timeout_s = wait_s + self.timeout_s + _WATCH_MARGIN_S
+        call = HttpCall('GET', f'/watch?{query}', timeout_s=timeout_s)
+        reply = await self.run_once(call)
+        return reply.and_then(lambda ok: parse_reply(ok, BatchDocument)).map(self.note_batch)
+
+    async def list_vms(self) -> Result[tuple[VmDocument, ...], RequestError]:
+        """Return the platform's list of VMs."""
+        reply = await self.run_repeatable(HttpCall('GET', '/vms'))
+        if reply.is_err():
+            return reply
+        listed = reply.unwrap().content
+        if reply.unwrap().status != HTTP_OK or not isinstance(listed, list):
+            return Err(make_invalid_error(reply.unwrap()))
+        try:
+            return Ok(tuple(VmDocument.model_validate(vm) for vm in listed))
+        except ValidationError as error:
+            return Err(RequestError(ErrorKind.INTERNAL, f'VM list: {error.errors()[0]}'))
+
+    async def register_vm(self, vm: VmDocument) -> Result[None, RequestError]:
+        """Enter a VM into the list; repeating it does no harm."""
+        path = f'/vms/{quote(vm.name, safe="")}'
+        reply = await self.run_repeatable(HttpCall('PUT', path, vm.model_dump()))
+        if reply.is_ok() and reply.unwrap().status >= 300:
+            return Err(make_invalid_error(reply.unwrap()))
+        return reply.map(lambda ok: None)
+
+    # writing
+
+    async def write_object(
+        self, key: str, value: dict[str, Any], version: int
+    ) -> Result[int, RequestError]:
+        """Write an object if its version is `version`; 0 creates it.
+
+        A write whose answer was lost is read back before it is repeated or given up.
+
+        Returns:
+            A version at which the object contains this write: its own one, or a later one when
+            further writes followed before a lost answer was settled. Errors: VERSION_CONFLICT
+            when another write came first, OUTCOME_UNKNOWN when this one may have taken or may
+            still take effect, PLATFORM_UNAVAILABLE when it does not.
+        """
+        write = self.prepare_write(key, value, version)
+        for attempt in range(self.settings.attempts):
+            if attempt:
+                await asyncio.sleep(self.caller.breaker.compute_pause(attempt - 1))
+            settled = await self.attempt_write(write)
+            if settled is not None:
+                return settled
+        if write.may_have_arrived:
+            message = f'write of {key} at version {version} got no answer'
+            return Err(RequestError(ErrorKind.OUTCOME_UNKNOWN, message))
+        return Err(self.make_unavailable_error(f'write of {key}'))
+
+    def prepare_write(self, key: str, value: dict[str, Any], version: int) -> ConditionalWrite:
+        """Give a write its id and the ids of the writes before it."""
+        known_version, base_ids = self.write_ids.get(key, (None, None))
+        if version == 0:
+            base_ids = (_NOTHING_WRITTEN,)
+        elif known_version != version:
+            base_ids = None
+        write_id = secrets.token_hex(8)
+        ids = (write_id, *(base_ids or ()))[:KEPT_WRITE_IDS]
+        document = {**value, WRITE_IDS_FIELD: list(ids)}
+        return ConditionalWrite(key, version, write_id, base_ids, document)
+
+    async def attempt_write(self, write: ConditionalWrite) -> Result[int, RequestError] | None:
+        """Send a write once; None when it may be sent again."""
+        headers = {'If-Match': str(write.version)}
+        path = make_object_path(write.key)
+        call = HttpCall('PUT', path, write.document, headers, self.timeout_s)
+        try:
+            reply = await self.caller.run(call)
+        except CallFailed as failure:
+            return await self.handle_lost_write(write, failure)
+        if reply.status == HTTP_CONFLICT:
+            return parse_reply(reply, ConflictDocument, HTTP_CONFLICT).and_then(
+                lambda found: judge_write(
+                    write, self.note_object(add_key(write.key, found.version, found.value))
+                )
+            )
+        parsed = parse_reply(reply, VersionDocument)
+        if parsed.is_ok():
+            written = add_key(write.key, parsed.unwrap().version, write.document)
+            self.note_object(written)
+        return parsed.map(lambda found: found.version)
+
+    async def handle_lost_write(
+        self, write: ConditionalWrite, failure: CallFailed
+    ) -> Result[int, RequestError] | None:
+        """Decide a write without an answer; None when it may be sent again."""
+        if failure.may_have_arrived:
+            write.may_have_arrived = True
+        if write.may_have_arrived:
+            return await self.read_back(write)
+        if failure.retry_after_s > 0:
+            return Err(self.make_unavailable_error(str(failure)))
+        return None
+
+    async def read_back(self, write: ConditionalWrite) -> Result[int, RequestError] | None:
+        """Find out what became of a write without an answer; None while that is open."""
+        self.counters['read_backs'] += 1
+        found = await self.read_object(write.key)
+        if found.is_err():
+            return None
+        stored = found.unwrap() or StoredObject(write.key, 0, None)
+        if stored.version == write.version:
+            # It may still arrive; sending it again is safe, since only one copy can match.
+            return None
+        return judge_write(write, stored)
+
+    # helpers
+
+    def note_object(self, found: ObjectDocument) -> StoredObject:
+        """Remember the write ids of an object and take them out of its value."""
+        stored = split_stored(found.key, found.version, found.value)
+        known_version, _ = self.write_ids.get(stored.key, (0, ()))
+        if stored.version >= known_version:
+            self.write_ids[stored.key] = (stored.version, stored.write_ids)
+        return stored
+
+    def note_batch(self, batch: BatchDocument) -> ObjectBatch:
+        """Remember the write ids of several objects."""
+        return ObjectBatch(batch.revision, tuple(map(self.note_object, batch.objects)))
+
+    async def run_once(self, call: HttpCall) -> Result[HttpReply, RequestError]:
+        """Make a call without repeating it."""
+        try:
+            return Ok(await self.caller.run(call))
+        except CallFailed as failure:
+            return Err(self.make_unavailable_error(str(failure)))
+
+    async def run_repeatable(self, call: HttpCall) -> Result[HttpReply, RequestError]:
+        """Make a call that may be repeated, with pauses between the attempts."""
+        call = HttpCall(call.method, call.path, call.body, call.headers, self.timeout_s)
+        reply = await self.run_once(call)
+        for attempt in range(1, self.settings.attempts):
+            if reply.is_ok() or self.caller.breaker.find_wait(self.caller.clock()):
+                break
+            await asyncio.sleep(self.caller.breaker.compute_pause(attempt - 1))
+            reply = await self.run_once(call)
+        return reply
+
+    def make_unavailable_error(self, message: str) -> RequestError:
+        """Return the error of a call without an answer, with the time to come back."""
+        wait_s = self.caller.breaker.find_wait(self.caller.clock())
+        retry_after_s = max(wait_s, self.settings.first_s)
+        return RequestError(ErrorKind.PLATFORM_UNAVAILABLE, message, retry_after_s)
+
+
+def make_object_path(key: str) -> str:
+    """Return the path of an object."""
+    return f'/objects/{quote(key)}'
+
+
+def add_key(key: str, version: int, document: Any) -> ObjectDocument:
+    """Return an object whose key the answer does not repeat."""
+    return ObjectDocument.model_construct(key=key, version=version, value=document)
+
+
+def parse_reply(
+    reply: HttpReply, model: type[DocumentT], status: int = HTTP_OK
+) -> Result[DocumentT, RequestError]:
+    """Return the validated content of an answer."""
+    if reply.status != status:
+        return Err(make_invalid_error(reply))
+    try:
+        return Ok(model.model_validate(reply.content))
+    except ValidationError as error:
+        message = f'answer of the platform: {error.errors()[0]}'
+        return Err(RequestError(ErrorKind.INTERNAL, message))
+
+
+def make_invalid_error(reply: HttpReply) -> RequestError:
+    """Return the error for an answer that the client does not expect."""
+    message = f'unexpected answer of the platform: status {reply.status}'
+    return RequestError(ErrorKind.INTERNAL, message)
+
+
+def judge_write(write: ConditionalWrite, stored: StoredObject) -> Result[int, RequestError]:
+    """Decide a write from a stored object whose version is not the expected one."""
+    if write.write_id in stored.write_ids:
+        return Ok(stored.version)
+    message = f'{write.key} has version {stored.version}, not {write.version}'
+    base_ids = write.base_ids or ()
+    # Without the id of the base among the kept ones, this write may have been replaced since.
+    has_complete_history = bool(base_ids) and base_ids[0] in stored.write_ids
+    if write.may_have_arrived and not has_complete_history:
+        return Err(RequestError(ErrorKind.OUTCOME_UNKNOWN, message))
+    return Err(RequestError(ErrorKind.VERSION_CONFLICT, message))
--- /dev/null
+++ b/src/cassiaseam/platform/http.py
@@ -0,0 +1,216 @@
+"""HTTP calls to the platform: time limit, circuit breaker and counters."""
+
+import asyncio
+import ipaddress
+import json
+import random
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import treq
+from absl import logging
+from treq.client import HTTPClient
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
+from twisted.internet.error import ConnectError
+from twisted.web.client import URI, Agent, HTTPConnectionPool
+from twisted.web.error import SchemeNotSupported
+from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
+from zope.interface import implementer
+
+from cassiaseam.platform.breaker import BackoffSettings, CircuitBreaker
+
+_SERVER_ERROR = 500
+_TOO_MANY_REQUESTS = 429
+_CONNECTIONS_PER_HOST = 8
+
+
+@dataclass(frozen=True, slots=True)
+class HttpCall:
+    """One call.
+
+    Attributes:
+        method: HTTP method.
+        path: Path with its query.
+        body: JSON value, or None.
+        headers: Further headers.
+        timeout_s: Time limit in seconds.
+    """
+
+    method: str
+    path: str
+    body: Any = None
+    headers: dict[str, str] | None = None
+    timeout_s: float = 1
+
+
+@dataclass(frozen=True, slots=True)
+class HttpReply:
+    """Answer of the platform with its JSON content, or None when that is no JSON."""
+
+    status: int
+    content: Any
+
+
+class CallFailed(Exception):
+    """The platform gave no usable answer.
+
+    Attributes:
+        may_have_arrived: Whether the platform may have carried out the call.
+        retry_after_s: Seconds after which a call may succeed.
+    """
+
+    def __init__(self, message: str, may_have_arrived: bool, retry_after_s: float = 0):
+        super().__init__(message)
+        self.may_have_arrived = may_have_arrived
+        self.retry_after_s = retry_after_s
+
+
+@implementer(IAgentEndpointFactory)
+class NumericEndpointFactory:
+    """Connects to IP numbers only, so that no resolver thread is needed."""
+
+    def __init__(self, reactor: Any):
+        self.reactor = reactor
+
+    def endpointForURI(self, uri: URI) -> Any:  # noqa: N802
+        """Return the endpoint for a URI; part of the interface of twisted."""
+        if uri.scheme != b'http':
+            raise SchemeNotSupported(uri.scheme.decode())
+        host = uri.host.decode().strip('[]')
+        version = ipaddress.ip_address(host).version
+        endpoint = TCP4ClientEndpoint if version == 4 else TCP6ClientEndpoint
+        return endpoint(self.reactor, host, uri.port)
+
+
+@implementer(IBodyProducer)
+class BytesProducer:
+    """Sends a body at once; the producer of treq needs the global reactor."""
+
+    def __init__(self, body: bytes):
+        self.body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer: Any) -> Deferred[None]:  # noqa: N802
+        """Write the body."""
+        consumer.write(self.body)
+        return succeed(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Do nothing: the body is already written."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Do nothing: the body is already written."""
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: the body is already written."""
+
+
+class HttpCaller:
+    """Makes calls to one platform.
+
+    Attributes:
+        breaker: Refuses calls while the platform is down.
+        counters: `calls`, `failures`, `timeouts`, `refused`.
+    """
+
+    def __init__(
+        self,
+        base_url: str,
+        reactor: Any,
+        rng: random.Random,
+        settings: BackoffSettings | None = None,
+        token: str = '',
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.base_url = base_url.rstrip('/')
+        self.clock = clock
+        self.breaker = CircuitBreaker(settings or BackoffSettings(), rng)
+        self.counters: Counter[str] = Counter()
+        self.headers = {'Authorization': f'Bearer {token}'} if token else {}
+        self.pool = HTTPConnectionPool(reactor, persistent=True)
+        self.pool.maxPersistentPerHost = _CONNECTIONS_PER_HOST
+        # A request on a reused connection must not be repeated silently: a write could then
+        # take effect twice.
+        self.pool.retryAutomatically = False
+        self.http = HTTPClient(
+            Agent.usingEndpointFactory(reactor, NumericEndpointFactory(reactor), pool=self.pool)
+        )
+
+    async def close(self) -> None:
+        """Close idle connections."""
+        await self.pool.closeCachedConnections().asFuture(asyncio.get_running_loop())
+
+    async def run(self, call: HttpCall) -> HttpReply:
+        """Make one attempt of a call.
+
+        Raises:
+            CallFailed: No answer in time, a server error, or the breaker refuses calls.
+        """
+        now = self.clock()
+        wait_s = self.breaker.find_wait(now)
+        if wait_s > 0:
+            self.counters['refused'] += 1
+            raise CallFailed('platform is down', False, wait_s)
+        self.breaker.start_trial(now)
+        self.counters['calls'] += 1
+        try:
+            reply = await self.send(call)
+        except CallFailed as failure:
+            self.counters['failures'] += 1
+            self.breaker.record_failure(self.clock())
+            logging.warning(
+                'event=platform_call_failed method=%s path=%s cause=%r',
+                call.method,
+                call.path,
+                str(failure),
+            )
+            raise
+        except asyncio.CancelledError:
+            self.breaker.end_trial(self.clock())
+            raise
+        self.breaker.record_success()
+        return reply
+
+    async def send(self, call: HttpCall) -> HttpReply:
+        """Send a call and read its answer within the time limit."""
+        try:
+            async with asyncio.timeout(call.timeout_s):
+                return await self.exchange(call)
+        except (CallFailed, asyncio.CancelledError):
+            raise
+        except Exception as error:
+            raise self.classify_failure(error) from error
+
+    def classify_failure(self, error: Exception) -> CallFailed:
+        """Return the failure that an exception of the HTTP client stands for."""
+        if isinstance(error, TimeoutError):
+            self.counters['timeouts'] += 1
+            return CallFailed('no answer in time', may_have_arrived=True)
+        return CallFailed(repr(error), may_have_arrived=not isinstance(error, ConnectError))
+
+    async def exchange(self, call: HttpCall) -> HttpReply:
+        """Send a call and return its answer."""
+        loop = asyncio.get_running_loop()
+        options: dict[str, Any] = {'headers': {**self.headers, **(call.headers or {})}}
+        if call.body is not None:
+            encoded = json.dumps(call.body, separators=(',', ':')).encode()
+            options['data'] = BytesProducer(encoded)
+            options['headers']['Content-Type'] = 'application/json'
+        url = f'{self.base_url}{call.path}'
+        response = await self.http.request(call.method, url, **options).asFuture(loop)
+        content = await treq.content(response).asFuture(loop)
+        if response.code >= _SERVER_ERROR or response.code == _TOO_MANY_REQUESTS:
+            raise CallFailed(f'status {response.code}', may_have_arrived=True)
+        return HttpReply(response.code, parse_json(content))
+
+
+def parse_json(content: bytes) -> Any:
+    """Return the JSON value in an answer, or None when it has none."""
+    try:
+        return json.loads(content)
+    except ValueError:
+        return None
