--- a/src/cassiaseam/configuration/distribution.py
+++ b/src/cassiaseam/configuration/distribution.py
@@ -47,7 +47,7 @@
     configuration.shards[event.number] = Shard(event.version, event.document, names)
     configuration.pulls.pop(event.number, None)
     state.membership.digest = configuration.compute_digest()
-    effects: list[Effect] = [DatabaseRemoved(database) for database in removed]
+    effects: list[Effect] = [DatabaseRemoved(name) for name in removed]
     effects.extend(DatabaseConfigured(config) for config in changed)
     effects.extend(push_versions(state, event.source))
     return effects
--- a/src/cassiaseam/configuration/state.py
+++ b/src/cassiaseam/configuration/state.py
@@ -55,7 +55,7 @@
         watch_checked_at: Time in seconds at which the watchers were last computed.
     """
 
-    shards: list[Shard] = field(default_factory=lambda: [Shard()] * SHARD_COUNT)
+    shards: list[Shard] = field(default_factory=list)
     databases: dict[str, DatabaseConfig] = field(default_factory=dict)
     rejected: dict[int, int] = field(default_factory=dict)
     pulls: dict[int, Pull] = field(default_factory=dict)
@@ -77,7 +77,7 @@
 
 def create_configuration() -> ConfigurationState:
     """Return the state of a daemon that knows no configuration."""
-    return ConfigurationState()
+    return ConfigurationState(shards=[Shard() for _ in range(SHARD_COUNT)])
 
 
 def read_versions_in_force(state: NodeState) -> dict[str, int]:
--- a/src/cassiaseam/membership/detector.py
+++ b/src/cassiaseam/membership/detector.py
@@ -81,7 +81,7 @@
     if now >= membership.next_reconnect_at:
         membership.next_reconnect_at = now + membership.settings.reconnect_period_s
         effects.extend(ping_dead_member(state, now))
-        effects.extend(forget_dead_members(membership, now))
+        effects.extend(forget_dead_members(membership))
     return effects
 
 
@@ -124,9 +124,15 @@
     return send_ping(membership, membership.members[state.rng.choice(dead)], now)
 
 
-def forget_dead_members(membership: MembershipState, now: float) -> list[Effect]:
-    """Drop members that were dead or left for long and are not listed."""
-    oldest_kept = now - membership.settings.forget_after_s
+def forget_dead_members(membership: MembershipState) -> list[Effect]:
+    """Drop members that are gone and that a later VM list no longer contains.
+
+    Without a later list every member is kept: after a partition during which the platform is
+    down nobody else knows whom to ping.
+    """
+    if membership.listed_at is None:
+        return []
+    oldest_kept = membership.listed_at - membership.settings.forget_after_s
     expired = [
         vm
         for vm, changed_at in membership.changed_at.items()
--- a/src/cassiaseam/membership/state.py
+++ b/src/cassiaseam/membership/state.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from cassiaseam.membership.messages import Address, MemberRecord, MemberStatus
-from cassiaseam.membership.ranking import RankingIndex
+from cassiaseam.membership.ranking import RankingIndex, add_eligible
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,7 +22,8 @@
         retransmit_factor: An update is sent this many times ln of the members.
         datagram_bytes: Largest datagram.
         reconnect_period_s: Time between two pings of dead members, after a partition.
-        forget_after_s: Time after which a dead member that is not listed is dropped.
+        forget_after_s: A dead member is dropped when a VM list that was read this long after its
+            death does not contain it.
         seeds: Members asked for their view at the start.
     """
 
@@ -95,6 +96,7 @@
         members: Records of all known VMs, including this one.
         changed_at: Time in seconds of the latest status change per VM that is not alive.
         listed: VMs in the latest VM list.
+        listed_at: Time in seconds at which that list arrived, or None.
         listed_leaving: VMs that the platform is about to take away.
         probe_order: Members still to be pinged in this round.
         probes: Pings under way by sequence number.
@@ -116,6 +118,7 @@
     members: dict[str, MemberRecord] = field(default_factory=dict)
     changed_at: dict[str, float] = field(default_factory=dict)
     listed: set[str] = field(default_factory=set)
+    listed_at: float | None = None
     listed_leaving: set[str] = field(default_factory=set)
     probe_order: list[str] = field(default_factory=list)
     probes: dict[int, Probe] = field(default_factory=dict)
@@ -164,6 +167,7 @@
         own, RankingIndex(own.vm), settings or MembershipSettings(), next_reconnect_at=now
     )
     membership.members[own.vm] = own
+    add_eligible(membership.ranking, own.vm, own.place)
     return membership
 
 
--- a/src/cassiaseam/membership/vm_list.py
+++ b/src/cassiaseam/membership/vm_list.py
@@ -29,6 +29,7 @@
     """
     membership: MembershipState = state.membership
     was_leaving = membership.listed_leaving
+    membership.listed_at = now
     membership.listed = {listed.vm for listed in event.listed}
     membership.listed_leaving = {listed.vm for listed in event.listed if listed.leaving}
     added = [listed for listed in event.listed if listed.vm not in membership.members]
--- a/src/cassiaseam/peers/link_table.py
+++ b/src/cassiaseam/peers/link_table.py
@@ -51,18 +51,22 @@
         self.server = await loop.create_server(self.make_incoming, host, port, ssl=server_tls)
         return self.server.sockets[0].getsockname()[1]
 
+    async def stop_listening(self) -> None:
+        """Close the listener only."""
+        if self.server is not None:
+            self.server.close()
+            await self.server.wait_closed()
+            self.server = None
+
     async def close(self) -> None:
         """Close the listener, the dials and every link."""
         self.is_closing = True
-        if self.server is not None:
-            self.server.close()
         for dial in list(self.dials.values()):
             dial.cancel()
         named = [link for links in self.links.values() for link in links]
         for link in (*named, *self.unnamed_links):
             link.abort('transport stopped')
-        if self.server is not None:
-            await self.server.wait_closed()
+        await self.stop_listening()
 
     def make_incoming(self) -> PeerLink:
         """Return the protocol of an accepted connection."""
--- /dev/null
+++ b/src/cassiaseam_load/cluster_simulation.py
@@ -0,0 +1,242 @@
+"""Many daemons in one process with a simulated clock and network."""
+
+import heapq
+import itertools
+import random
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from cassiaseam.configuration import handlers
+from cassiaseam.configuration.messages import (
+    SendShards,
+    SendVersions,
+    ShardReceived,
+    VersionsReceived,
+)
+from cassiaseam.configuration.model import DatabaseConfigured, DatabaseRemoved
+from cassiaseam.configuration.state import create_configuration
+from cassiaseam.membership.messages import (
+    Address,
+    Datagram,
+    HeartbeatReceived,
+    MemberRecord,
+    MembershipTick,
+    MemberStatus,
+    SendDatagram,
+)
+from cassiaseam.membership.records import update_eligibility
+from cassiaseam.membership.state import MembershipSettings, create_membership
+from cassiaseam.peers.datagrams import decode_datagram, encode_datagram
+from cassiaseam.reducer.node_state import NodeState
+from cassiaseam.reducer.registry import reduce_event
+
+ROLES = handlers.HANDLER_MODULES
+TICK_S = 0.2
+UDP_HEADER_BYTES = 28
+_PORT = 7000
+
+
+@dataclass(slots=True)
+class SimulatedNetwork:
+    """Behaviour of the network.
+
+    Attributes:
+        latency_s: Delay of a message in one direction.
+        jitter_s: Further random delay, which also reorders messages.
+        loss: Share of datagrams that is lost.
+        duplicates: Share of datagrams that arrives twice.
+        is_cut: Whether messages from one VM to another are lost.
+    """
+
+    latency_s: float = 0.002
+    jitter_s: float = 0.001
+    loss: float = 0
+    duplicates: float = 0
+    is_cut: Callable[[str, str], bool] = lambda sender, receiver: False
+
+
+@dataclass(slots=True)
+class SimulatedNode:
+    """One daemon.
+
+    Attributes:
+        state: State of the daemon.
+        run: Raised with every start; events of earlier runs are dropped.
+        is_running: Whether it handles events.
+    """
+
+    state: NodeState
+    run: int = 0
+    is_running: bool = True
+
+
+@dataclass(slots=True)
+class Traffic:
+    """What the daemons did.
+
+    Attributes:
+        is_counted: Whether datagrams are encoded and counted.
+        datagrams: Datagrams sent.
+        sent_bytes: Bytes of datagrams sent, with UDP and IP headers.
+        largest_bytes: Largest datagram.
+        cpu_s: Processor time of the reducer and the codec.
+    """
+
+    is_counted: bool = False
+    datagrams: int = 0
+    sent_bytes: int = 0
+    largest_bytes: int = 0
+    cpu_s: float = 0
+
+
+@dataclass(slots=True)
+class ClusterSimulation:
+    """Daemons that exchange messages in simulated time.
+
+    Attributes:
+        rng: Source of randomness of the network.
+        network: Behaviour of the network.
+        now: Simulated time in seconds.
+        nodes: Daemons by VM.
+        by_address: VM by address.
+        traffic: Counters.
+        on_effect: Called with `(vm, effect)` for effects that the simulation does not carry out.
+    """
+
+    rng: random.Random
+    network: SimulatedNetwork = field(default_factory=SimulatedNetwork)
+    now: float = 0
+    nodes: dict[str, SimulatedNode] = field(default_factory=dict)
+    by_address: dict[Address, str] = field(default_factory=dict)
+    traffic: Traffic = field(default_factory=Traffic)
+    on_effect: Callable[[str, Any], None] = lambda vm, effect: None
+    queue: list[tuple[float, int, str, int, Any]] = field(default_factory=list)
+    order: Any = field(default_factory=itertools.count)
+
+    def start_node(self, record: MemberRecord, settings: MembershipSettings | None = None) -> None:
+        """Start a daemon that knows nobody, or start it again without its state."""
+        state = NodeState(record.vm, record.place, random.Random(self.rng.random()))
+        state.membership = create_membership(record, self.now, settings)
+        state.configuration = create_configuration()
+        before = self.nodes.get(record.vm)
+        run = before.run + 1 if before else 0
+        self.nodes[record.vm] = SimulatedNode(state, run)
+        self.by_address[record.address] = record.vm
+        self.schedule(self.rng.random() * TICK_S, record.vm, MembershipTick())
+
+    def stop_node(self, vm: str) -> None:
+        """Kill a daemon."""
+        self.nodes[vm].is_running = False
+
+    def list_running(self) -> list[SimulatedNode]:
+        """Return the daemons that run."""
+        return [node for node in self.nodes.values() if node.is_running]
+
+    def schedule(self, delay_s: float, vm: str, event: Any) -> None:
+        """Give an event to a daemon after a delay."""
+        entry = (self.now + delay_s, next(self.order), vm, self.nodes[vm].run, event)
+        heapq.heappush(self.queue, entry)
+
+    def run_until(self, end: float) -> None:
+        """Handle all events up to a time."""
+        while self.queue and self.queue[0][0] <= end:
+            self.now, _, vm, run, event = heapq.heappop(self.queue)
+            node = self.nodes[vm]
+            if node.is_running and node.run == run:
+                if isinstance(event, MembershipTick):
+                    self.schedule(TICK_S, vm, event)
+                self.dispatch(vm, event)
+        self.now = max(self.now, end)
+
+    def dispatch(self, vm: str, event: Any) -> None:
+        """Let a daemon handle an event and carry out the effects."""
+        started_at = time.process_time()
+        if isinstance(event, bytes):
+            event = HeartbeatReceived(decode_datagram(event), self.find_address(vm))
+        effects = reduce_event(self.nodes[vm].state, event, self.now)
+        self.traffic.cpu_s += time.process_time() - started_at
+        for effect in effects:
+            self.carry_out(vm, effect)
+
+    def find_address(self, vm: str) -> Address:
+        """Return the address of a VM."""
+        membership = self.nodes[vm].state.membership
+        return membership.own.address
+
+    def carry_out(self, vm: str, effect: Any) -> None:
+        """Carry out an effect of a daemon."""
+        if isinstance(effect, SendDatagram):
+            self.send_datagram(vm, effect.address, effect.datagram)
+        elif isinstance(effect, SendVersions):
+            self.send_message(
+                vm, effect.vm, (VersionsReceived(vm, effect.versions, effect.wanted),)
+            )
+        elif isinstance(effect, SendShards):
+            received = (
+                ShardReceived(shard.number, shard.version, (), shard.document, vm)
+                for shard in effect.shards
+            )
+            self.send_message(vm, effect.vm, received)
+        elif isinstance(effect, DatabaseConfigured | DatabaseRemoved):
+            self.dispatch(vm, effect)
+        else:
+            self.on_effect(vm, effect)
+
+    def send_datagram(self, sender: str, address: Address, datagram: Datagram) -> None:
+        """Deliver a datagram late, twice or never."""
+        if self.traffic.is_counted:
+            self.count_datagram(datagram)
+        receiver = self.by_address.get(address)
+        if receiver is None or self.network.is_cut(sender, receiver):
+            return
+        if self.rng.random() < self.network.loss:
+            return
+        event = HeartbeatReceived(datagram, self.find_address(sender))
+        self.schedule(self.draw_delay(), receiver, event)
+        if self.rng.random() < self.network.duplicates:
+            self.schedule(self.draw_delay() * 3, receiver, event)
+
+    def count_datagram(self, datagram: Datagram) -> None:
+        """Count a datagram and the time of encoding and decoding it."""
+        started_at = time.process_time()
+        encoded = encode_datagram(datagram)
+        decode_datagram(encoded)
+        self.traffic.cpu_s += time.process_time() - started_at
+        self.traffic.datagrams += 1
+        self.traffic.sent_bytes += len(encoded) + UDP_HEADER_BYTES
+        self.traffic.largest_bytes = max(self.traffic.largest_bytes, len(encoded))
+
+    def send_message(self, sender: str, receiver: str, events: Iterable[Any]) -> None:
+        """Deliver messages in order, as over TCP, or lose them when the link is cut."""
+        node = self.nodes.get(receiver)
+        if node is None or not node.is_running or self.network.is_cut(sender, receiver):
+            return
+        if self.network.is_cut(receiver, sender):
+            return
+        delay_s = self.draw_delay()
+        for event in events:
+            self.schedule(delay_s, receiver, event)
+
+    def draw_delay(self) -> float:
+        """Return the delay of one message in seconds."""
+        return self.network.latency_s + self.rng.random() * self.network.jitter_s
+
+
+def make_record(number: int, place: str, incarnation: int = 1) -> MemberRecord:
+    """Return the record of a VM with an address of its own."""
+    host = f'10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}'
+    alive = MemberStatus.ALIVE
+    return MemberRecord(f'vm-{number:04d}', incarnation, alive, place, host, _PORT)
+
+
+def fill_members(simulation: ClusterSimulation) -> None:
+    """Let every daemon know every other one, as after a long time without changes."""
+    records = [node.state.membership.own for node in simulation.nodes.values()]
+    for node in simulation.nodes.values():
+        membership = node.state.membership
+        membership.has_joined = True
+        membership.members.update((record.vm, record) for record in records)
+        for record in records:
+            update_eligibility(membership, record.vm)
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -2,7 +2,7 @@
 from dataclasses import replace
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from cassiaseam.errors import ErrorKind, RequestError
@@ -93,12 +93,14 @@
 )
 
 
+@settings(derandomize=True)
 @given(uint64, others)
 def test_no_field_of_a_message_is_lost(wire_id, body):
     decoded = decode_message(encode_message(wire_id, body, 0), 0)
     assert (decoded.wire_id, decoded.body) == (wire_id, body)
 
 
+@settings(derandomize=True)
 @given(requests, st.floats(1000, 2000), st.floats(0, 1e6))
 def test_times_of_a_request_move_to_the_clock_of_the_receiver_and_never_widen(
     request, sent_at, received_at
@@ -121,6 +123,7 @@
     assert math.isnan(decoded.result_set.rows[0][0])
 
 
+@settings(derandomize=True)
 @given(st.binary(max_size=200))
 def test_any_bytes_give_a_message_or_one_kind_of_error(received):
     for decode, error in (
@@ -145,6 +148,7 @@
 )
 
 
+@settings(derandomize=True)
 @given(
     st.builds(
         Datagram,
