--- a/src/cassiaseam/platform/client.py
+++ b/src/cassiaseam/platform/client.py
@@ -136,7 +136,7 @@
     async def register_vm(self, vm: VmDocument) -> Result[None, RequestError]:
         """Enter a VM into the list; repeating it does no harm."""
         path = f'/vms/{quote(vm.name, safe="")}'
-        reply = await self.run_repeatable(HttpCall('PUT', path, vm.model_dump()))
+        reply = await self.run_repeatable(HttpCall('PUT', path, vm.model_dump(exclude={'name'})))
         if reply.is_ok() and reply.unwrap().status >= 300:
             return Err(make_invalid_error(reply.unwrap()))
         return reply.map(lambda ok: None)
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -74,7 +74,7 @@
         if parts.path == '/vms':
             return 200, self.vms
         if parts.path.startswith('/vms/'):
-            self.vms.append(json.loads(body))
+            self.vms.append({**json.loads(body), 'name': parts.path.removeprefix('/vms/')})
             return 200, {}
         if parts.path == '/objects':
             return 200, self.list(query['prefix'], 0)
