--- a/src/cassiaseam/membership/vm_list.py
+++ b/src/cassiaseam/membership/vm_list.py
@@ -29,6 +29,7 @@
     """
     membership: MembershipState = state.membership
     was_leaving = membership.listed_leaving
+    membership.listed_at = now
     membership.listed = {listed.vm for listed in event.listed}
     membership.listed_leaving = {listed.vm for listed in event.listed if listed.leaving}
     added = [listed for listed in event.listed if listed.vm not in membership.members]
@@ -67,7 +68,9 @@
     state: NodeState, event: DatabaseConfigured, now: float
 ) -> list[Effect]:
     """Rank the owners of a database that is new or was changed."""
-    membership: MembershipState = state.membership
+    membership: MembershipState | None = state.membership
+    if membership is None:
+        return []
     register_database(membership.ranking, event.config, registered=True)
     return report_ownership(membership, {event.config.name})
 
@@ -75,6 +78,8 @@
 @handles(DatabaseRemoved)
 def handle_database_removed(state: NodeState, event: DatabaseRemoved, now: float) -> list[Effect]:
     """Give up a database that is no longer configured."""
-    membership: MembershipState = state.membership
+    membership: MembershipState | None = state.membership
+    if membership is None:
+        return []
     remove_database(membership.ranking, event.database)
     return report_ownership(membership, {event.database})
