Add plans and their confirmation over a store that loses answers

Cause: an intent may take effect only when an operator confirms its plan, once, and of two racing operators exactly one wins. Ruled out: marking the plan alone after the shard write (a lost answer followed by another plan hides that it was applied); cancelling without a mark (a confirmation that had read the plan could still take effect); deciding from the answer of the write (a repeated write sees a conflict with itself). A shard that does not exist holds the static databases, so that the first plan keeps them.

--- /dev/null
+++ b/src/cassiaseam/plans/__init__.py
@@ -0,0 +1,1 @@
+"""Plans: what an intent of an operator changes, and its confirmation."""
--- /dev/null
+++ b/src/cassiaseam/plans/store.py
@@ -0,0 +1,362 @@
+"""Plans in the platform's object store."""
+
+import asyncio
+import dataclasses
+import json
+import secrets
+from collections.abc import Callable, Sequence
+from datetime import UTC, datetime, timedelta
+
+from result import Err, Ok, Result
+
+from cassiaseam.configuration.model import DatabaseConfig
+from cassiaseam.errors import ErrorKind, RequestError
+from cassiaseam.observability.logs import log_event
+from cassiaseam.plans import drafting, drafting_limits
+from cassiaseam.plans.codec import (
+    PLAN_PREFIX,
+    decode_plan,
+    decode_shard,
+    encode_plan,
+    encode_shard,
+    find_shard,
+    format_shard_key,
+)
+from cassiaseam.plans.confirmation import Confirmation, decide_cancellation, decide_confirmation
+from cassiaseam.plans.intents import Intent
+from cassiaseam.plans.model import (
+    ClusterView,
+    Confirmed,
+    Plan,
+    PlanState,
+    PlanView,
+    ShardState,
+    format_time,
+)
+from cassiaseam.plans.planning import make_plan
+from cassiaseam.plans.settlement import (
+    MAX_VALUE_BYTES,
+    ObjectStore,
+    Pause,
+    SettledWrite,
+    write_settled,
+)
+
+MAX_HISTORY = 32
+LISTED_DAYS = 2
+ID_BYTES = 8
+DRAFTERS = (drafting, drafting_limits)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredPlan:
+    """A plan with the version of its object."""
+
+    plan: Plan
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfirmedPlan:
+    """Outcome of a successful confirmation.
+
+    Attributes:
+        plan: The plan.
+        operator: Team whose confirmation took effect.
+        at: Time of it in ISO form.
+        shard_version: Version of the shard from which daemons have the change in force.
+        repeated: Whether it had been confirmed before this call.
+    """
+
+    plan: Plan
+    operator: str
+    at: str
+    shard_version: int
+    repeated: bool
+
+
+def make_plan_id(now: float) -> str:
+    """Return a new id; it starts with the day so that recent plans can be listed."""
+    day = datetime.fromtimestamp(now, UTC).strftime('%Y%m%d')
+    return f'{day}-{secrets.token_hex(ID_BYTES)}'
+
+
+class PlanStore:
+    """Creates, lists, confirms and cancels plans.
+
+    Attributes:
+        store: The platform's object store.
+        read_cluster: Returns what this daemon knows of the cluster.
+        pause: Waits between attempts of a write.
+        static: Databases of the settings; a shard that does not exist consists of them.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        read_cluster: Callable[[], ClusterView] = ClusterView,
+        pause: Pause = asyncio.sleep,
+        static: Sequence[DatabaseConfig] = (),
+    ):
+        self.store = store
+        self.read_cluster = read_cluster
+        self.pause = pause
+        self.static = static
+
+    async def create_plan(
+        self, intent: Intent, operator: str, now: float
+    ) -> Result[Plan, RequestError]:
+        """Make the plan for an intent and store it."""
+        shard = await self.read_shard(find_shard(intent.database))
+        if shard.is_err():
+            return Err(shard.unwrap_err())
+        made = make_plan(intent, PlanView(shard.unwrap(), self.read_cluster()), now)
+        if made.is_err():
+            return made
+        plan = dataclasses.replace(made.unwrap(), plan_id=make_plan_id(now), operator=operator)
+        written = await self._write_plan(plan, 0)
+        if written.is_err():
+            return Err(_refuse_unavailable(written.unwrap_err()))
+        log_event('plan_created', plan=plan.plan_id, database=plan.database, operator=operator)
+        return Ok(plan)
+
+    async def read_plan(self, plan_id: str) -> Result[StoredPlan, RequestError]:
+        """Return a stored plan."""
+        found = await self.store.read_object(f'{PLAN_PREFIX}{plan_id}')
+        if found.is_err():
+            return Err(found.unwrap_err())
+        stored = found.unwrap()
+        if stored is None:
+            return Err(RequestError(ErrorKind.UNKNOWN_OBJECT, f'there is no plan {plan_id!r}'))
+        return decode_plan(stored.value).map(lambda plan: StoredPlan(plan, stored.version))
+
+    async def list_plans(self, now: float) -> Result[list[Plan], RequestError]:
+        """Return the plans of the last two days, oldest first."""
+        plans: list[Plan] = []
+        today = datetime.fromtimestamp(now, UTC)
+        for age in range(LISTED_DAYS):
+            day = (today - timedelta(days=age)).strftime('%Y%m%d')
+            found = await self.store.list_objects(f'{PLAN_PREFIX}{day}-')
+            if found.is_err():
+                return Err(found.unwrap_err())
+            decoded = (decode_plan(stored.value) for stored in found.unwrap())
+            plans.extend(plan.unwrap() for plan in decoded if plan.is_ok())
+        return Ok(sorted(plans, key=lambda plan: (plan.created_at, plan.plan_id)))
+
+    async def read_shard(self, shard: int) -> Result[ShardState, RequestError]:
+        """Return a shard; one that does not exist holds the static databases at version 0."""
+        found = await self.store.read_object(format_shard_key(shard))
+        if found.is_err():
+            return Err(found.unwrap_err())
+        stored = found.unwrap()
+        if stored is None:
+            static = {it.name: it for it in self.static if find_shard(it.name) == shard}
+            return Ok(ShardState(shard, databases=static))
+        return decode_shard(shard, stored.version, stored.value)
+
+    async def confirm_plan(
+        self, plan_id: str, operator: str, now: float
+    ) -> Result[ConfirmedPlan, RequestError]:
+        """Put a plan into force by one conditional update of its shard.
+
+        Repeating the call never applies the plan twice. A lost answer is settled by reading
+        back; OUTCOME_UNKNOWN means that the caller has to repeat the call.
+        """
+        opened = await self._open_plan(plan_id)
+        if opened.is_err():
+            return Err(opened.unwrap_err())
+        stored, shard = opened.unwrap()
+        decided = decide_confirmation(stored.plan, shard, now)
+        if decided.is_err():
+            await self._record_refusal(stored, decided.unwrap_err())
+            return Err(decided.unwrap_err())
+        found = decided.unwrap()
+        if found.applied:
+            return Ok(await self._repeat_success(stored, shard, found))
+        marked = await self._mark_confirming(stored, operator, now)
+        if marked.is_err():
+            return Err(_refuse_unavailable(marked.unwrap_err()))
+        if not marked.unwrap().won:
+            return await self._resume_confirmation(plan_id, operator, now)
+        plan = decode_plan(marked.unwrap().value).unwrap()
+        return await self._apply_plan(StoredPlan(plan, marked.unwrap().version), shard)
+
+    async def cancel_plan(
+        self, plan_id: str, operator: str, now: float
+    ) -> Result[Plan, RequestError]:
+        """Cancel a plan that is not in force; cancelling twice is the same as once."""
+        opened = await self._open_plan(plan_id)
+        if opened.is_err():
+            return Err(opened.unwrap_err())
+        stored, shard = opened.unwrap()
+        decided = decide_cancellation(stored.plan, shard, now)
+        if decided.is_err():
+            return Err(decided.unwrap_err())
+        if not decided.unwrap():
+            return Ok(stored.plan)
+        cancelled = dataclasses.replace(
+            stored.plan, state=PlanState.CANCELLED, decided_by=operator, decided_at=now
+        )
+        written = await self._write_plan(cancelled, stored.version)
+        if written.is_err():
+            return Err(written.unwrap_err())
+        if not written.unwrap().won:
+            message = f'plan {plan_id} was decided by another operator meanwhile'
+            return Err(RequestError(ErrorKind.VERSION_CONFLICT, message))
+        log_event('plan_cancelled', plan=plan_id, operator=operator)
+        return Ok(cancelled)
+
+    async def _open_plan(
+        self, plan_id: str
+    ) -> Result[tuple[StoredPlan, ShardState], RequestError]:
+        found = await self.read_plan(plan_id)
+        if found.is_err():
+            return Err(found.unwrap_err())
+        stored = found.unwrap()
+        shard = await self.read_shard(stored.plan.shard)
+        if shard.is_err():
+            return Err(shard.unwrap_err())
+        current = shard.unwrap()
+        history = await self._read_history(stored.plan, current)
+        return Ok((stored, dataclasses.replace(current, history=tuple(history))))
+
+    async def _read_history(self, plan: Plan, current: ShardState) -> list[Plan]:
+        """Follow the plans back from the current version to the base version of `plan`."""
+        history: list[Plan] = []
+        following = current.confirmed.plan if current.confirmed else ''
+        if current.version == plan.base_version:
+            return history
+        while following not in {'', plan.plan_id} and len(history) < MAX_HISTORY:
+            found = await self.read_plan(following)
+            if found.is_err():
+                break
+            later = found.unwrap().plan
+            history.append(later)
+            following = later.base_plan if later.base_version > plan.base_version else ''
+        return history
+
+    async def _mark_confirming(
+        self, stored: StoredPlan, operator: str, now: float
+    ) -> Result[SettledWrite, RequestError]:
+        if stored.plan.state is PlanState.CONFIRMING:
+            return Ok(SettledWrite(stored.version, encode_plan(stored.plan), won=True))
+        marked = dataclasses.replace(
+            stored.plan, state=PlanState.CONFIRMING, decided_by=operator, decided_at=now
+        )
+        return await self._write_plan(marked, stored.version)
+
+    async def _resume_confirmation(
+        self, plan_id: str, operator: str, now: float
+    ) -> Result[ConfirmedPlan, RequestError]:
+        """Decide again after another operator decided the plan first."""
+        opened = await self._open_plan(plan_id)
+        if opened.is_err():
+            return Err(opened.unwrap_err())
+        stored, shard = opened.unwrap()
+        decided = decide_confirmation(stored.plan, shard, now)
+        if decided.is_err():
+            return Err(decided.unwrap_err())
+        found = decided.unwrap()
+        if found.applied:
+            return Ok(await self._repeat_success(stored, shard, found))
+        applied = await self._apply_plan(stored, shard)
+        return applied.map(lambda outcome: dataclasses.replace(outcome, repeated=True))
+
+    async def _repeat_success(
+        self, stored: StoredPlan, shard: ShardState, found: Confirmation
+    ) -> ConfirmedPlan:
+        version = stored.plan.shard_version or shard.version
+        if stored.plan.state is not PlanState.CONFIRMED:
+            await self._record_success(stored, version)
+        return ConfirmedPlan(stored.plan, found.operator, found.at, version, repeated=True)
+
+    async def _apply_plan(
+        self, stored: StoredPlan, shard: ShardState
+    ) -> Result[ConfirmedPlan, RequestError]:
+        plan = stored.plan
+        confirmed = Confirmed(plan.plan_id, plan.decided_by, format_time(plan.decided_at))
+        databases = dict(shard.databases)
+        if plan.after is None:
+            databases.pop(plan.database, None)
+        else:
+            databases[plan.database] = plan.after
+        document = encode_shard(databases, confirmed)
+        size = len(json.dumps(document).encode())
+        if size > MAX_VALUE_BYTES:
+            message = f'shard {plan.shard} would have {size} bytes of at most {MAX_VALUE_BYTES}'
+            return Err(RequestError(ErrorKind.TOO_LARGE, message))
+        written = await write_settled(
+            self.store,
+            format_shard_key(plan.shard),
+            document,
+            plan.base_version,
+            lambda value: _read_confirmed_plan(value) == plan.plan_id,
+            self.pause,
+        )
+        if written.is_err():
+            return Err(written.unwrap_err())
+        if not written.unwrap().won:
+            return await self._settle_conflict(plan.plan_id, plan.decided_at)
+        version = written.unwrap().version
+        await self._record_success(stored, version)
+        return Ok(ConfirmedPlan(plan, confirmed.operator, confirmed.at, version, False))
+
+    async def _settle_conflict(
+        self, plan_id: str, now: float
+    ) -> Result[ConfirmedPlan, RequestError]:
+        """Find out whether the shard moved on with this plan or without it."""
+        opened = await self._open_plan(plan_id)
+        if opened.is_err():
+            return Err(RequestError(ErrorKind.OUTCOME_UNKNOWN, opened.unwrap_err().message))
+        stored, shard = opened.unwrap()
+        decided = decide_confirmation(stored.plan, shard, now)
+        if decided.is_err():
+            await self._record_refusal(stored, decided.unwrap_err())
+            return Err(decided.unwrap_err())
+        found = decided.unwrap()
+        if found.applied:
+            return Ok(await self._repeat_success(stored, shard, found))
+        message = f'shard {shard.shard} was read at an older version; confirm again'
+        return Err(RequestError(ErrorKind.OUTCOME_UNKNOWN, message))
+
+    async def _record_success(self, stored: StoredPlan, version: int) -> None:
+        # The shard holds the truth; a lost update here is found through the history.
+        plan = dataclasses.replace(stored.plan, state=PlanState.CONFIRMED, shard_version=version)
+        key = f'{PLAN_PREFIX}{plan.plan_id}'
+        await self.store.write_object(key, encode_plan(plan), stored.version)
+        log_event(
+            'plan_confirmed',
+            plan=plan.plan_id,
+            database=plan.database,
+            operator=plan.decided_by,
+            version=version,
+        )
+
+    async def _record_refusal(self, stored: StoredPlan, error: RequestError) -> None:
+        if error.kind is not ErrorKind.VERSION_CONFLICT or stored.plan.reason:
+            return
+        plan = dataclasses.replace(stored.plan, state=PlanState.REFUSED, reason=error.message)
+        key = f'{PLAN_PREFIX}{plan.plan_id}'
+        await self.store.write_object(key, encode_plan(plan), stored.version)
+        log_event('plan_refused', plan=plan.plan_id, cause=error.message)
+
+    async def _write_plan(self, plan: Plan, version: int) -> Result[SettledWrite, RequestError]:
+        document = encode_plan(plan)
+        return await write_settled(
+            self.store,
+            f'{PLAN_PREFIX}{plan.plan_id}',
+            document,
+            version,
+            lambda value: value == document,
+            self.pause,
+        )
+
+
+def _read_confirmed_plan(document: object) -> str:
+    confirmed = document.get('confirmed') if isinstance(document, dict) else None
+    return confirmed.get('plan', '') if isinstance(confirmed, dict) else ''
+
+
+def _refuse_unavailable(error: RequestError) -> RequestError:
+    message = f'the platform is not available; nothing was put into force: {error.message}'
+    return RequestError(ErrorKind.PLATFORM_UNAVAILABLE, message, retry_after_s=1)
