Add the administration API

Cause: operators need plans, status, the time line, metrics and health of every daemon, with roles and scopes and without stack traces. Ruled out: twisted's request body handling, which writes bodies above 100 KB to a temporary file (VMs have no disk) and has no limit; cancelling a handler with its client (it would leave a confirmation half-way); aioprometheus's default registry, which is shared by all daemons of a process and refused the second one. Change: klein API over `AdminBackend`, its implementation over `Node` with pluggable status sections, readiness checks and metric collectors, questions to other daemons for scope=all, and TLS contexts that follow replaced files.

--- a/src/cassiaseam/admin/__init__.py
+++ b/src/cassiaseam/admin/__init__.py
@@ -1,1 +1,1 @@
-"""Package `cassiaseam.admin`; see docs/design.md."""
+"""HTTP/JSON administration API."""
--- /dev/null
+++ b/src/cassiaseam/admin/fanout.py
@@ -0,0 +1,111 @@
+"""Questions to the administration APIs of the other daemons."""
+
+import asyncio
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import urlencode
+
+from cassiaseam.settings.units import Address
+
+ANSWER_TIMEOUT_S = 2.0
+MAX_ANSWER_BYTES = 16 << 20
+MAX_PARALLEL_REQUESTS = 32
+HTTP_OK = 200
+
+
+@dataclass(slots=True)
+class GatheredAnswers:
+    """Answers of several daemons.
+
+    Attributes:
+        answers: JSON answer per VM.
+        unreachable: Reason per VM that gave none.
+    """
+
+    answers: dict[str, Any] = field(default_factory=dict)
+    unreachable: dict[str, str] = field(default_factory=dict)
+
+
+class DaemonAsker:
+    """Asks other daemons with the token of the operator who asked this one.
+
+    Attributes:
+        scheme: http or https.
+        client: HTTP client of treq.
+    """
+
+    def __init__(self, reactor: Any, authority_pem: bytes | None = None, uses_tls: bool = False):
+        self.scheme = 'https' if uses_tls else 'http'
+        self.client = _build_client(reactor, authority_pem)
+
+    async def ask_daemons(
+        self,
+        daemons: Mapping[str, Address],
+        path: str,
+        arguments: Mapping[str, str],
+        authorization: str,
+    ) -> GatheredAnswers:
+        """Ask all daemons at the same time, at most `MAX_PARALLEL_REQUESTS` at once."""
+        gathered = GatheredAnswers()
+        slots = asyncio.Semaphore(MAX_PARALLEL_REQUESTS)
+        query = urlencode(arguments)
+
+        async def ask(vm: str, address: Address) -> None:
+            url = f'{self.scheme}://{address}{path}?{query}'
+            async with slots:
+                try:
+                    gathered.answers[vm] = await self.ask_daemon(url, authorization)
+                except Exception as error:
+                    gathered.unreachable[vm] = _describe_failure(error)
+
+        await asyncio.gather(*(ask(vm, address) for vm, address in daemons.items()))
+        return gathered
+
+    async def ask_daemon(self, url: str, authorization: str) -> Any:
+        """Return the JSON answer to one request; raises when there is none."""
+        loop = asyncio.get_running_loop()
+        headers = {'Authorization': authorization}
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            response = await self.client.get(url, headers=headers, allow_redirects=False).asFuture(
+                loop
+            )
+            body = await _read_bounded(response).asFuture(loop)
+        if response.code != HTTP_OK:
+            raise ConnectionError(f'status {response.code}')
+        return json.loads(body)
+
+
+def _build_client(reactor: Any, authority_pem: bytes | None) -> Any:
+    from treq.client import HTTPClient
+    from twisted.internet.ssl import Certificate, platformTrust, trustRootFromCertificates
+    from twisted.web.client import Agent, BrowserLikePolicyForHTTPS
+
+    trust = platformTrust()
+    if authority_pem is not None:
+        trust = trustRootFromCertificates([Certificate.loadPEM(authority_pem)])
+    policy = BrowserLikePolicyForHTTPS(trustRoot=trust)
+    return HTTPClient(Agent(reactor, policy, connectTimeout=ANSWER_TIMEOUT_S))
+
+
+def _read_bounded(response: Any) -> Any:
+    from treq import collect
+
+    parts: list[bytes] = []
+    received = 0
+
+    def keep(part: bytes) -> None:
+        nonlocal received
+        received += len(part)
+        if received > MAX_ANSWER_BYTES:
+            raise ConnectionError(f'answer above {MAX_ANSWER_BYTES} bytes')
+        parts.append(part)
+
+    return collect(response, keep).addCallback(lambda _: b''.join(parts))
+
+
+def _describe_failure(error: Exception) -> str:
+    if isinstance(error, TimeoutError):
+        return f'no answer within {ANSWER_TIMEOUT_S:g}s'
+    return f'{type(error).__name__}: {error}'[:200]
--- a/src/cassiaseam/cli/__init__.py
+++ b/src/cassiaseam/cli/__init__.py
@@ -1,1 +1,1 @@
-"""Package `cassiaseam.cli`; see docs/design.md."""
+"""Command line `cassiaseam`, a client of the administration API."""
--- /dev/null
+++ b/src/cassiaseam/cli/base.py
@@ -0,0 +1,126 @@
+"""Options, output and errors that the commands share."""
+
+import json
+import os
+from collections.abc import Sequence
+from typing import Any
+
+from cleo.commands.command import Command
+from cleo.formatters.formatter import Formatter
+from cleo.helpers import option
+from cleo.io.outputs.output import Type
+
+from cassiaseam.cli.client import ApiClient, read_token_file
+from cassiaseam.cli.exit_codes import ExitCode, find_exit_code
+from cassiaseam.errors import ErrorKind, RequestError
+
+API_VARIABLE = 'CASSIASEAM_API'
+TOKEN_VARIABLE = 'CASSIASEAM_TOKEN_FILE'
+CA_VARIABLE = 'CASSIASEAM_CA_FILE'
+
+OUTPUT_OPTION = option('output', None, 'Form of the output: table or json.', flag=False)
+API_OPTIONS = [
+    option('api', None, f'URL of the administration API [{API_VARIABLE}].', flag=False),
+    option('token-file', None, f'File with the token [{TOKEN_VARIABLE}].', flag=False),
+    option('ca-file', None, f'PEM file of the authority [{CA_VARIABLE}].', flag=False),
+    OUTPUT_OPTION,
+]
+
+
+class CommandFailed(Exception):
+    """Ends a command with an error for the operator.
+
+    Attributes:
+        error: What failed.
+    """
+
+    def __init__(self, error: RequestError):
+        super().__init__(error.message)
+        self.error = error
+
+
+class BaseCommand(Command):
+    """Command that writes tables or JSON and turns errors into exit codes."""
+
+    options = [OUTPUT_OPTION]
+
+    def handle(self) -> int:
+        """Run the command."""
+        if self.option('output') not in {None, 'table', 'json'}:
+            self.print_error(f'--output is table or json, not {self.option("output")!r}')
+            return ExitCode.USAGE
+        try:
+            return self.run_command()
+        except CommandFailed as failed:
+            self.print_request_error(failed.error)
+            return find_exit_code(failed.error.kind)
+        except KeyboardInterrupt:
+            return ExitCode.DONE
+
+    def run_command(self) -> int:
+        """Do the work of the command and return its exit code."""
+        raise NotImplementedError
+
+    @property
+    def prints_json(self) -> bool:
+        """Return whether the output is JSON."""
+        return self.option('output') == 'json'
+
+    def print_json(self, document: Any) -> None:
+        """Write one JSON text."""
+        self.print_text(json.dumps(document, ensure_ascii=False))
+
+    def print_text(self, text: str) -> None:
+        """Write a line as it is."""
+        self.io.write_line(text, type=Type.RAW)
+
+    def print_error(self, text: str) -> None:
+        """Write a line to the error output."""
+        self.io.write_error_line(text, type=Type.RAW)
+
+    def print_request_error(self, error: RequestError) -> None:
+        """Write an error in the chosen form."""
+        if self.prints_json:
+            shown = {'kind': error.kind.value, 'message': error.message, 'ran': error.ran.value}
+            self.print_error(json.dumps({'error': shown}))
+        else:
+            self.print_error(error.format_for_caller())
+
+    def print_table(self, headers: Sequence[str], rows: Sequence[Sequence[Any]]) -> None:
+        """Write a table; a table without rows is left out."""
+        if rows:
+            escaped = [[Formatter.escape(str(cell)) for cell in row] for row in rows]
+            self.table(list(headers), escaped).render()
+
+
+class ApiCommand(BaseCommand):
+    """Command that calls the administration API."""
+
+    options = API_OPTIONS
+
+    def open_client(self) -> ApiClient:
+        """Return the client for the options or environment variables."""
+        api = self.find_setting('api', API_VARIABLE)
+        token = read_token_file(self.find_setting('token-file', TOKEN_VARIABLE))
+        if token.is_err():
+            raise CommandFailed(token.unwrap_err())
+        ca_file = self.option('ca-file') or os.environ.get(CA_VARIABLE, '')
+        try:
+            return ApiClient(api, token.unwrap(), ca_file)
+        except OSError as error:
+            message = f'authority file {ca_file!r}: {error}'
+            raise CommandFailed(RequestError(ErrorKind.BAD_REQUEST, message)) from error
+
+    def find_setting(self, name: str, variable: str) -> str:
+        """Return an option, or its environment variable."""
+        found = self.option(name) or os.environ.get(variable, '')
+        if not found:
+            message = f'give --{name} or set {variable}'
+            raise CommandFailed(RequestError(ErrorKind.BAD_REQUEST, message))
+        return found
+
+    def require(self, answer: Any) -> Any:
+        """Return the content of a result, or end the command with its error."""
+        if answer.is_err():
+            raise CommandFailed(answer.unwrap_err())
+        return answer.unwrap()
--- /dev/null
+++ b/src/cassiaseam/cli/view_commands.py
@@ -0,0 +1,194 @@
+"""`cassiaseam status`, `timeline` and `check`."""
+
+import json
+import time
+from pathlib import Path
+from typing import Any
+
+from cleo.helpers import argument, option
+
+from cassiaseam.cli.base import API_OPTIONS, OUTPUT_OPTION, ApiCommand, BaseCommand, CommandFailed
+from cassiaseam.cli.exit_codes import ExitCode
+from cassiaseam.errors import ErrorKind, RequestError
+from cassiaseam.settings.loader import load_settings
+from cassiaseam.settings.units import parse_duration_s
+from cassiaseam.timeline.merge import GapMark, TimelineEntry
+from cassiaseam.timeline.render import (
+    decode_timeline_entry,
+    format_stamp_time,
+    render_json_lines,
+    render_timeline_page,
+)
+
+FOLLOW_PERIOD_S = 1.0
+
+
+class Status(ApiCommand):
+    """Shows daemons and databases."""
+
+    name = 'status'
+    description = 'Show the status of all daemons, or of one with --local.'
+    options = [*API_OPTIONS, option('local', None, 'Only the daemon that is asked.')]
+
+    def run_command(self) -> int:
+        """Read the status and show it."""
+        scope = 'local' if self.option('local') else 'all'
+        status = self.require(self.open_client().read('/v1/status', scope=scope))
+        if self.prints_json:
+            self.print_json(status)
+            return ExitCode.DONE
+        if scope == 'local':
+            status = {'vms': {status['vm']: status}, 'unreachable': {}}
+        self.print_daemons(status)
+        self.print_targets(status['vms'])
+        return ExitCode.DONE
+
+    def print_daemons(self, status: dict[str, Any]) -> None:
+        """Write one line per daemon."""
+        rows = [
+            (
+                name,
+                shown['place'],
+                '; '.join(shown['unready']) or 'yes',
+                len(shown['databases']),
+                f'{shown["uptime_s"]:.0f}s',
+            )
+            for name, shown in sorted(status['vms'].items())
+        ]
+        rows.extend((name, '', why, '', '') for name, why in status['unreachable'].items())
+        self.print_table(('VM', 'place', 'ready', 'owned databases', 'uptime'), rows)
+
+    def print_targets(self, vms: dict[str, Any]) -> None:
+        """Write one line per target of every owned database."""
+        rows = []
+        for vm, shown in sorted(vms.items()):
+            for database, group in sorted(shown['databases'].items()):
+                rows.extend((database, vm, *row) for row in list_target_rows(group))
+        headers = ('database', 'owner', 'term', 'target', 'place', 'state', 'role', 'age')
+        self.print_table(headers, rows)
+
+
+def list_target_rows(group: dict[str, Any]) -> list[tuple[Any, ...]]:
+    """Return one row per target of a database."""
+    return [
+        (
+            group['term'],
+            name,
+            target['place'],
+            target['state'],
+            target['role'],
+            '' if target.get('age_s') is None else f'{target["age_s"]:g}s',
+        )
+        for name, target in group['targets'].items()
+    ]
+
+
+class Timeline(ApiCommand):
+    """Shows decisions of all daemons."""
+
+    name = 'timeline'
+    description = 'Show the decisions of all daemons in causal order.'
+    options = [
+        *API_OPTIONS,
+        option('since', None, 'Duration back, time or Unix ms.', flag=False),
+        option('database', None, 'Only this database.', flag=False),
+        option('local', None, 'Only the daemon that is asked.'),
+        option('follow', None, 'Go on with new records.'),
+        option('for', None, 'Time after which following ends, such as 10m.', flag=False),
+        option('html', None, 'Write one HTML page to a file.', flag=False),
+    ]
+
+    def run_command(self) -> int:
+        """Read records until there is nothing to follow."""
+        client = self.open_client()
+        ends_at = self.find_end()
+        cursor = ''
+        while True:
+            answer = self.require(
+                client.read(
+                    '/v1/timeline',
+                    scope='local' if self.option('local') else 'all',
+                    since=self.option('since') or '',
+                    database=self.option('database') or '',
+                    cursor=cursor,
+                )
+            )
+            entries = [decode_timeline_entry(entry) for entry in answer['entries']]
+            if self.option('html'):
+                return self.write_page(entries)
+            self.print_entries(entries)
+            cursor = json.dumps(answer['cursor'])
+            if not self.option('follow') or time.monotonic() + FOLLOW_PERIOD_S > ends_at:
+                return ExitCode.DONE
+            time.sleep(FOLLOW_PERIOD_S)
+
+    def find_end(self) -> float:
+        """Return the monotonic time in seconds at which following ends."""
+        if not self.option('for'):
+            return float('inf')
+        try:
+            return time.monotonic() + parse_duration_s(self.option('for'))
+        except ValueError as error:
+            message = f'--for is {error}'
+            raise CommandFailed(RequestError(ErrorKind.BAD_REQUEST, message)) from error
+
+    def write_page(self, entries: list[TimelineEntry]) -> int:
+        """Write the HTML page."""
+        file = Path(self.option('html'))
+        title = f'Time line of {self.option("database") or "all databases"}'
+        try:
+            file.write_text(render_timeline_page(entries, title), encoding='utf-8')
+        except OSError as error:
+            message = f'{file}: {error.strerror}'
+            raise CommandFailed(RequestError(ErrorKind.BAD_REQUEST, message)) from error
+        self.print_error(f'wrote {len(entries)} entries to {file}')
+        return ExitCode.DONE
+
+    def print_entries(self, entries: list[TimelineEntry]) -> None:
+        """Write entries as JSON lines or as text lines, which a follower can append to."""
+        if self.prints_json:
+            self.io.write(render_json_lines(entries))
+            return
+        for entry in entries:
+            self.print_text(format_entry(entry))
+
+
+def format_entry(entry: TimelineEntry) -> str:
+    """Return one line of text for an entry."""
+    if isinstance(entry, GapMark):
+        time_text = format_stamp_time(entry.stamp[0])
+        return f'{time_text}  {entry.vm}  GAP {entry.reason.value}: {entry.detail}'
+    record = entry.record
+    words = [format_stamp_time(record.stamp[0]), record.vm, record.kind, record.database]
+    if record.term:
+        words.append(f'term={record.term}')
+    words.append(record.cause)
+    words.extend(f'{name}={text}' for name, text in record.fields.items())
+    return '  '.join(filter(None, words))
+
+
+class Check(BaseCommand):
+    """Checks a settings file."""
+
+    name = 'check'
+    description = 'Check a settings file without starting a daemon.'
+    arguments = [argument('file', 'Settings file.')]
+    options = [
+        OUTPUT_OPTION,
+        option('without-files', None, 'Do not require the secret and certificate files.'),
+    ]
+
+    def run_command(self) -> int:
+        """Load the file and show every mistake."""
+        loaded = load_settings(self.argument('file'), not self.option('without-files'))
+        problems = [] if loaded.is_ok() else loaded.unwrap_err()
+        listed = [(it.file, it.key, it.value, it.expected) for it in problems]
+        if self.prints_json:
+            keys = ('file', 'key', 'value', 'expected')
+            shown = [dict(zip(keys, row, strict=True)) for row in listed]
+            self.print_json({'valid': not problems, 'problems': shown})
+        elif problems:
+            self.print_table(('file', 'key', 'found', 'expected'), listed)
+        else:
+            self.print_text(f'{self.argument("file")}: valid')
+        return ExitCode.INVALID_SETTINGS if problems else ExitCode.DONE
--- a/src/cassiaseam/observability/metrics.py
+++ b/src/cassiaseam/observability/metrics.py
@@ -62,8 +62,7 @@
         """
         if spec.name in self.specs:
             raise ValueError(f'metric {spec.name!r} is defined twice')
-        collector = _build_collector(spec)
-        self.registry.register(collector)
+        collector = _build_collector(spec, self.registry)
         self.specs[spec.name] = spec
         self.collectors[spec.name] = collector
         self.label_sets[spec.name] = set()
@@ -96,12 +95,14 @@
         return dict(zip(spec.labels, chosen, strict=True))
 
 
-def _build_collector(spec: MetricSpec) -> Counter | Gauge | Histogram:
+def _build_collector(spec: MetricSpec, registry: Registry) -> Counter | Gauge | Histogram:
+    # Collectors add themselves to their registry, by default to one of the whole process.
     if spec.type is MetricType.COUNTER:
-        return Counter(spec.name, spec.help_text)
+        return Counter(spec.name, spec.help_text, registry=registry)
     if spec.type is MetricType.GAUGE:
-        return Gauge(spec.name, spec.help_text)
-    return Histogram(spec.name, spec.help_text, buckets=list(spec.buckets))
+        return Gauge(spec.name, spec.help_text, registry=registry)
+    buckets = list(spec.buckets)
+    return Histogram(spec.name, spec.help_text, registry=registry, buckets=buckets)
 
 
 def define_metrics(registry: MetricsRegistry, specs: Sequence[MetricSpec]) -> None:
--- a/src/cassiaseam/settings/units.py
+++ b/src/cassiaseam/settings/units.py
@@ -13,8 +13,8 @@
 IP_FORM = 'an IP number such as 10.0.0.1 or ::1'
 MAX_PORT = 65535
 
-_DURATION = re.compile(r'(\d+(?:\.\d+)?)(us|ms|s|m|h)', re.ASCII)
-_SIZE = re.compile(r'(\d+)(B|KiB|MiB|GiB)', re.ASCII)
+_DURATION = re.compile(r'(\d{1,9}(?:\.\d{1,9})?)(us|ms|s|m|h)', re.ASCII)
+_SIZE = re.compile(r'(\d{1,12})(B|KiB|MiB|GiB)', re.ASCII)
 _ADDRESS = re.compile(r'(?:\[([^\]]+)\]|([^:]+)):(\d{1,5})', re.ASCII)
 _SECONDS = {'us': 1e-6, 'ms': 1e-3, 's': 1, 'm': 60, 'h': 3600}
 _BYTES = {'B': 1, 'KiB': 1 << 10, 'MiB': 1 << 20, 'GiB': 1 << 30}
--- /dev/null
+++ b/tests/operations/admin_server.py
@@ -0,0 +1,126 @@
+"""Runs the administration APIs of two daemons over one store, for tests in another process.
+
+Prints one JSON line with the ports; ends when its input is closed. Every value is fixed but the
+ports and the certificate files, which arguments may name.
+"""
+
+import asyncio
+import json
+import os
+import random
+import sys
+import threading
+import traceback
+from pathlib import Path
+
+from operations_fakes import FakeStore, build_config, put_database
+from twisted.internet import asyncioreactor
+
+TOKENS = {
+    'viewer': ('watch', ('*',)),
+    'operator': ('orders-team', ('orders',)),
+    'administrator': ('root-team', ('*',)),
+}
+
+
+def build_backend(vm, store, daemons, plans):
+    from cassiaseam.admin import status
+    from cassiaseam.admin.backend import NodeBackend
+    from cassiaseam.daemon.node import Node
+    from cassiaseam.group.state import GroupState
+    from cassiaseam.messages import TimelineRecord
+    from cassiaseam.observability.metrics import MetricSpec, MetricsRegistry, MetricType
+    from cassiaseam.reducer.node_state import NodeState
+    from cassiaseam.timeline.buffer import TimelineBuffer
+
+    assert status
+    state = NodeState(vm, 'gyor-a', random.Random(1))
+    if vm == 'vm-1':
+        state.groups['orders'] = GroupState(build_config(), term=4, primary='t1')
+        state.groups['labels'] = GroupState(build_config('labels'))
+    timeline = TimelineBuffer(vm, 'gyor-a', 'run-1', 100)
+    timeline.append_record(TimelineRecord('promotion', 'orders', 4, '<b>'), 1_800_000_000)
+    timeline.append_record(TimelineRecord('drain', 'labels'), 1_800_000_001)
+    metrics = MetricsRegistry()
+    metrics.define_metric(MetricSpec('cassiaseam_up', 'up', MetricType.GAUGE))
+    metrics.set_gauge('cassiaseam_up', 1)
+    backend = NodeBackend(Node(state), plans, timeline, metrics, lambda: daemons)
+
+    def read_configuration(node, now):
+        objects = store.objects.items()
+        shards = {key.removeprefix('config/'): it.version for key, it in objects}
+        return {'shards': shards if vm != 'vm-behind' else {}}
+
+    backend.sections['configuration'] = read_configuration
+    backend.sections['broken'] = lambda node, now: 1 / 0
+    backend.readiness['drain'] = lambda node, now: 'leaving' if vm == 'vm-2' else ''
+    return backend
+
+
+class FailingPlans:
+    async def list_plans(self, now):
+        raise RuntimeError('secret detail of the program')
+
+
+async def serve(loop, reactor, certificate, key):
+    from cassiaseam.admin.access import AccessTable
+    from cassiaseam.admin.api import AdminApi
+    from cassiaseam.admin.fanout import DaemonAsker
+    from cassiaseam.admin.server import listen_for_administration
+    from cassiaseam.plans.store import PlanStore
+    from cassiaseam.settings.model import CertificateSettings, Role, TokenSettings
+    from cassiaseam.settings.units import Address
+
+    store = FakeStore()
+    await put_database(store, build_config())
+    await put_database(store, build_config('labels'))
+    settings = [
+        TokenSettings(team=team, role=Role(role), databases=databases, token_file='unused')
+        for role, (team, databases) in TOKENS.items()
+    ]
+    access = AccessTable(settings, list(TOKENS))
+    asker = DaemonAsker(reactor)
+    ports = {}
+    daemons = {'vm-gone': Address('127.0.0.1', 1)}
+    for vm in ('vm-1', 'vm-2', 'vm-behind', 'vm-failing'):
+        plans = FailingPlans() if vm == 'vm-failing' else PlanStore(store)
+        known = daemons if vm == 'vm-1' else {}
+        if vm == 'vm-behind':
+            known = {'vm-1': Address('127.0.0.1', ports['vm-1'])}
+        api = AdminApi(build_backend(vm, store, known, plans), access, asker)
+        listening = listen_for_administration(api, Address('127.0.0.1', 0), reactor)
+        ports[vm] = (await listening.asFuture(loop)).getHost().port
+        if vm == 'vm-2':
+            daemons[vm] = Address('127.0.0.1', ports[vm])
+    tls = CertificateSettings(certificate_file=certificate, key_file=key)
+    listening = listen_for_administration(api, Address('127.0.0.1', 0), reactor, tls)
+    ports['tls'] = (await listening.asFuture(loop)).getHost().port
+    print(json.dumps(ports), flush=True)
+
+
+def end_on_failure(task):
+    if task.exception():
+        traceback.print_exception(task.exception())
+        os._exit(1)
+
+
+def end_with_input():
+    sys.stdin.read()
+    os._exit(0)
+
+
+def main():
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    asyncioreactor.install(loop)
+    from twisted.internet import reactor
+
+    certificate, key = map(Path, sys.argv[1:])
+    serving = loop.create_task(serve(loop, reactor, certificate, key))
+    serving.add_done_callback(end_on_failure)
+    threading.Thread(target=end_with_input, daemon=True).start()
+    reactor.run()
+
+
+if __name__ == '__main__':
+    main()
