--- a/src/cassiaseam/admin/server.py
+++ b/src/cassiaseam/admin/server.py
@@ -7,6 +7,7 @@
 from twisted.protocols.tls import TLSMemoryBIOFactory
 from twisted.web.server import Request, Site
 
+from cassiaseam.admin import cluster, status
 from cassiaseam.admin.api import AdminApi
 from cassiaseam.admin.certificates import ReloadingCertificates
 from cassiaseam.admin.resource import AdminResource
@@ -18,6 +19,9 @@
 # A body above the limit is read and dropped up to this size, so that the client sees the answer.
 MAX_DROPPED_BYTES = 16 << 20
 
+# Imported for the status sections that they register.
+STATUS_MODULES = (cluster, status)
+
 
 class BoundedRequest(Request):
     """Request that keeps at most `MAX_BODY_BYTES` of its body, and never in a file.
--- a/src/cassiaseam/plans/store.py
+++ b/src/cassiaseam/plans/store.py
@@ -9,6 +9,7 @@
 
 from result import Err, Ok, Result
 
+from cassiaseam.configuration.document import find_shard, format_shard_key
 from cassiaseam.configuration.model import DatabaseConfig
 from cassiaseam.errors import ErrorKind, RequestError
 from cassiaseam.observability.logs import log_event
@@ -19,8 +20,6 @@
     decode_shard,
     encode_plan,
     encode_shard,
-    find_shard,
-    format_shard_key,
 )
 from cassiaseam.plans.confirmation import Confirmation, decide_cancellation, decide_confirmation
 from cassiaseam.plans.intents import Intent
@@ -81,12 +80,17 @@
     return f'{day}-{secrets.token_hex(ID_BYTES)}'
 
 
+def assume_nothing(database: str) -> ClusterView:
+    """Return a view for a daemon that knows nothing of the cluster."""
+    return ClusterView()
+
+
 class PlanStore:
     """Creates, lists, confirms and cancels plans.
 
     Attributes:
         store: The platform's object store.
-        read_cluster: Returns what this daemon knows of the cluster.
+        read_cluster: Returns what this daemon knows of the cluster and one database.
         pause: Waits between attempts of a write.
         static: Databases of the settings; a shard that does not exist consists of them.
     """
@@ -94,7 +98,7 @@
     def __init__(
         self,
         store: ObjectStore,
-        read_cluster: Callable[[], ClusterView] = ClusterView,
+        read_cluster: Callable[[str], ClusterView] = assume_nothing,
         pause: Pause = asyncio.sleep,
         static: Sequence[DatabaseConfig] = (),
     ):
@@ -110,7 +114,7 @@
         shard = await self.read_shard(find_shard(intent.database))
         if shard.is_err():
             return Err(shard.unwrap_err())
-        made = make_plan(intent, PlanView(shard.unwrap(), self.read_cluster()), now)
+        made = make_plan(intent, PlanView(shard.unwrap(), self.read_cluster(intent.database)), now)
         if made.is_err():
             return made
         plan = dataclasses.replace(made.unwrap(), plan_id=make_plan_id(now), operator=operator)
--- a/tests/operations/admin_server.py
+++ b/tests/operations/admin_server.py
@@ -24,7 +24,6 @@
 
 
 def build_backend(vm, store, daemons, plans):
-    from cassiaseam.admin import status
     from cassiaseam.admin.backend import NodeBackend
     from cassiaseam.daemon.node import Node
     from cassiaseam.group.state import GroupState
@@ -33,7 +32,6 @@
     from cassiaseam.reducer.node_state import NodeState
     from cassiaseam.timeline.buffer import TimelineBuffer
 
-    assert status
     state = NodeState(vm, 'gyor-a', random.Random(1))
     if vm == 'vm-1':
         state.groups['orders'] = GroupState(build_config(), term=4, primary='t1')
--- a/tests/operations/conftest.py
+++ b/tests/operations/conftest.py
@@ -44,7 +44,7 @@
     return folder / 'admin.pem', folder / 'admin.key'
 
 
-@pytest.fixture(scope='session')
+@pytest.fixture(scope='module')
 def certificate_folder(tmp_path_factory):
     folder = tmp_path_factory.mktemp('certificates')
     write_certificate(folder, 'first')
--- a/tests/operations/operations_fakes.py
+++ b/tests/operations/operations_fakes.py
@@ -6,9 +6,10 @@
 
 from result import Err, Ok
 
+from cassiaseam.configuration.document import find_shard, format_shard_key
 from cassiaseam.configuration.model import DatabaseConfig, TargetConfig
 from cassiaseam.errors import ErrorKind, RequestError
-from cassiaseam.plans.codec import encode_shard, find_shard, format_shard_key
+from cassiaseam.plans.codec import encode_shard
 
 LOST = RequestError(ErrorKind.OUTCOME_UNKNOWN, 'answer lost')
 NOT_SENT = RequestError(ErrorKind.PLATFORM_UNAVAILABLE, 'connection refused')
--- a/tests/operations/test_plan_store.py
+++ b/tests/operations/test_plan_store.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies as st
 from operations_fakes import FakeStore, build_config, put_database, skip_pause
 
+from cassiaseam.configuration.document import find_shard
 from cassiaseam.errors import ErrorKind
-from cassiaseam.plans.codec import find_shard
 from cassiaseam.plans.intents import parse_intent
 from cassiaseam.plans.model import PLAN_LIFETIME_S, PlanState
 from cassiaseam.plans.store import PlanStore
--- a/tests/operations/test_planning.py
+++ b/tests/operations/test_planning.py
@@ -3,6 +3,7 @@
 import pytest
 from operations_fakes import build_config
 
+from cassiaseam.configuration.document import find_shard
 from cassiaseam.configuration.model import TargetState
 from cassiaseam.errors import ErrorKind
 from cassiaseam.plans import drafting, drafting_limits
@@ -139,6 +140,9 @@
     confirmed = Confirmed('p', 'o', 'at')
     document = encode_shard({'orders': config}, confirmed)
     assert set(document) == {'databases', 'confirmed'}
-    decoded = decode_shard(3, 5, document).unwrap()
-    assert (decoded.databases, decoded.confirmed) == ({'orders': config}, confirmed)
-    assert decode_shard(3, 5, {'databases': {'orders': {'targets': 3}}}).is_err()
+    shard = find_shard('orders')
+    decoded = decode_shard(shard, 5, document).unwrap()
+    stored = dataclasses.replace(config, version=5)
+    assert (decoded.databases, decoded.confirmed) == ({'orders': stored}, confirmed)
+    for malformed in ([], {'databases': {'orders': {'targets': 3}}}, {**document, 'confirmed': 1}):
+        assert decode_shard(shard, 5, malformed).is_err()
