Handle cancellations of other daemons and start the program on its loop

Cause: a caller that leaves must withdraw its request at a remote owner, and the program failed to start because Twisted runs its start-up triggers before the loop runs.

Change: registry of peer messages, start as a task of the loop, UDP through asyncio so that several daemons fit into one test process. The score of the owner ranking encodes its text, which xxhash 4 requires.

--- a/src/cassiaseam/daemon/main.py
+++ b/src/cassiaseam/daemon/main.py
@@ -5,7 +5,7 @@
 import sys
 from typing import Any
 
-from absl import logging
+from absl import flags, logging
 from result import Err
 
 
@@ -26,6 +26,8 @@
     if isinstance(read, Err):
         sys.stderr.write(f'{read.err_value}\n')
         return 2
+    # Without parsed flags absl prints a warning and drops all lines below warnings.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     set_log_level(read.ok_value.log_level)
     return run_daemon(read.ok_value)
@@ -42,7 +44,7 @@
 
     from cassiaseam.daemon.supervision import DaemonSupervisor  # noqa: PLC0415
 
-    supervisor = DaemonSupervisor(reactor, settings)
+    supervisor = DaemonSupervisor(reactor, loop, settings)
     supervisor.schedule()
     reactor.run()
     return supervisor.exit_code
--- a/src/cassiaseam/daemon/membership_link.py
+++ b/src/cassiaseam/daemon/membership_link.py
@@ -16,6 +16,35 @@
 MEMBERSHIP_PERIOD_S = 0.1
 
 
+class DatagramBridge(asyncio.DatagramProtocol):
+    """Connects the protocol of the membership role with a socket of the asyncio loop.
+
+    A daemon under test has a loop of its own, while the reactor of Twisted is one per process.
+    """
+
+    def __init__(self, protocol: MembershipProtocol):
+        self.protocol = protocol
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        """Give the membership protocol its transport."""
+        self.protocol.transport = DatagramWriter(transport)
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        """Pass on a datagram."""
+        self.protocol.datagramReceived(data, addr)
+
+
+class DatagramWriter:
+    """The part of a Twisted UDP transport that the membership protocol uses."""
+
+    def __init__(self, transport: asyncio.DatagramTransport):
+        self.transport = transport
+
+    def write(self, datagram: bytes, address: Address) -> None:
+        """Send a datagram."""
+        self.transport.sendto(datagram, address)
+
+
 class MembershipLink:
     """Connects the membership role with the network.
 
@@ -27,15 +56,17 @@
     def __init__(self, node: Node):
         self.node = node
         self.protocol = MembershipProtocol(self.accept_datagram)
-        self.port = None
+        self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
         node.services[MembershipProtocol] = self.protocol
 
-    def start(self, host: str, port: int) -> None:
+    async def start(self, host: str, port: int) -> None:
         """Listen on a UDP port."""
-        from twisted.internet import reactor  # noqa: PLC0415  (main installs the reactor first)
-
-        self.port = reactor.listenUDP(port, self.protocol, interface=host)
+        loop = asyncio.get_running_loop()
+        endpoint = await loop.create_datagram_endpoint(
+            lambda: DatagramBridge(self.protocol), local_addr=(host, port)
+        )
+        self.transport = endpoint[0]
 
     def start_timer(self) -> None:
         """Start the timer of the failure detector."""
@@ -51,14 +82,12 @@
                 datagram = make_datagram(membership, DatagramKind.JOIN, first=own)
                 self.protocol.send(address, datagram)
 
-    async def stop(self) -> None:
+    def stop(self) -> None:
         """Close the socket and stop the timer."""
         if self.timer is not None:
             self.timer.cancel()
-        if self.port is not None:
-            closed = self.port.stopListening()
-            if closed is not None:
-                await closed.asFuture(asyncio.get_running_loop())
+        if self.transport is not None:
+            self.transport.close()
 
     def accept_datagram(self, datagram: Datagram, address: Address) -> None:
         """Pass on a datagram."""
--- a/src/cassiaseam/daemon/request_executors.py
+++ b/src/cassiaseam/daemon/request_executors.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from cassiaseam.daemon.node import Node, executes
+from cassiaseam.daemon.peer_messages import accept_message
 from cassiaseam.messages import Answer, Request
 from cassiaseam.reducer.common import AnswerRequest, EntryLost, RequestArrived, RequestCancelled
 
@@ -56,11 +57,16 @@
         node.services[PeerRequests] = self
         transport.on_request = self.accept_request
         transport.on_peer_lost = self.lose_peer
+        transport.on_message = self.accept_message
 
     def accept_request(self, vm: str, request: Request) -> None:
         """Pass on a request of a peer."""
         self.node.dispatch(RequestArrived(request))
 
+    def accept_message(self, vm: str, message: Any) -> None:
+        """Pass on a message of a peer."""
+        accept_message(self.node, vm, message)
+
     def lose_peer(self, vm: str) -> None:
         """Roll back what the callers of a lost entry daemon had open."""
         self.node.dispatch(EntryLost(vm))
--- a/src/cassiaseam/daemon/runtime.py
+++ b/src/cassiaseam/daemon/runtime.py
@@ -121,7 +121,7 @@
         """Open the sockets and take over the configured databases."""
         host, port = self.settings.peers
         self.peers_port = await self.transport.start(host, port)
-        self.membership.start(host, self.peers_port)
+        await self.membership.start(host, self.peers_port)
         own = MemberRecord(
             self.settings.vm,
             self.incarnation,
@@ -162,7 +162,7 @@
         self.node.dispatch(LeaveRequested(done=True))
         self.timer.stop()
         await self.transport.stop()
-        await self.membership.stop()
+        self.membership.stop()
         await self.targets.stop()
         logging.info('event=daemon_stopped vm=%s finished=%s', self.settings.vm, finished)
         return finished
--- a/src/cassiaseam/daemon/supervision.py
+++ b/src/cassiaseam/daemon/supervision.py
@@ -15,15 +15,18 @@
     """Starts a daemon with the reactor and stops it before the reactor ends.
 
     Attributes:
-        reactor: Reactor on the asyncio loop.
+        reactor: Reactor of Twisted.
+        loop: Event loop that the reactor runs on.
         runtime: The daemon, once it was built.
         exit_code: Exit code of the process.
     """
 
-    def __init__(self, reactor: Any, settings: RuntimeSettings):
+    def __init__(self, reactor: Any, loop: asyncio.AbstractEventLoop, settings: RuntimeSettings):
         self.reactor = reactor
+        self.loop = loop
         self.settings = settings
         self.runtime: Runtime | None = None
+        self.starting: asyncio.Task | None = None
         self.exit_code = 0
 
     def schedule(self) -> None:
@@ -32,20 +35,18 @@
         self.reactor.addSystemEventTrigger('before', 'shutdown', self._stop)
 
     def _start(self) -> None:
-        started = Deferred.fromCoroutine(self._start_runtime())
-        started.addErrback(self._report_failed_start)
+        self.starting = self.loop.create_task(self._start_runtime())
 
     async def _start_runtime(self) -> None:
-        loop = asyncio.get_running_loop()
-        self.runtime = Runtime(self.settings)
-        await Deferred.fromFuture(loop.create_task(self.runtime.start()))
-
-    def _report_failed_start(self, failure: Any) -> None:
-        logging.error('event=daemon_start_failed reason=%r', failure.getErrorMessage())
-        self.exit_code = EXIT_START_FAILED
-        self.reactor.stop()
+        try:
+            self.runtime = Runtime(self.settings)
+            await self.runtime.start()
+        except Exception as error:
+            logging.error('event=daemon_start_failed reason=%r', error)
+            self.exit_code = EXIT_START_FAILED
+            self.reactor.stop()
 
     def _stop(self) -> Deferred | None:
         if self.runtime is None or self.exit_code:
             return None
-        return Deferred.fromFuture(asyncio.ensure_future(self.runtime.stop()))
+        return Deferred.fromFuture(self.loop.create_task(self.runtime.stop()))
--- a/src/cassiaseam/membership/ranking.py
+++ b/src/cassiaseam/membership/ranking.py
@@ -79,7 +79,7 @@
 
 def compute_score(database: str, vm: str) -> int:
     """Return the weight of a VM for a database; the highest one owns it."""
-    return xxhash.xxh3_64_intdigest(f'{database}\0{vm}')
+    return xxhash.xxh3_64_intdigest(f'{database}\0{vm}'.encode())
 
 
 def rank_owners(membership: 'MembershipState', config: DatabaseConfig, now: float) -> list[str]:
--- /dev/null
+++ b/tests/daemon/test_main.py
@@ -0,0 +1,85 @@
+import signal
+import subprocess
+import sys
+
+import pymysql
+import pytest
+import yaml
+
+from cassiaseam.daemon.main import main
+
+START_PATTERN = 'event=daemon_started'
+
+
+def write_settings(folder, group, **changes):
+    (folder / 'shop').write_text('secret')
+    targets = [
+        {'name': target.name, 'host': target.host, 'port': target.port, 'place': 'p1'}
+        for target in group.list_target_configs()
+    ]
+    document = {
+        'vm': 'vm1',
+        'place': 'p1',
+        'region': 'r1',
+        'listen': {
+            'callers': '127.0.0.1:0',
+            'peers': '127.0.0.1:0',
+            'admin': '127.0.0.1:0',
+        },
+        'platform': {'url': 'http://127.0.0.1:9'},
+        'users': [{'name': 'shop', 'password_file': 'shop', 'databases': ['orders']}],
+        'databases': {'orders': {'targets': targets}},
+        'limits': {'drain': '5s'},
+        **changes,
+    }
+    path = folder / 'settings.yaml'
+    path.write_text(yaml.safe_dump(document))
+    return path
+
+
+@pytest.fixture
+def program(tmp_path, group):
+    command = [sys.executable, '-m', 'cassiaseam.daemon.main', '--settings']
+    command.append(str(write_settings(tmp_path, group)))
+    process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
+    yield process
+    if process.poll() is None:
+        process.kill()
+    process.wait(5)
+    process.stderr.close()
+
+
+def wait_for_port(process):
+    for line in process.stderr:
+        if START_PATTERN in line:
+            return int(line.split('callers_port=')[1].split()[0])
+    raise AssertionError('the daemon did not start')
+
+
+def connect(port):
+    return pymysql.connect(
+        host='127.0.0.1',
+        port=port,
+        user='shop',
+        password='secret',
+        database='orders',
+        ssl_disabled=True,
+    )
+
+
+def test_sigterm_lets_a_transaction_commit_and_ends_with_zero(program):
+    port = wait_for_port(program)
+    connection = connect(port)
+    cursor = connection.cursor()
+    cursor.execute('SELECT 1')
+    program.send_signal(signal.SIGTERM)
+    connection.commit()
+    assert program.wait(10) == 0
+
+
+def test_bad_settings_are_reported_all_at_once(tmp_path, group, capsys):
+    path = write_settings(tmp_path, group, place='', users='nobody')
+    assert main(['--settings', str(path)]) == 2
+    shown = capsys.readouterr().err
+    assert 'place' in shown
+    assert 'users' in shown
--- /dev/null
+++ b/tests/daemon/test_runtime.py
@@ -0,0 +1,163 @@
+import asyncio
+import time
+
+import pymysql
+import pytest
+
+from cassiaseam.configuration.model import DatabaseConfig
+from cassiaseam.daemon.runtime import Runtime, RuntimeSettings
+from cassiaseam.daemon.target_service import TargetCredentials
+from cassiaseam.entry.identity import CallerLogin, hash_password
+
+LOOPBACK = ('127.0.0.1', 0)
+LOGIN = CallerLogin('shop', hash_password('secret'), ('*',))
+
+
+def build_settings(group, vm='vm1', **changes):
+    return RuntimeSettings(
+        vm=vm,
+        place='p1',
+        callers=LOOPBACK,
+        peers=LOOPBACK,
+        credentials=TargetCredentials('proxy', ''),
+        logins=(LOGIN,),
+        databases=(DatabaseConfig('orders', group.list_target_configs()),),
+        shutdown_limit_s=2,
+        **changes,
+    )
+
+
+@pytest.fixture
+def daemon(loop_thread, group):
+    runtime = Runtime(build_settings(group), seed=1)
+    loop_thread.run(runtime.start())
+    yield runtime
+    loop_thread.run(runtime.stop())
+
+
+def connect(runtime, **changes):
+    settings = {'user': 'shop', 'password': 'secret', 'database': 'orders', 'autocommit': True}
+    settings.update(changes)
+    port = runtime.callers_port
+    return pymysql.connect(host='127.0.0.1', port=port, ssl_disabled=True, **settings)
+
+
+def run(connection, sql):
+    with connection.cursor() as cursor:
+        cursor.execute(sql)
+        return cursor.fetchall()
+
+
+def test_write_is_visible_to_the_next_read_of_the_session(daemon):
+    with connect(daemon) as connection:
+        run(connection, 'CREATE TABLE t (id INT PRIMARY KEY, name VARCHAR(20))')
+        for number in range(20):
+            run(connection, f"INSERT INTO t VALUES ({number}, 'x')")
+            found = run(
+                connection, f'/* cassiaseam: max_age=30s */ SELECT name FROM t WHERE id = {number}'
+            )
+            assert found == (('x',),)
+        token = run(connection, 'SELECT @cassiaseam_token')[0][0]
+    with connect(daemon) as other:
+        run(other, f"SET @cassiaseam_token = '{token}'")
+        run(other, "SET @cassiaseam_max_age = '30s'")
+        assert run(other, 'SELECT COUNT(*) FROM t') == ((20,),)
+
+
+def test_transaction_commits_or_rolls_back_as_a_whole(daemon):
+    with connect(daemon) as connection:
+        run(connection, 'CREATE TABLE u (id INT PRIMARY KEY)')
+        connection.begin()
+        run(connection, 'INSERT INTO u VALUES (1)')
+        connection.rollback()
+        connection.begin()
+        run(connection, 'INSERT INTO u VALUES (2)')
+        run(connection, 'INSERT INTO u VALUES (3)')
+        connection.commit()
+        assert run(connection, 'SELECT id FROM u ORDER BY id') == ((2,), (3,))
+
+
+def test_statement_failure_of_a_target_keeps_its_code_and_the_session(daemon):
+    with connect(daemon) as connection:
+        with pytest.raises(pymysql.err.MySQLError) as failure:
+            run(connection, 'SELECT * FROM missing')
+        assert 'kind=statement_failed ran=no' in failure.value.args[1]
+        assert failure.value.args[0] == 1146
+        run(connection, 'SELECT 1')
+
+
+def test_caller_that_leaves_frees_the_locks_of_its_transaction(daemon):
+    with connect(daemon) as connection:
+        run(connection, 'CREATE TABLE v (id INT PRIMARY KEY)')
+        leaving = connect(daemon)
+        leaving.begin()
+        run(leaving, 'INSERT INTO v VALUES (1)')
+        leaving._force_close()
+        run(connection, '/* cassiaseam: deadline=10s */ INSERT INTO v VALUES (1)')
+        assert run(connection, 'SELECT COUNT(*) FROM v') == ((1,),)
+
+
+@pytest.fixture
+def pair(loop_thread, group):
+    first = Runtime(build_settings(group), seed=1)
+    loop_thread.run(first.start())
+    seeds = (('127.0.0.1', first.peers_port),)
+    second = Runtime(build_settings(group, vm='vm2', seeds=seeds), seed=2)
+    loop_thread.run(second.start())
+    runtimes = {'vm1': first, 'vm2': second}
+    yield runtimes
+    for runtime in runtimes.values():
+        loop_thread.run(runtime.stop())
+
+
+async def wait_for_agreement(runtimes):
+    async with asyncio.timeout(15):
+        while True:
+            ranked = {tuple(runtime.rank_owners('orders')) for runtime in runtimes.values()}
+            owners = [vm for vm, found in runtimes.items() if found.node.state.databases]
+            if len(ranked) == 1 and len(ranked.copy().pop()) == 2 and len(owners) == 1:
+                return owners[0]
+            await asyncio.sleep(0.05)
+
+
+def test_session_reads_its_writes_through_both_daemons(loop_thread, pair):
+    owner = loop_thread.run(wait_for_agreement(pair))
+    other = next(vm for vm in pair if vm != owner)
+    with connect(pair[other]) as far, connect(pair[owner]) as near:
+        run(far, 'CREATE TABLE w (id INT PRIMARY KEY)')
+        run(near, "SET @cassiaseam_max_age = '30s'")
+        for number in range(10):
+            run(far, f'INSERT INTO w VALUES ({number})')
+            token = run(far, 'SELECT @cassiaseam_token')[0][0]
+            run(near, f"SET @cassiaseam_token = '{token}'")
+            assert run(near, f'SELECT id FROM w WHERE id = {number}') == ((number,),)
+        far.begin()
+        run(far, 'INSERT INTO w VALUES (100)')
+        far.commit()
+        assert run(near, 'SELECT COUNT(*) FROM w') == ((11,),)
+
+
+def test_entry_uses_the_next_owner_after_the_first_one_has_gone(loop_thread, pair):
+    owner = loop_thread.run(wait_for_agreement(pair))
+    other = next(vm for vm in pair if vm != owner)
+    with connect(pair[other]) as connection:
+        run(connection, 'CREATE TABLE x (id INT PRIMARY KEY)')
+        connection.begin()
+        run(connection, 'INSERT INTO x VALUES (1)')
+        loop_thread.run(pair[owner].stop())
+        with pytest.raises(pymysql.err.MySQLError) as failure:
+            run(connection, 'INSERT INTO x VALUES (2)')
+        assert 'kind=transaction_aborted ran=no' in failure.value.args[1]
+        write_until_accepted(connection, 'INSERT INTO x VALUES (3)')
+        assert run(connection, 'SELECT id FROM x') == ((3,),)
+
+
+def write_until_accepted(connection, sql):
+    for _ in range(100):
+        try:
+            return run(connection, sql)
+        except pymysql.err.MySQLError as error:
+            if 'ran=no' not in error.args[1]:
+                raise
+            time.sleep(0.1)
+    raise AssertionError('no owner took over')
