--- a/src/cassiaseam/daemon/node.py
+++ b/src/cassiaseam/daemon/node.py
@@ -31,12 +31,14 @@
     Attributes:
         state: State that only `dispatch` changes.
         services: Objects that executors use, by type.
+        after_dispatch: Called after every event, or None.
     """
 
     def __init__(self, state: NodeState, clock: Callable[[], float] = time.monotonic):
         self.state = state
         self.clock = clock
         self.services: dict[type, Any] = {}
+        self.after_dispatch: Callable[[], None] | None = None
 
     def dispatch(self, event: Any) -> None:
         """Reduce one event and start the effects.
@@ -48,3 +50,5 @@
                 EXECUTORS[type(effect)](self, effect)
             except Exception:
                 logging.exception('event=effect_failed effect=%s', type(effect).__name__)
+        if self.after_dispatch is not None:
+            self.after_dispatch()
--- a/src/cassiaseam/entry/caller_session.py
+++ b/src/cassiaseam/entry/caller_session.py
@@ -21,7 +21,6 @@
 from cassiaseam.messages import Answer
 
 SERVER_VERSION = '8.0.29-cassiaseam'
-MAX_STATEMENT_CHARS = 1048576
 _LAST_INSERT_ID = re.compile(
     r'\s*SELECT\s+LAST_INSERT_ID\s*\(\s*\)(?:\s+AS\s+(\w+))?\s*;?\s*', re.IGNORECASE
 )
@@ -59,20 +58,25 @@
     Attributes:
         runner: Runs the statements that go to owners.
         directory: Logins and grants.
+        statement_bytes: Size of a statement text.
         login_done: Whether the caller has logged in.
     """
 
-    def __init__(self, runner: StatementRunner, directory: CallerDirectory):
+    def __init__(self, runner: StatementRunner, directory: CallerDirectory, statement_bytes: int):
         super().__init__(SessionVariables(_GLOBAL_VARIABLES))
         self.runner = runner
         self.directory = directory
+        self.statement_bytes = statement_bytes
         self.state = runner.state
         self.login_done = False
 
-    def find_login_refusal(self) -> RequestError | None:
+    def find_login_refusal(self, attributes: dict[str, str]) -> RequestError | None:
         """Return why a login with a right password is refused, or None; marks it as done.
 
         A refused login clears the user name, so that the connection ends.
+
+        Args:
+            attributes: Connection attributes; options among them are set for the session.
         """
         if self.login_done or self.username is None:
             return None
@@ -80,10 +84,11 @@
         if self.database:
             refusal = self.directory.find_refusal(self.username, self.database)
         if refusal is None:
-            self.login_done = True
             self.state.caller = self.username
             self.state.database = self.database or ''
-        else:
+            refusal = self._apply_attributes(attributes)
+        self.login_done = refusal is None
+        if refusal is not None:
             self.username = None
         return refusal
 
@@ -100,29 +105,12 @@
         """Return whether the session has a transaction open."""
         return self.state.transaction is not None
 
-    async def init(self, connection: Any) -> None:
-        """Take over the connection attributes after the login."""
-        await super().init(connection)
-        self.apply_connection_attributes(connection.client_connect_attrs)
-
-    def apply_connection_attributes(self, attributes: dict[str, str]) -> None:
-        """Set options from connection attributes.
-
-        Raises:
-            CallerError: An option is unknown or malformed.
-        """
-        for name, text in select_prefixed_options(attributes).items():
-            if name == 'key':
-                message = 'a key belongs to one statement, not to a connection'
-                raise CallerError(RequestError(ErrorKind.BAD_REQUEST, message))
-            self._set_option(name, text)
-
     async def close(self) -> None:
         """Roll back the open transaction of a caller that is gone."""
         self.runner.abandon_transaction()
         await super().close()
 
-    async def reset(self) -> None:
+    def reset_session(self) -> None:
         """Roll back and forget what the caller set."""
         self.runner.abandon_transaction()
         reset_session(self.state, self.runner.clock())
@@ -151,8 +139,8 @@
         Raises:
             CallerError: The statement failed.
         """
-        if len(sql) > MAX_STATEMENT_CHARS:
-            message = f'{len(sql)} characters exceed {MAX_STATEMENT_CHARS}'
+        if len(sql) > self.statement_bytes:
+            message = f'{len(sql)} characters exceed {self.statement_bytes}'
             raise CallerError(RequestError(ErrorKind.TOO_LARGE, message))
         found = classify_statement(sql)
         if found.kind is StatementKind.SESSION:
@@ -201,6 +189,16 @@
             raise CallerError(RequestError(ErrorKind.UNSUPPORTED, message))
         super()._set_transaction(item)
 
+    def _apply_attributes(self, attributes: dict[str, str]) -> RequestError | None:
+        for name, text in select_prefixed_options(attributes).items():
+            if name == 'key':
+                message = 'a key belongs to one statement, not to a connection'
+                return RequestError(ErrorKind.BAD_REQUEST, message)
+            outcome = self.runner.set_option(name, text)
+            if isinstance(outcome, Err):
+                return outcome.err_value
+        return None
+
     def _set_option(self, name: str, text: str | None) -> None:
         if text is None and name in OPTION_PARSERS:
             self.runner.drop_option(name)
--- a/src/cassiaseam/entry/classification.py
+++ b/src/cassiaseam/entry/classification.py
@@ -43,7 +43,7 @@
         error: Kind of the error of a refused statement.
         needs_transaction: Depends on the state of one target connection, so it runs only inside
             a transaction.
-        implicit_commit: Would end an open transaction, so it runs only outside of one.
+        implicit_commit: Ends an open transaction with a commit before it runs.
     """
 
     kind: StatementKind
--- a/src/cassiaseam/entry/connection.py
+++ b/src/cassiaseam/entry/connection.py
@@ -12,7 +12,7 @@
 from mysql_mimic.prepared import PreparedStatement
 from mysql_mimic.results import ResultSet as SentResultSet
 from mysql_mimic.stream import ConnectionClosed
-from mysql_mimic.types import Capabilities, Commands, ServerStatus, read_uint_4
+from mysql_mimic.types import Capabilities, Commands, ServerStatus, read_uint_4, uint_len
 
 from cassiaseam.entry.packets import CallerError, convert_error, make_error_packet
 from cassiaseam.entry.parameters import StatementTemplate, read_literals, split_placeholders
@@ -28,8 +28,6 @@
 CommandHandler = Callable[['CallerConnection', bytes], Awaitable[None]]
 COMMANDS: dict[int, CommandHandler] = {
     Commands.COM_QUERY: Connection.handle_query,
-    Commands.COM_STMT_FETCH: Connection.handle_stmt_fetch,
-    Commands.COM_STMT_CLOSE: Connection.handle_stmt_close,
     Commands.COM_PING: Connection.handle_ping,
     Commands.COM_INIT_DB: Connection.handle_init_db,
 }
@@ -52,6 +50,7 @@
         busy: Whether a command runs.
         closing: Whether the connection ends after the running command.
         templates: Prepared statements by id.
+        cursors: Rows of open cursors that were not fetched yet, by statement id.
     """
 
     def __init__(self, *args: Any, login_timeout_s: float = LOGIN_TIMEOUT_S, **kwargs: Any):
@@ -62,6 +61,7 @@
         self.busy = False
         self.closing = False
         self.templates: dict[int, StatementTemplate] = {}
+        self.cursors: dict[int, list[bytes]] = {}
         self.affected_rows = 0
         self.last_insert_id = 0
 
@@ -87,7 +87,7 @@
         During a login it turns into an error packet when the database is not granted, because
         `mysql_mimic` offers no step between the password check and the OK packet.
         """
-        refusal = self.session.find_login_refusal()
+        refusal = self.session.find_login_refusal(self.client_connect_attrs)
         if refusal is not None:
             return make_error_packet(refusal, self.capabilities)
         self.status_flags = ServerStatus(self.session.read_status_flags())
@@ -201,21 +201,46 @@
         reset = mimic_packets.parse_com_stmt_reset(data)
         statement = self.get_stmt(reset.stmt_id)
         statement.param_buffers = None
-        statement.cursor = None
+        self.cursors.pop(reset.stmt_id, None)
         await self.stream.write(self.ok())
 
+    @handles_command(Commands.COM_STMT_CLOSE)
+    async def handle_stmt_close(self, data: bytes) -> None:
+        """Forget a prepared statement; there is no answer to this command."""
+        number = mimic_packets.parse_com_stmt_close(data).stmt_id
+        for table in (self.prepared_stmts, self.templates, self.cursors):
+            table.pop(number, None)
+
+    @handles_command(Commands.COM_STMT_FETCH)
+    async def handle_stmt_fetch(self, data: bytes) -> None:
+        """Send the next rows of a cursor.
+
+        `mysql_mimic` reads one row more than it sends and thereby loses it.
+        """
+        fetch = mimic_packets.parse_handle_stmt_fetch(data)
+        rows = self.cursors.get(fetch.stmt_id)
+        if rows is None:
+            message = f'statement {fetch.stmt_id} has no open cursor'
+            raise CallerError(RequestError(ErrorKind.BAD_REQUEST, message))
+        self.stream.write_many(rows[: fetch.num_rows])
+        del rows[: fetch.num_rows]
+        flags = ServerStatus.SERVER_STATUS_CURSOR_EXISTS
+        if not rows:
+            flags = ServerStatus.SERVER_STATUS_LAST_ROW_SENT
+        await self.stream.write(self.ok_or_eof(flags=flags))
+
     @handles_command(Commands.COM_RESET_CONNECTION)
     async def handle_reset_connection(self, data: bytes) -> None:
         """Roll back and clear the session."""
         self._drop_prepared_statements()
-        await self.session.reset()
+        self.session.reset_session()
         await self.stream.write(self.ok())
 
     @handles_command(Commands.COM_CHANGE_USER)
     async def handle_change_user(self, data: bytes) -> None:
         """Roll back, clear the session and check another login."""
         self._drop_prepared_statements()
-        await self.session.reset()
+        self.session.reset_session()
         self.session.username = None
         await super().handle_change_user(data)
 
@@ -240,7 +265,7 @@
         self, result_set: SentResultSet, cursor_statement: PreparedStatement | None
     ) -> None:
         columns = result_set.columns
-        await self.stream.write(bytes([len(columns)]) if len(columns) < 251 else b'', drain=False)
+        await self.stream.write(uint_len(len(columns)), drain=False)
         for column in columns:
             definition = mimic_packets.make_column_definition_41(
                 server_charset=self.server_charset,
@@ -251,7 +276,7 @@
             await self.stream.write(definition, drain=False)
         rows = [mimic_packets.make_binary_resultrow(row, columns) for row in result_set.rows]
         if cursor_statement is not None:
-            cursor_statement.cursor = _iterate_rows(rows)
+            self.cursors[cursor_statement.stmt_id] = rows
             flags = ServerStatus.SERVER_STATUS_CURSOR_EXISTS
             await self.stream.write(self.ok_or_eof(flags=flags))
             return
@@ -270,11 +295,7 @@
     def _drop_prepared_statements(self) -> None:
         self.prepared_stmts.clear()
         self.templates.clear()
-
-
-async def _iterate_rows(rows: list[bytes]):
-    for row in rows:
-        yield row
+        self.cursors.clear()
 
 
 def _build_mimic_error(fields: dict[str, Any]) -> Exception:
--- a/src/cassiaseam/entry/listener.py
+++ b/src/cassiaseam/entry/listener.py
@@ -1,6 +1,7 @@
 """Listener for callers over the MySQL protocol."""
 
 import asyncio
+import socket
 import uuid
 from dataclasses import dataclass
 
@@ -103,6 +104,8 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _serve_caller(self, reader: CallerReader, writer: asyncio.StreamWriter) -> None:
+        # A caller whose machine is gone without a word is noticed by the kernel.
+        writer.get_extra_info('socket').setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         payload_bytes = self.limits.statement_bytes + PAYLOAD_OVERHEAD_BYTES
         stream = CallerStream(reader, writer, payload_bytes)
         connection = self._build_connection(stream)
@@ -137,7 +140,7 @@
         clock = self.forwarder.clock
         state = SessionState(uuid.uuid4().hex, self.forwarder.vm, opened_at=clock())
         runner = StatementRunner(state, self.forwarder, clock, self.limits.deadlines)
-        session = CallerSession(runner, self.directory)
+        session = CallerSession(runner, self.directory, self.limits.statement_bytes)
         return CallerConnection(
             stream=stream,
             session=session,
--- a/src/cassiaseam/entry/statements.py
+++ b/src/cassiaseam/entry/statements.py
@@ -112,7 +112,11 @@
         boundary = _BOUNDARIES.get(found.kind)
         if boundary is not None:
             return await boundary(self, options)
-        if not self.state.autocommit and self.state.transaction is None:
+        if found.implicit_commit:
+            committed = await self.commit_transaction(options)
+            if committed.error is not None:
+                return committed
+        elif not self.state.autocommit and self.state.transaction is None:
             begun = await self.begin_transaction(options)
             if begun.error is not None:
                 return begun
@@ -244,9 +248,6 @@
         if found.needs_transaction and not in_transaction:
             message = 'the statement depends on one connection; run it inside a transaction'
             return RequestError(ErrorKind.UNSUPPORTED, message)
-        if found.implicit_commit and in_transaction:
-            message = 'the statement would end the open transaction; run it outside of one'
-            return RequestError(ErrorKind.UNSUPPORTED, message)
         return None
 
     def _gather_options(
--- a/tests/entry/test_listener.py
+++ b/tests/entry/test_listener.py
@@ -1,5 +1,6 @@
 import asyncio
 import socket
+import struct
 
 import mysql.connector
 import pymysql
@@ -8,6 +9,7 @@
 from hypothesis import strategies as st
 
 from cassiaseam.entry.classification import classify_statement
+from cassiaseam.messages import Answer, ResultSet
 
 
 def run(connection, sql):
@@ -226,3 +228,83 @@
     assert served.owner.kinds() == ['begin', 'write', 'commit']
     idle._force_close()
     connection._force_close()
+
+
+def test_definition_commits_the_open_transaction_first(served):
+    with served.connect(autocommit=False) as connection:
+        run(connection, 'INSERT INTO t VALUES (1)')
+        run(connection, 'CREATE TABLE u (a INT)')
+        assert not connection.server_status & 1
+    assert served.owner.kinds() == ['begin', 'write', 'commit', 'write']
+
+
+@pytest.mark.parametrize(
+    ('attribute', 'code'), [('max_age=5s', None), ('max_age=5', 1210), ('key=k', 1210)]
+)
+def test_connection_attributes_are_checked_at_the_login(served, attribute, code):
+    name, text = attribute.split('=')
+    original = pymysql.connections.Connection._request_authentication
+
+    def add_attribute(connection):
+        connection._connect_attrs[f'cassiaseam_{name}'] = text
+        original(connection)
+
+    pymysql.connections.Connection._request_authentication = add_attribute
+    try:
+        if code is not None:
+            with pytest.raises(pymysql.err.MySQLError) as failure:
+                served.connect()
+            assert failure.value.args[0] == code
+            return
+        with served.connect(autocommit=True) as connection:
+            run(connection, 'SELECT 1 FROM t')
+        assert served.owner.requests[-1].max_age_s == 5
+    finally:
+        pymysql.connections.Connection._request_authentication = original
+
+
+def test_cursor_returns_every_row(served):
+    rows = tuple((number, 'x') for number in range(7))
+
+    async def reply(request):
+        return Answer(request.request_id, ResultSet(('n', 'text'), rows, column_types=(8, 253)))
+
+    served.owner.replies['SELECT n FROM t'] = reply
+    connection = served.connect(autocommit=True)
+    connection._execute_command(0x16, 'SELECT n FROM t')
+    connection._read_packet()
+    connection._execute_command(0x17, struct.pack('<IBI', 0, 1, 1))
+    for _ in range(4):
+        connection._read_packet()
+    fetched = 0
+    while fetched < 7:
+        connection._execute_command(0x1C, struct.pack('<II', 0, 3))
+        packet = connection._read_packet()
+        while packet.get_all_data()[0] == 0:
+            fetched += 1
+            packet = connection._read_packet()
+    assert fetched == 7
+    connection.close()
+
+
+@pytest.mark.parametrize(
+    ('user', 'password', 'code'), [('open', 'other', None), ('open', 'x', 1045)]
+)
+def test_change_user_rolls_back_and_checks_the_login(served, user, password, code):
+    connection = mysql.connector.connect(
+        host='127.0.0.1', port=served.port, user='shop', password='secret', use_pure=True
+    )
+    connection.cmd_query('USE orders')
+    connection.start_transaction()
+    try:
+        connection.cmd_change_user(user, password, 'labels')
+    except mysql.connector.Error as failure:
+        assert failure.errno == code
+    else:
+        assert code is None
+        connection.cmd_query('SELECT 1 FROM t')
+        connection.get_rows()
+        assert served.owner.requests[-1].caller == 'open'
+        assert served.owner.requests[-1].database == 'labels'
+    assert served.wait_until(lambda: 'rollback' in served.owner.kinds())
+    connection.close()
