Build the runtime on the peer services

Databases of the settings file are used while the platform holds no configuration and retired when it does. Control connections without use for 20 s are closed.

Ruled out: PeerTransport.send_request for local requests. Its timer ends at the deadline that the owner works with, so a write still in the queue would be reported as outcome unknown instead of not run.

--- a/src/cassiaseam/daemon/settings_file.py
+++ b/src/cassiaseam/daemon/settings_file.py
@@ -7,6 +7,7 @@
 from cassiaseam.entry.identity import CallerLogin, hash_password
 from cassiaseam.entry.listener import ListenerLimits
 from cassiaseam.entry.statements import DeadlineLimits
+from cassiaseam.peers.services import PeerSettings
 from cassiaseam.settings.loader import (
     Secrets,
     build_database_configs,
@@ -31,19 +32,25 @@
     """Return the settings of the runtime."""
     login = settings.target_login
     limits = settings.limits
+    listen = settings.listen
     return RuntimeSettings(
-        vm=settings.vm,
-        place=settings.place,
-        callers=(settings.listen.callers.host, settings.listen.callers.port),
-        peers=(settings.listen.peers.host, settings.listen.peers.port),
+        callers=(listen.callers.host, listen.callers.port),
+        peers=PeerSettings(
+            vm=settings.vm,
+            place=settings.place,
+            host=listen.peers.host,
+            peer_port=listen.peers.port,
+            platform_url=str(settings.platform.url).rstrip('/'),
+            admin_port=listen.admin.port,
+            platform_token=secrets.platform_token,
+            seeds=tuple((seed.host, seed.port) for seed in settings.seeds),
+        ),
         credentials=TargetCredentials(login.user if login else '', secrets.target_password),
         logins=tuple(
             CallerLogin(user.name, hash_password(secrets.passwords[user.name]), user.databases)
             for user in settings.users
         ),
         databases=build_database_configs(settings),
-        seeds=tuple((seed.host, seed.port) for seed in settings.seeds),
-        advertise=settings.advertise or '',
         limits=ListenerLimits(
             sessions=limits.sessions,
             statement_bytes=limits.statement_size,
--- /dev/null
+++ b/src/cassiaseam/daemon/static_databases.py
@@ -0,0 +1,55 @@
+"""Databases of the settings file, used while the platform holds no configuration."""
+
+import asyncio
+from typing import Any
+
+from absl import logging
+
+from cassiaseam.configuration.document import SHARD_PREFIX
+from cassiaseam.configuration.model import DatabaseConfig, DatabaseConfigured, DatabaseRemoved
+from cassiaseam.daemon.node import Node
+
+STORE_WAIT_S = 1.0
+CHECK_PERIOD_S = 0.5
+
+
+class StaticDatabases:
+    """Puts the databases of the settings file into force and retires them later.
+
+    Attributes:
+        node: Daemon that gets the events.
+        client: `cassiaseam.platform.client.PlatformClient`.
+        configs: Databases of the settings file.
+    """
+
+    def __init__(self, node: Node, client: Any, configs: tuple[DatabaseConfig, ...]):
+        self.node = node
+        self.client = client
+        self.configs = configs
+
+    async def start(self) -> None:
+        """Configure the databases unless the store answers with a configuration."""
+        if not self.configs or await self._has_stored_configuration():
+            return
+        logging.info('event=static_configuration databases=%d', len(self.configs))
+        for config in self.configs:
+            if config.name not in self.node.state.configuration.databases:
+                self.node.dispatch(DatabaseConfigured(config))
+
+    async def retire_when_stored(self) -> None:
+        """Wait until a stored configuration is in force, then remove what it does not contain."""
+        configuration = self.node.state.configuration
+        while not any(configuration.list_versions()):
+            await asyncio.sleep(CHECK_PERIOD_S)
+        for config in self.configs:
+            known = self.node.state.database_configs.get(config.name)
+            if known is not None and config.name not in configuration.databases:
+                self.node.dispatch(DatabaseRemoved(config.name))
+
+    async def _has_stored_configuration(self) -> bool:
+        try:
+            async with asyncio.timeout(STORE_WAIT_S):
+                found = await self.client.list_objects(SHARD_PREFIX)
+        except TimeoutError:
+            return False
+        return found.is_ok() and bool(found.unwrap().objects)
--- a/src/cassiaseam/daemon/supervision.py
+++ b/src/cassiaseam/daemon/supervision.py
@@ -39,7 +39,7 @@
 
     async def _start_runtime(self) -> None:
         try:
-            self.runtime = Runtime(self.settings)
+            self.runtime = Runtime(self.settings, self.reactor)
             await self.runtime.start()
         except Exception as error:
             logging.error('event=daemon_start_failed reason=%r', error)
--- a/src/cassiaseam/daemon/target_service.py
+++ b/src/cassiaseam/daemon/target_service.py
@@ -13,6 +13,8 @@
 from cassiaseam.targets import adapter
 from cassiaseam.targets.connection import TargetConnection
 
+CHANNEL_IDLE_LIMIT_S = 20.0
+CHANNEL_CHECK_S = 5.0
 TargetKey = tuple[str, str]
 
 
@@ -37,6 +39,10 @@
     """One connection for short control operations on a target; it reconnects when needed.
 
     Operations run one after the other. A limit covers the wait, the connect and the operation.
+
+    Attributes:
+        connection: Open connection, or None.
+        used_at: Time in seconds of the latest operation, on the clock of the loop.
     """
 
     def __init__(self, target: TargetConfig, credentials: TargetCredentials):
@@ -44,6 +50,7 @@
         self.credentials = credentials
         self.connection: TargetConnection | None = None
         self.lock = asyncio.Lock()
+        self.used_at: float = 0
 
     async def run(
         self,
@@ -52,7 +59,8 @@
     ) -> Result[Any, RequestError]:
         """Run `operation(connection, remaining seconds)`."""
         loop = asyncio.get_running_loop()
-        end = loop.time() + timeout_s
+        self.used_at = loop.time()
+        end = self.used_at + timeout_s
         try:
             async with asyncio.timeout(timeout_s):
                 await self.lock.acquire()
@@ -129,11 +137,15 @@
             self.channels[key] = channel
         return channel
 
-    def close_channels(self, database: str) -> None:
-        """Close the control channels of a database that this daemon no longer owns."""
-        closed = [key for key in self.channels if key[1][0] == database]
-        for key in closed:
-            self.channels.pop(key).close()
+    async def close_idle_channels(self) -> None:
+        """Close channels without use, such as those of databases that other daemons own now."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(CHANNEL_CHECK_S)
+            oldest = loop.time() - CHANNEL_IDLE_LIMIT_S
+            idle = [key for key, channel in self.channels.items() if channel.used_at < oldest]
+            for key in idle:
+                self.channels.pop(key).close()
 
     def run_in_background(self, work: Coroutine[Any, Any, None]) -> asyncio.Task:
         """Run a coroutine as a task that is kept until it ends."""
--- a/tests/daemon/test_runtime.py
+++ b/tests/daemon/test_runtime.py
@@ -3,34 +3,41 @@
 
 import pymysql
 import pytest
+from twisted.internet.asyncioreactor import AsyncioSelectorReactor
 
 from cassiaseam.configuration.model import DatabaseConfig
 from cassiaseam.daemon.runtime import Runtime, RuntimeSettings
 from cassiaseam.daemon.target_service import TargetCredentials
 from cassiaseam.entry.identity import CallerLogin, hash_password
+from cassiaseam.peers.services import PeerSettings
 
 LOOPBACK = ('127.0.0.1', 0)
 LOGIN = CallerLogin('shop', hash_password('secret'), ('*',))
 
 
-def build_settings(group, vm='vm1', **changes):
+def build_settings(group, vm='vm1', seeds=()):
+    # Nothing listens on the discard port, so the platform counts as down.
+    peers = PeerSettings(vm, 'p1', '127.0.0.1', 0, 'http://127.0.0.1:9', seeds=seeds)
     return RuntimeSettings(
-        vm=vm,
-        place='p1',
         callers=LOOPBACK,
-        peers=LOOPBACK,
+        peers=peers,
         credentials=TargetCredentials('proxy', ''),
         logins=(LOGIN,),
         databases=(DatabaseConfig('orders', group.list_target_configs()),),
         shutdown_limit_s=2,
-        **changes,
     )
 
 
+async def start_daemon(settings, seed):
+    reactor = AsyncioSelectorReactor(asyncio.get_running_loop())
+    runtime = Runtime(settings, reactor, seed)
+    await runtime.start()
+    return runtime
+
+
 @pytest.fixture
 def daemon(loop_thread, group):
-    runtime = Runtime(build_settings(group), seed=1)
-    loop_thread.run(runtime.start())
+    runtime = loop_thread.run(start_daemon(build_settings(group), 1))
     yield runtime
     loop_thread.run(runtime.stop())
 
@@ -99,11 +106,9 @@
 
 @pytest.fixture
 def pair(loop_thread, group):
-    first = Runtime(build_settings(group), seed=1)
-    loop_thread.run(first.start())
-    seeds = (('127.0.0.1', first.peers_port),)
-    second = Runtime(build_settings(group, vm='vm2', seeds=seeds), seed=2)
-    loop_thread.run(second.start())
+    first = loop_thread.run(start_daemon(build_settings(group), 1))
+    seeds = (('127.0.0.1', first.peers.port),)
+    second = loop_thread.run(start_daemon(build_settings(group, 'vm2', seeds), 2))
     runtimes = {'vm1': first, 'vm2': second}
     yield runtimes
     for runtime in runtimes.values():
