Build TLS contexts for peers and refuse TLS settings for callers

Cause: the settings have certificate files; a daemon that ignored them would speak plain TCP against the operator's wish. Change: peers use them; a callers' section is an error at start. Ruled out: start_tls of mysql-mimic, which loses bytes of the handshake that arrive together with the request for TLS. Conclusion: TLS for callers remains open.

--- a/src/cassiaseam/daemon/settings_file.py
+++ b/src/cassiaseam/daemon/settings_file.py
@@ -4,6 +4,7 @@
 
 from cassiaseam.daemon.runtime import RuntimeSettings
 from cassiaseam.daemon.target_service import TargetCredentials
+from cassiaseam.daemon.tls_contexts import build_peer_contexts
 from cassiaseam.entry.identity import CallerLogin, hash_password
 from cassiaseam.entry.listener import ListenerLimits
 from cassiaseam.entry.statements import DeadlineLimits
@@ -25,11 +26,20 @@
     secrets = read_secrets(loaded.ok_value)
     if isinstance(secrets, Err):
         return Err('\n'.join(str(problem) for problem in secrets.err_value))
-    return Ok(build_runtime_settings(loaded.ok_value, secrets.ok_value))
+    if loaded.ok_value.tls.callers is not None:
+        return Err(f'{path}: tls.callers: callers cannot use TLS yet; remove the section')
+    try:
+        return Ok(build_runtime_settings(loaded.ok_value, secrets.ok_value))
+    except OSError as error:
+        return Err(f'{path}: tls.peers: {error}')
 
 
 def build_runtime_settings(settings: Settings, secrets: Secrets) -> RuntimeSettings:
-    """Return the settings of the runtime."""
+    """Return the settings of the runtime.
+
+    Raises:
+        OSError: A certificate file is not valid.
+    """
     login = settings.target_login
     limits = settings.limits
     listen = settings.listen
@@ -43,6 +53,7 @@
             platform_url=str(settings.platform.url).rstrip('/'),
             admin_port=listen.admin.port,
             platform_token=secrets.platform_token,
+            tls=build_peer_contexts(settings.tls.peers) if settings.tls.peers else None,
             seeds=tuple((seed.host, seed.port) for seed in settings.seeds),
         ),
         credentials=TargetCredentials(login.user if login else '', secrets.target_password),
