--- a/src/cassiaseam/daemon/settings_file.py
+++ b/src/cassiaseam/daemon/settings_file.py
@@ -4,9 +4,11 @@
 
 from cassiaseam.daemon.runtime import RuntimeSettings
 from cassiaseam.daemon.target_service import TargetCredentials
+from cassiaseam.daemon.tls_contexts import build_peer_contexts
 from cassiaseam.entry.identity import CallerLogin, hash_password
 from cassiaseam.entry.listener import ListenerLimits
 from cassiaseam.entry.statements import DeadlineLimits
+from cassiaseam.peers.services import PeerSettings
 from cassiaseam.settings.loader import (
     Secrets,
     build_database_configs,
@@ -24,26 +26,42 @@
     secrets = read_secrets(loaded.ok_value)
     if isinstance(secrets, Err):
         return Err('\n'.join(str(problem) for problem in secrets.err_value))
-    return Ok(build_runtime_settings(loaded.ok_value, secrets.ok_value))
+    if loaded.ok_value.tls.callers is not None:
+        return Err(f'{path}: tls.callers: callers cannot use TLS yet; remove the section')
+    try:
+        return Ok(build_runtime_settings(loaded.ok_value, secrets.ok_value))
+    except OSError as error:
+        return Err(f'{path}: tls.peers: {error}')
 
 
 def build_runtime_settings(settings: Settings, secrets: Secrets) -> RuntimeSettings:
-    """Return the settings of the runtime."""
+    """Return the settings of the runtime.
+
+    Raises:
+        OSError: A certificate file is not valid.
+    """
     login = settings.target_login
     limits = settings.limits
+    listen = settings.listen
     return RuntimeSettings(
-        vm=settings.vm,
-        place=settings.place,
-        callers=(settings.listen.callers.host, settings.listen.callers.port),
-        peers=(settings.listen.peers.host, settings.listen.peers.port),
+        callers=(listen.callers.host, listen.callers.port),
+        peers=PeerSettings(
+            vm=settings.vm,
+            place=settings.place,
+            host=listen.peers.host,
+            peer_port=listen.peers.port,
+            platform_url=str(settings.platform.url).rstrip('/'),
+            admin_port=listen.admin.port,
+            platform_token=secrets.platform_token,
+            tls=build_peer_contexts(settings.tls.peers) if settings.tls.peers else None,
+            seeds=tuple((seed.host, seed.port) for seed in settings.seeds),
+        ),
         credentials=TargetCredentials(login.user if login else '', secrets.target_password),
         logins=tuple(
             CallerLogin(user.name, hash_password(secrets.passwords[user.name]), user.databases)
             for user in settings.users
         ),
         databases=build_database_configs(settings),
-        seeds=tuple((seed.host, seed.port) for seed in settings.seeds),
-        advertise=settings.advertise or '',
         limits=ListenerLimits(
             sessions=limits.sessions,
             statement_bytes=limits.statement_size,
