Decode quoted keys in the stand-in platform

Cause: clients quote keys, and a key with a quoted character was stored under its quoted form, so a prefix query did not find it. Ruled out: forbidding such keys, because the design does not. Change: the path is unquoted before it is split. Conclusion: keys read back as they were written.

--- a/src/cassiaseam_standin/platform_http.py
+++ b/src/cassiaseam_standin/platform_http.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
+from urllib.parse import unquote
 
 from pydantic import BaseModel, ConfigDict, NonNegativeInt, ValidationError
 from twisted.web import http
@@ -168,7 +169,7 @@
 
     def render(self, request: Request) -> int:
         """Answer a call now or after the delay in force."""
-        path = request.path.decode().lstrip('/')
+        path = unquote(request.path.decode()).lstrip('/')
         route, _, rest = path.partition('/')
         note_lost_client(request)
         # Twisted closes the body with the connection, but a delayed call still needs it.
--- a/tests/standin/test_standin_platform.py
+++ b/tests/standin/test_standin_platform.py
@@ -85,6 +85,12 @@
     assert platform.call(method, path, body, version)[0] == status
 
 
+def test_quoted_key_is_another_object_than_the_plain_one(platform):
+    assert platform.call('PUT', '/objects/groups%2Fa%20b', 1, 0)[0] == 200
+    _, listed = platform.call('GET', '/objects?prefix=groups%2Fa')
+    assert [stored['key'] for stored in listed['objects']] == ['groups/a b']
+
+
 def test_watch_misses_a_write_or_returns_other_objects(platform):
     async def scenario():
         _, listed = platform.call('GET', '/objects?prefix=watched/')
