--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -13,6 +13,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
+# Tests with processes of their own need several cores each; more workers make them slower.
+WORKERS = '4'
 
 
 def read_known_red() -> set[str]:
@@ -23,7 +25,15 @@
 
 
 def run_pytest(report: Path) -> dict[str, bool]:
-    command = [sys.executable, '-m', 'pytest', f'--junitxml={report}', '--durations=5']
+    command = [
+        sys.executable,
+        '-m',
+        'pytest',
+        f'--junitxml={report}',
+        '--durations=5',
+        '-n',
+        WORKERS,
+    ]
     code = subprocess.run(command, cwd=ROOT, check=False).returncode
     outcomes = {}
     for case in ElementTree.parse(report).getroot().iter('testcase'):
