Assemble the administration API in one service

Cause: the daemon needs one object to start and stop; the wiring of tokens, plans, other daemons and TLS does not belong into its runtime. Ruled out: a test of TLS questions on a reactor that is not the installed one, because TLS of Twisted's client takes its clock from the installed reactor.

--- a/src/cassiaseam/admin/server.py
+++ b/src/cassiaseam/admin/server.py
@@ -77,6 +77,6 @@
     """
     factory: Any = build_site(api)
     if tls is not None:
-        factory = TLSMemoryBIOFactory(ReloadingCertificates(tls), False, factory)
+        factory = TLSMemoryBIOFactory(ReloadingCertificates(tls), False, factory, reactor)
     endpoint = TCP6ServerEndpoint if ':' in address.host else TCP4ServerEndpoint
     return endpoint(reactor, address.port, interface=address.host).listen(factory)
--- /dev/null
+++ b/src/cassiaseam/admin/service.py
@@ -0,0 +1,82 @@
+"""Assembles the administration API of one daemon from its settings."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from functools import partial
+from typing import Any
+
+from cassiaseam.admin.access import AccessTable
+from cassiaseam.admin.api import AdminApi
+from cassiaseam.admin.backend import NodeBackend
+from cassiaseam.admin.cluster import build_cluster_view, list_admin_addresses
+from cassiaseam.admin.fanout import DaemonAsker
+from cassiaseam.admin.server import listen_for_administration
+from cassiaseam.daemon.node import Node
+from cassiaseam.observability.metrics import MetricsRegistry
+from cassiaseam.plans.settlement import ObjectStore
+from cassiaseam.plans.store import PlanStore
+from cassiaseam.platform.model import VmDocument
+from cassiaseam.settings.loader import Secrets, build_database_configs
+from cassiaseam.settings.model import Settings
+from cassiaseam.timeline.buffer import TimelineBuffer
+
+
+class AdminService:
+    """The administration API of one daemon.
+
+    Attributes:
+        settings: Settings of the daemon.
+        backend: Interface of the daemon; providers may be added before and after the start.
+        api: Routes.
+        port: Listening port, or None while it does not listen.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        settings: Settings,
+        secrets: Secrets,
+        store: ObjectStore,
+        timeline: TimelineBuffer,
+        list_vms: Callable[[], Iterable[VmDocument]],
+        reactor: Any,
+    ):
+        self.settings = settings
+        self.reactor = reactor
+        plans = PlanStore(
+            store,
+            partial(build_cluster_view, node, settings.latency),
+            static=build_database_configs(settings),
+        )
+        self.backend = NodeBackend(
+            node,
+            plans,
+            timeline,
+            MetricsRegistry(),
+            lambda: list_admin_addresses(node, list_vms()),
+        )
+        access = AccessTable(settings.tokens, secrets.tokens)
+        self.api = AdminApi(self.backend, access, self.build_asker())
+        self.port: Any = None
+
+    def build_asker(self) -> DaemonAsker:
+        """Return the client for other daemons; with TLS it checks their certificates."""
+        tls = self.settings.tls.admin
+        authority = tls.authority_file if tls else None
+        authority_pem = authority.read_bytes() if authority else None
+        return DaemonAsker(self.reactor, authority_pem, uses_tls=tls is not None)
+
+    async def start(self) -> int:
+        """Listen and return the port number; raises `OSError` when the address is in use."""
+        listening = listen_for_administration(
+            self.api, self.settings.listen.admin, self.reactor, self.settings.tls.admin
+        )
+        self.port = await listening.asFuture(asyncio.get_running_loop())
+        return self.port.getHost().port
+
+    async def stop(self) -> None:
+        """Stop to listen; requests under way are still answered."""
+        port, self.port = self.port, None
+        stopping = port.stopListening() if port else None
+        if stopping is not None:
+            await stopping.asFuture(asyncio.get_running_loop())
--- a/src/cassiaseam/settings/model.py
+++ b/src/cassiaseam/settings/model.py
@@ -57,7 +57,14 @@
 
 
 class CertificateSettings(Section):
-    """PEM files of one listener; `authority_file` makes peer certificates mandatory."""
+    """PEM files of one listener.
+
+    Attributes:
+        certificate_file: Certificate with its chain.
+        key_file: Private key of the certificate.
+        authority_file: Authority that certificates of the other side are checked with; for
+            `admin` the one that signed the certificates of the other daemons.
+    """
 
     certificate_file: Path
     key_file: Path
--- a/tests/operations/admin_server.py
+++ b/tests/operations/admin_server.py
@@ -55,6 +55,48 @@
     return backend
 
 
+def build_service(vm, store, vms, certificate, key, uses_tls):
+    """Assemble the service as the daemon does; its certificate is its own authority."""
+    from twisted.internet import reactor
+
+    from cassiaseam.admin.service import AdminService
+    from cassiaseam.daemon.node import Node
+    from cassiaseam.reducer.node_state import NodeState
+    from cassiaseam.settings.loader import Secrets
+    from cassiaseam.settings.model import Settings
+    from cassiaseam.timeline.buffer import TimelineBuffer
+
+    files = {'certificate_file': certificate, 'key_file': key, 'authority_file': certificate}
+    settings = Settings.model_validate(
+        {
+            'vm': vm,
+            'place': 'a',
+            'region': 'r',
+            'listen': dict.fromkeys(('callers', 'peers', 'admin'), '127.0.0.1:0'),
+            'platform': {'url': 'http://127.0.0.1:1'},
+            'tokens': [{'team': 'root', 'role': 'administrator', 'token_file': 'unused'}],
+            'tls': {'admin': files} if uses_tls else {},
+        }
+    )
+    node = Node(NodeState(vm, 'a', random.Random(1)))
+    timeline = TimelineBuffer(vm, 'a', 'run', 16)
+    secrets = Secrets(tokens=('administrator',))
+    return AdminService(node, settings, secrets, store, timeline, lambda: vms, reactor)
+
+
+async def start_services(store, certificate, key):
+    """Start one service that knows one with TLS and one without; return its port."""
+    from cassiaseam.platform.model import VmDocument
+
+    vms = []
+    for vm, uses_tls in (('vm-tls', True), ('vm-plain', False), ('vm-asked', True)):
+        service = build_service(vm, store, vms, certificate, key, uses_tls)
+        port = await service.start()
+        listed = {'name': vm, 'place': 'a', 'host': '127.0.0.1', 'peer_port': 1}
+        vms.append(VmDocument(**listed, admin_port=port))
+    return port
+
+
 class FailingPlans:
     async def list_plans(self, now):
         raise RuntimeError('secret detail of the program')
@@ -93,6 +135,7 @@
     tls = CertificateSettings(certificate_file=certificate, key_file=key)
     listening = listen_for_administration(api, Address('127.0.0.1', 0), reactor, tls)
     ports['tls'] = (await listening.asFuture(loop)).getHost().port
+    ports['service'] = await start_services(store, certificate, key)
     print(json.dumps(ports), flush=True)
 
 
--- a/tests/operations/conftest.py
+++ b/tests/operations/conftest.py
@@ -1,4 +1,5 @@
 import datetime
+import ipaddress
 import json
 import os
 import subprocess
@@ -31,6 +32,10 @@
         .serial_number(x509.random_serial_number())
         .not_valid_before(start)
         .not_valid_after(start + datetime.timedelta(days=36_500))
+        .add_extension(
+            x509.SubjectAlternativeName([x509.IPAddress(ipaddress.ip_address('127.0.0.1'))]),
+            critical=False,
+        )
         .sign(key, hashes.SHA256())
     )
     (folder / 'admin.pem').write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
