Answer scope=all without waiting for dead daemons, and add node gauges

Ruled out: leaving dead daemons out, because operators have to see them named. Gauges of owned databases, members and configuration are read when /metrics is rendered; steps of plans are on the time line; faults in handlers without a token are JSON as well.

--- a/src/cassiaseam/admin/api.py
+++ b/src/cassiaseam/admin/api.py
@@ -35,6 +35,7 @@
 from cassiaseam.timeline.merge import GapMark, TimelineEntry, merge_timeline_pages
 from cassiaseam.timeline.render import encode_timeline_entry
 
+FAULT_MESSAGE = 'the request failed; see the log'
 HTTP_OK = 200
 HTTP_CREATED = 201
 HTTP_UNAVAILABLE = 503
@@ -53,6 +54,7 @@
         access: Tokens.
         asker: Asks other daemons; None when `scope=all` is not offered.
         clock: Returns seconds since the epoch.
+        tasks: Requests under way; asyncio alone would not keep them.
     """
 
     app = Klein()
@@ -68,6 +70,7 @@
         self.access = access
         self.asker = asker
         self.clock = clock
+        self.tasks: set[asyncio.Future[bytes]] = set()
 
     @app.handle_errors(HTTPException)
     def refuse_route(self, request: Any, failure: Any) -> bytes:
@@ -78,6 +81,12 @@
         shown = f'{request.method.decode()} {request.path.decode(errors="replace")}'
         return write_error(request, RequestError(kind, f'there is no {shown[:200]}'))
 
+    @app.handle_errors(Exception)
+    def report_fault(self, request: Any, failure: Any) -> bytes:
+        """Answer a fault of a handler without its details."""
+        logging.error('event=admin_request_failed path=%r %s', request.path, failure)
+        return write_error(request, RequestError(ErrorKind.INTERNAL, FAULT_MESSAGE))
+
     @app.route('/healthz', methods=['GET'])
     def show_health(self, request: Any) -> bytes:
         """Answer as long as the event loop runs; needs no token."""
@@ -246,6 +255,8 @@
 
     def _run(self, request: Any, role: Role, handle: Handler, status: int = HTTP_OK) -> Deferred:
         task = asyncio.ensure_future(self._answer(request, role, handle, status))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
         # A client that goes away does not interrupt a confirmation half-way.
         return Deferred.fromFuture(asyncio.shield(task))
 
@@ -265,7 +276,7 @@
             answered = await handle(principal)
         except Exception:
             logging.exception('event=admin_request_failed path=%r', request.path)
-            answered = Err(RequestError(ErrorKind.INTERNAL, 'the request failed; see the log'))
+            answered = Err(RequestError(ErrorKind.INTERNAL, FAULT_MESSAGE))
         if answered.is_ok():
             return write_json(request, status, answered.unwrap())
         error = answered.unwrap_err()
--- a/src/cassiaseam/admin/fanout.py
+++ b/src/cassiaseam/admin/fanout.py
@@ -7,9 +7,9 @@
 from typing import Any
 from urllib.parse import urlencode
 
+from cassiaseam.admin.numeric_agent import ANSWER_TIMEOUT_S, build_client
 from cassiaseam.settings.units import Address
 
-ANSWER_TIMEOUT_S = 2.0
 MAX_ANSWER_BYTES = 16 << 20
 MAX_PARALLEL_REQUESTS = 32
 HTTP_OK = 200
@@ -34,11 +34,16 @@
     Attributes:
         scheme: http or https.
         client: HTTP client of treq.
+        pool: Connections that are kept between questions.
     """
 
     def __init__(self, reactor: Any, authority_pem: bytes | None = None, uses_tls: bool = False):
         self.scheme = 'https' if uses_tls else 'http'
-        self.client = _build_client(reactor, authority_pem)
+        self.client, self.pool = build_client(reactor, authority_pem)
+
+    async def close(self) -> None:
+        """Close the kept connections."""
+        await self.pool.closeCachedConnections().asFuture(asyncio.get_running_loop())
 
     async def ask_daemons(
         self,
@@ -77,18 +82,6 @@
         return json.loads(body)
 
 
-def _build_client(reactor: Any, authority_pem: bytes | None) -> Any:
-    from treq.client import HTTPClient
-    from twisted.internet.ssl import Certificate, platformTrust, trustRootFromCertificates
-    from twisted.web.client import Agent, BrowserLikePolicyForHTTPS
-
-    trust = platformTrust()
-    if authority_pem is not None:
-        trust = trustRootFromCertificates([Certificate.loadPEM(authority_pem)])
-    policy = BrowserLikePolicyForHTTPS(trustRoot=trust)
-    return HTTPClient(Agent(reactor, policy, connectTimeout=ANSWER_TIMEOUT_S))
-
-
 def _read_bounded(response: Any) -> Any:
     from treq import collect
 
--- a/src/cassiaseam/admin/service.py
+++ b/src/cassiaseam/admin/service.py
@@ -1,6 +1,7 @@
 """Assembles the administration API of one daemon from its settings."""
 
 import asyncio
+import time
 from collections.abc import Callable, Iterable
 from functools import partial
 from typing import Any
@@ -13,6 +14,7 @@
 from cassiaseam.admin.server import listen_for_administration
 from cassiaseam.daemon.node import Node
 from cassiaseam.observability.metrics import MetricsRegistry
+from cassiaseam.observability.node_metrics import collect_node_metrics, define_node_metrics
 from cassiaseam.plans.settlement import ObjectStore
 from cassiaseam.plans.store import PlanStore
 from cassiaseam.platform.model import VmDocument
@@ -27,6 +29,7 @@
     Attributes:
         settings: Settings of the daemon.
         backend: Interface of the daemon; providers may be added before and after the start.
+        asker: Asks other daemons.
         api: Routes.
         port: Listening port, or None while it does not listen.
     """
@@ -47,6 +50,7 @@
             store,
             partial(build_cluster_view, node, settings.latency),
             static=build_database_configs(settings),
+            record=lambda entry: timeline.append_record(entry, time.time()),
         )
         self.backend = NodeBackend(
             node,
@@ -55,8 +59,11 @@
             MetricsRegistry(),
             lambda: list_admin_addresses(node, list_vms()),
         )
+        define_node_metrics(self.backend.metrics)
+        self.backend.collectors.append(collect_node_metrics)
         access = AccessTable(settings.tokens, secrets.tokens)
-        self.api = AdminApi(self.backend, access, self.build_asker())
+        self.asker = self.build_asker()
+        self.api = AdminApi(self.backend, access, self.asker)
         self.port: Any = None
 
     def build_asker(self) -> DaemonAsker:
@@ -80,3 +87,4 @@
         stopping = port.stopListening() if port else None
         if stopping is not None:
             await stopping.asFuture(asyncio.get_running_loop())
+        await self.asker.close()
--- a/src/cassiaseam/observability/metrics.py
+++ b/src/cassiaseam/observability/metrics.py
@@ -75,6 +75,11 @@
         """Set a gauge; raises `LookupError` for an undefined metric or label."""
         self.collectors[name].set(self._bound_labels(name, labels), amount)
 
+    def reset_gauge(self, name: str) -> None:
+        """Forget all label sets of a gauge before it is set anew."""
+        self.collectors[name].values.clear()
+        self.label_sets[name].clear()
+
     def observe_value(self, name: str, amount: float, /, **labels: str) -> None:
         """Add a value to a histogram; raises `LookupError` for an undefined metric or label."""
         self.collectors[name].add(self._bound_labels(name, labels), amount)
--- a/src/cassiaseam/plans/store.py
+++ b/src/cassiaseam/plans/store.py
@@ -12,6 +12,7 @@
 from cassiaseam.configuration.document import find_shard, format_shard_key
 from cassiaseam.configuration.model import DatabaseConfig
 from cassiaseam.errors import ErrorKind, RequestError
+from cassiaseam.messages import TimelineRecord
 from cassiaseam.observability.logs import log_event
 from cassiaseam.plans import drafting, drafting_limits
 from cassiaseam.plans.codec import (
@@ -85,6 +86,10 @@
     return ClusterView()
 
 
+def drop_record(record: TimelineRecord) -> None:
+    """Drop a record where there is no time line."""
+
+
 class PlanStore:
     """Creates, lists, confirms and cancels plans.
 
@@ -93,6 +98,7 @@
         read_cluster: Returns what this daemon knows of the cluster and one database.
         pause: Waits between attempts of a write.
         static: Databases of the settings; a shard that does not exist consists of them.
+        record: Puts a record on the time line.
     """
 
     def __init__(
@@ -101,11 +107,13 @@
         read_cluster: Callable[[str], ClusterView] = assume_nothing,
         pause: Pause = asyncio.sleep,
         static: Sequence[DatabaseConfig] = (),
+        record: Callable[[TimelineRecord], object] = drop_record,
     ):
         self.store = store
         self.read_cluster = read_cluster
         self.pause = pause
         self.static = static
+        self.record = record
 
     async def create_plan(
         self, intent: Intent, operator: str, now: float
@@ -121,7 +129,7 @@
         written = await self._write_plan(plan, 0)
         if written.is_err():
             return Err(_refuse_unavailable(written.unwrap_err()))
-        log_event('plan_created', plan=plan.plan_id, database=plan.database, operator=operator)
+        self._announce('plan_created', plan, operator)
         return Ok(plan)
 
     async def read_plan(self, plan_id: str) -> Result[StoredPlan, RequestError]:
@@ -207,7 +215,7 @@
         if not written.unwrap().won:
             message = f'plan {plan_id} was decided by another operator meanwhile'
             return Err(RequestError(ErrorKind.VERSION_CONFLICT, message))
-        log_event('plan_cancelled', plan=plan_id, operator=operator)
+        self._announce('plan_cancelled', cancelled, operator)
         return Ok(cancelled)
 
     async def _open_plan(
@@ -328,13 +336,7 @@
         plan = dataclasses.replace(stored.plan, state=PlanState.CONFIRMED, shard_version=version)
         key = f'{PLAN_PREFIX}{plan.plan_id}'
         await self.store.write_object(key, encode_plan(plan), stored.version)
-        log_event(
-            'plan_confirmed',
-            plan=plan.plan_id,
-            database=plan.database,
-            operator=plan.decided_by,
-            version=version,
-        )
+        self._announce('plan_confirmed', plan, plan.decided_by)
 
     async def _record_refusal(self, stored: StoredPlan, error: RequestError) -> None:
         if error.kind is not ErrorKind.VERSION_CONFLICT or stored.plan.reason:
@@ -342,7 +344,14 @@
         plan = dataclasses.replace(stored.plan, state=PlanState.REFUSED, reason=error.message)
         key = f'{PLAN_PREFIX}{plan.plan_id}'
         await self.store.write_object(key, encode_plan(plan), stored.version)
-        log_event('plan_refused', plan=plan.plan_id, cause=error.message)
+        self._announce('plan_refused', plan, plan.decided_by or plan.operator)
+
+    def _announce(self, kind: str, plan: Plan, operator: str) -> None:
+        """Log a step of a plan and put it on the time line."""
+        intent = str(plan.intent.get('kind', ''))
+        values = {'plan': plan.plan_id, 'operator': operator, 'intent': intent}
+        log_event(kind, database=plan.database, version=plan.shard_version, **values)
+        self.record(TimelineRecord(kind, plan.database, cause=plan.reason, fields=values))
 
     async def _write_plan(self, plan: Plan, version: int) -> Result[SettledWrite, RequestError]:
         document = encode_plan(plan)
--- a/tests/operations/admin_server.py
+++ b/tests/operations/admin_server.py
@@ -52,6 +52,8 @@
     backend.sections['configuration'] = read_configuration
     backend.sections['broken'] = lambda node, now: 1 / 0
     backend.readiness['drain'] = lambda node, now: 'leaving' if vm == 'vm-2' else ''
+    if vm == 'vm-failing':
+        backend.readiness['broken'] = lambda node, now: 1 / 0
     return backend
 
 
--- a/tests/operations/test_admin_api.py
+++ b/tests/operations/test_admin_api.py
@@ -84,8 +84,9 @@
     assert 'Traceback' not in message
 
 
-def test_fault_in_the_program_shows_no_detail(ports):
-    message = check_refusal(call_json(ports['vm-failing'], 'GET', '/v1/plans'), ErrorKind.INTERNAL)
+@pytest.mark.parametrize('path', ['/v1/plans', '/readyz', '/v1/status'])
+def test_fault_in_the_program_shows_no_detail(ports, path):
+    message = check_refusal(call_json(ports['vm-failing'], 'GET', path), ErrorKind.INTERNAL)
     assert message == 'the request failed; see the log'
 
 
--- a/tests/operations/test_observability.py
+++ b/tests/operations/test_observability.py
@@ -1,7 +1,14 @@
+import random
+
 import pytest
+from operations_fakes import build_config
 
+from cassiaseam.daemon.node import Node
+from cassiaseam.group.state import GroupState, TargetView
 from cassiaseam.observability.logs import bind_log_ids, format_log_event, log_event
 from cassiaseam.observability.metrics import MetricSpec, MetricsRegistry, MetricType
+from cassiaseam.observability.node_metrics import collect_node_metrics, define_node_metrics
+from cassiaseam.reducer.node_state import NodeState
 
 
 @pytest.mark.parametrize(
@@ -51,6 +58,22 @@
         registry.define_metric(spec)
 
 
+def test_gauges_of_databases_that_moved_away_disappear():
+    state = NodeState('vm-1', 'a', random.Random(1))
+    view = TargetView(fresh_as_of=5)
+    state.groups['orders'] = GroupState(build_config(), targets={'t1': view}, primary='t1')
+    node = Node(state, clock=lambda: 7.5)
+    registry = MetricsRegistry()
+    define_node_metrics(registry)
+    collect_node_metrics(node, registry)
+    shown = registry.render_text().decode()
+    assert 'cassiaseam_target_age_seconds{database="orders",target="t1"} 2.5' in shown
+    assert 'cassiaseam_database_has_primary{database="orders"} 1' in shown
+    state.groups.clear()
+    collect_node_metrics(node, registry)
+    assert 'orders' not in registry.render_text().decode()
+
+
 def test_histogram_is_rendered_with_its_buckets():
     registry = MetricsRegistry()
     registry.define_metric(MetricSpec('h_seconds', 'h', MetricType.HISTOGRAM))
--- a/tests/operations/test_plan_store.py
+++ b/tests/operations/test_plan_store.py
@@ -243,3 +243,18 @@
         assert not told_conflict & set(store.list_confirmed(SHARD))
 
     run_bench(scenario)
+
+
+def test_steps_of_plans_are_on_the_time_line():
+    async def scenario(bench):
+        records = []
+        bench.plans.record = records.append
+        plan, other = await bench.create(), await bench.create(LIMIT, 'team-b')
+        await bench.confirm(plan)
+        await bench.confirm(other, 'team-b')
+        kinds = ['plan_created', 'plan_created', 'plan_confirmed', 'plan_refused']
+        assert [record.kind for record in records] == kinds
+        assert records[2].fields['operator'] == 'team-a'
+        assert 'last by team-a' in records[3].cause
+
+    run_bench(scenario)
