Spread membership records by gossip instead of on pings of watched owners

Pings of watched owners go to the same members all the time and used up the transmissions of each record. They carry no records now; pending records go to two random members per tick, pings remind of a random dead member, and a second direct ping comes before a suspicion.

--- a/src/cassiaseam/membership/detector.py
+++ b/src/cassiaseam/membership/detector.py
@@ -2,8 +2,16 @@
 
 from dataclasses import replace
 
+from cassiaseam.membership.dissemination import (
+    answer_join,
+    choose_reminder,
+    find_claim_about,
+    gossip_updates,
+    make_datagram,
+    make_quiet_datagram,
+    send_page,
+)
 from cassiaseam.membership.messages import (
-    Address,
     Datagram,
     DatagramKind,
     HeartbeatReceived,
@@ -18,9 +26,7 @@
     announce_own,
     forget_member,
     merge_record,
-    split_into_pages,
     store_record,
-    take_updates,
 )
 from cassiaseam.membership.state import (
     MembershipState,
@@ -34,34 +40,30 @@
 _LEAVE_ANNOUNCEMENTS = 4
 
 
-def make_datagram(
-    membership: MembershipState,
-    kind: DatagramKind,
-    sequence: int = 0,
-    subject: str = '',
-    first: MemberRecord | None = None,
-) -> Datagram:
-    """Return a datagram with the records that are being spread."""
-    return Datagram(
-        kind,
-        membership.own.vm,
-        membership.own.incarnation,
-        sequence,
-        subject,
-        membership.digest,
-        take_updates(membership, first),
-    )
-
-
-def send_ping(membership: MembershipState, target: MemberRecord, now: float) -> list[Effect]:
-    """Ping a member; one that is not alive is told so, in order that it can refute it."""
-    sequence = membership.next_sequence()
-    membership.probes[sequence] = Probe(target.vm, now)
-    first = None if target.status is MemberStatus.ALIVE else target
+def send_ping(state: NodeState, target: MemberRecord, now: float) -> list[Effect]:
+    """Ping a member, with the records that are being spread."""
+    membership: MembershipState = state.membership
+    sequence = start_probe(membership, target, now)
+    first = choose_reminder(state, target)
     datagram = make_datagram(membership, DatagramKind.PING, sequence, target.vm, first)
     return [SendDatagram(target.address, datagram)]
 
 
+def send_probe(membership: MembershipState, target: MemberRecord, sequence: int) -> SendDatagram:
+    """Ping a member without spreading records."""
+    first = None if target.status is MemberStatus.ALIVE else target
+    kind = DatagramKind.PROBE
+    datagram = make_quiet_datagram(membership, kind, sequence, target.vm, first)
+    return SendDatagram(target.address, datagram)
+
+
+def start_probe(membership: MembershipState, target: MemberRecord, now: float) -> int:
+    """Note that a member is being pinged and return the sequence number."""
+    sequence = membership.next_sequence()
+    membership.probes[sequence] = Probe(target.vm, now)
+    return sequence
+
+
 @handles(MembershipTick)
 def handle_membership_tick(state: NodeState, event: MembershipTick, now: float) -> list[Effect]:
     """Ping, ask others to ping, suspect and declare dead, each when it is due."""
@@ -69,6 +71,7 @@
     effects = check_probes(state, now)
     effects.extend(end_suspicions(membership, now))
     effects.extend(ping_watched(membership, now))
+    effects.extend(gossip_updates(state))
     if membership.next_period_at is None:
         # A random phase spreads the pings of daemons that start together.
         membership.next_period_at = now + state.rng.random() * membership.settings.period_s
@@ -94,7 +97,7 @@
     while membership.probe_order:
         target = membership.members.get(membership.probe_order.pop())
         if target is not None and target.status <= MemberStatus.SUSPECT:
-            return send_ping(membership, target, now)
+            return send_ping(state, target, now)
     return []
 
 
@@ -109,7 +112,9 @@
         for vm in watch_peers(membership):
             if now >= membership.watch_due_at.get(vm, now):
                 membership.watch_due_at[vm] = now + membership.settings.watch_period_s
-                effects.extend(send_ping(membership, membership.members[vm], now))
+                target = membership.members[vm]
+                sequence = start_probe(membership, target, now)
+                effects.append(send_probe(membership, target, sequence))
     return effects
 
 
@@ -121,7 +126,7 @@
     ]
     if not dead:
         return []
-    return send_ping(membership, membership.members[state.rng.choice(dead)], now)
+    return send_ping(state, membership.members[state.rng.choice(dead)], now)
 
 
 def forget_dead_members(membership: MembershipState) -> list[Effect]:
@@ -171,13 +176,13 @@
     target = membership.members.get(probe.vm)
     if target is None:
         return []
-    return [
-        SendDatagram(
-            helper.address,
-            make_datagram(membership, DatagramKind.PING_REQUEST, sequence, probe.vm),
-        )
-        for helper in helpers
-    ]
+    # A second direct ping: one lost datagram must not be enough for a suspicion.
+    effects: list[Effect] = [send_probe(membership, target, sequence)]
+    for helper in helpers:
+        kind = DatagramKind.PING_REQUEST
+        asked = make_quiet_datagram(membership, kind, sequence, probe.vm)
+        effects.append(SendDatagram(helper.address, asked))
+    return effects
 
 
 def suspect_member(membership: MembershipState, vm: str, now: float) -> list[Effect]:
@@ -222,19 +227,6 @@
     return store_record(membership, alive, now, 'heard_from_itself')
 
 
-def find_claim_about(membership: MembershipState, datagram: Datagram) -> MemberRecord | None:
-    """Return what the sender has to know to refute or announce itself, or None.
-
-    An unknown sender gets a claim of its own death, so that it raises its incarnation and
-    spreads its complete record.
-    """
-    known = membership.members.get(datagram.sender)
-    if known is None:
-        dead = MemberStatus.DEAD
-        return MemberRecord(datagram.sender, datagram.incarnation, dead, '', '', 0)
-    return None if known.status is MemberStatus.ALIVE else known
-
-
 def answer_ping(state: NodeState, event: HeartbeatReceived, now: float) -> list[Effect]:
     """Acknowledge a ping."""
     membership: MembershipState = state.membership
@@ -243,7 +235,9 @@
         # The address was taken over from another VM, whose silence must be noticed.
         return []
     first = find_claim_about(membership, datagram)
-    ack = make_datagram(membership, DatagramKind.ACK, datagram.sequence, membership.own.vm, first)
+    is_quiet = datagram.kind is DatagramKind.PROBE
+    make_ack = make_quiet_datagram if is_quiet else make_datagram
+    ack = make_ack(membership, DatagramKind.ACK, datagram.sequence, membership.own.vm, first)
     return [SendDatagram(event.address, ack)]
 
 
@@ -253,7 +247,8 @@
     datagram = event.datagram
     relay = membership.relays.pop(datagram.sequence, None)
     if relay is not None:
-        passed_on = make_datagram(membership, DatagramKind.ACK, relay.sequence, datagram.subject)
+        kind = DatagramKind.ACK
+        passed_on = make_quiet_datagram(membership, kind, relay.sequence, datagram.subject)
         return [SendDatagram(relay.requester, passed_on)]
     probe = membership.probes.get(datagram.sequence)
     if probe is not None and probe.vm == datagram.subject:
@@ -271,22 +266,7 @@
     sequence = membership.next_sequence()
     expires_at = now + settings.probe_timeout_s + settings.indirect_timeout_s
     membership.relays[sequence] = Relay(event.address, event.datagram.sequence, expires_at)
-    first = None if target.status is MemberStatus.ALIVE else target
-    ping = make_datagram(membership, DatagramKind.PING, sequence, target.vm, first)
-    return [SendDatagram(target.address, ping)]
-
-
-def answer_join(state: NodeState, event: HeartbeatReceived, now: float) -> list[Effect]:
-    """Send the complete view to a daemon that has just started."""
-    membership: MembershipState = state.membership
-    own = membership.own
-    return [
-        SendDatagram(
-            event.address,
-            Datagram(DatagramKind.PAGE, own.vm, own.incarnation, updates=page),
-        )
-        for page in split_into_pages(membership)
-    ]
+    return [send_probe(membership, target, sequence)]
 
 
 def accept_page(state: NodeState, event: HeartbeatReceived, now: float) -> list[Effect]:
@@ -296,6 +276,7 @@
 
 _ANSWERS_BY_KIND = {
     DatagramKind.PING: answer_ping,
+    DatagramKind.PROBE: answer_ping,
     DatagramKind.ACK: accept_ack,
     DatagramKind.PING_REQUEST: relay_ping,
     DatagramKind.JOIN: answer_join,
@@ -313,11 +294,5 @@
     effects = announce_own(membership, announced, now, 'leaving')
     chosen = choose_members(membership, state.rng, _LEAVE_ANNOUNCEMENTS, set())
     for target in chosen:
-        effects.extend(send_announcement(membership, target.address))
+        effects.append(send_page(membership, target.address, membership.own))
     return effects
-
-
-def send_announcement(membership: MembershipState, address: Address) -> list[Effect]:
-    """Send the records being spread without asking for an answer."""
-    page = make_datagram(membership, DatagramKind.PAGE, first=membership.own)
-    return [SendDatagram(address, page)]
--- a/src/cassiaseam/membership/messages.py
+++ b/src/cassiaseam/membership/messages.py
@@ -16,9 +16,13 @@
 
 
 class DatagramKind(enum.Enum):
-    """Kinds of membership datagrams."""
+    """Kinds of membership datagrams.
+
+    `PROBE` is a ping without piggybacked records, and neither has its ACK.
+    """
 
     PING = 'ping'
+    PROBE = 'probe'
     ACK = 'ack'
     PING_REQUEST = 'pingRequest'
     JOIN = 'join'
--- a/src/cassiaseam/membership/vm_list.py
+++ b/src/cassiaseam/membership/vm_list.py
@@ -1,7 +1,7 @@
 """Merging of the platform's VM list and of configured databases into the membership."""
 
 from cassiaseam.configuration.model import DatabaseConfigured, DatabaseRemoved
-from cassiaseam.membership.detector import make_datagram
+from cassiaseam.membership.dissemination import make_datagram
 from cassiaseam.membership.messages import (
     DatagramKind,
     ListedVm,
--- a/src/cassiaseam/peers/peer.capnp
+++ b/src/cassiaseam/peers/peer.capnp
@@ -161,6 +161,7 @@
   pingRequest @2;
   join @3;
   page @4;
+  probe @5;
 }
 
 enum MemberStatus {
--- a/src/cassiaseam/peers/services.py
+++ b/src/cassiaseam/peers/services.py
@@ -12,7 +12,7 @@
 from cassiaseam.configuration.messages import VersionsReceived
 from cassiaseam.configuration.state import create_configuration
 from cassiaseam.daemon.node import Node
-from cassiaseam.membership.detector import make_datagram
+from cassiaseam.membership.dissemination import make_datagram
 from cassiaseam.membership.messages import (
     Address,
     Datagram,
