--- a/src/cassiaseam/membership/ranking.py
+++ b/src/cassiaseam/membership/ranking.py
@@ -1,8 +1,9 @@
 """Owners of databases by rendezvous hashing over the members that may own.
 
-`RankingIndex` keeps the best candidates per database. A change of one member touches only the
-databases with a target in its place (a new member) or with the member among the kept candidates
-(a lost one); asking for a ranking costs a dict lookup.
+`RankingIndex` keeps the best candidates per database. A lost member touches only the databases
+that keep it as a candidate. A new member touches at once only the databases that this daemon owns
+or watches; other rankings take over the new members since their last use when they are used
+again. Otherwise asking for a ranking costs a dict lookup.
 """
 
 import bisect
@@ -22,6 +23,8 @@
 # that the loss of single members costs no new ranking.
 MAX_KEPT = 8
 MIN_KEPT = 4
+# A ranking that lacks more additions than these is computed again.
+MAX_ADDITIONS = 256
 # Successors that ping the owner directly.
 WATCHING_SUCCESSORS = 2
 CONFIG_WATCHERS = 2
@@ -39,6 +42,8 @@
         names: VM names, best first, with the owner chosen by operators in front.
         uses_all: Whether no eligible member is in the places, so that all members compete.
         watched: Owner that this daemon pings as its successor, or ''.
+        position: Number of additions of the index that the ranking contains; negative before
+            it is computed.
     """
 
     config: DatabaseConfig
@@ -48,6 +53,7 @@
     names: list[str] = field(default_factory=list)
     uses_all: bool = False
     watched: str = ''
+    position: int = -1
 
 
 @dataclass(slots=True)
@@ -64,6 +70,8 @@
         using_all: Databases without an eligible member in their places.
         owned: Registered databases that this daemon owns.
         watched: Databases by owner that this daemon watches.
+        additions: VMs in the order in which they became eligible, from `dropped_additions` on.
+        dropped_additions: Number of older additions.
     """
 
     vm: str
@@ -75,6 +83,25 @@
     using_all: set[str] = field(default_factory=set)
     owned: set[str] = field(default_factory=set)
     watched: dict[str, set[str]] = field(default_factory=dict)
+    additions: list[str] = field(default_factory=list)
+    dropped_additions: int = 0
+
+    def count_additions(self) -> int:
+        """Return how many additions there were."""
+        return self.dropped_additions + len(self.additions)
+
+    def note_addition(self, vm: str) -> None:
+        """Record that a VM became eligible."""
+        if len(self.additions) >= MAX_ADDITIONS:
+            self.dropped_additions += len(self.additions)
+            self.additions.clear()
+        self.additions.append(vm)
+
+    def list_additions(self, position: int) -> list[str] | None:
+        """Return the additions after a position, or None when they are no longer known."""
+        if position < self.dropped_additions:
+            return None
+        return self.additions[position - self.dropped_additions :]
 
 
 def compute_score(database: str, vm: str) -> int:
@@ -93,6 +120,7 @@
     if ranked is None or (ranked.config is not config and not has_same_inputs(ranked, config)):
         register_database(index, config, ranked is not None and ranked.registered)
         ranked = index.databases[config.name]
+    catch_up(index, ranked)
     return ranked.names
 
 
@@ -110,7 +138,10 @@
 
 
 def register_database(index: RankingIndex, config: DatabaseConfig, registered: bool) -> None:
-    """Enter a database or replace its configuration."""
+    """Enter a database or replace its configuration.
+
+    The ranking is computed now only if this daemon may be among the first.
+    """
     remove_database(index, config.name)
     ranked = RankedDatabase(config, find_places(config), registered)
     index.databases[config.name] = ranked
@@ -118,7 +149,19 @@
         index.by_place.setdefault(place, set()).add(config.name)
     if config.owner:
         index.by_member.setdefault(config.owner, set()).add(config.name)
-    rebuild_ranking(index, ranked)
+    if config.owner or may_rank_self(index, ranked):
+        rebuild_ranking(index, ranked)
+
+
+def may_rank_self(index: RankingIndex, ranked: RankedDatabase) -> bool:
+    """Return whether this daemon competes for a database."""
+    is_near = index.place_of.get(index.vm) in ranked.places
+    return is_near or not has_near_members(index, ranked)
+
+
+def has_near_members(index: RankingIndex, ranked: RankedDatabase) -> bool:
+    """Return whether a member may own a database that is in a place of its targets."""
+    return any(index.eligible.get(place) for place in ranked.places)
 
 
 def remove_database(index: RankingIndex, database: str) -> None:
@@ -165,13 +208,14 @@
     for _, kept in ranked.best:
         if kept != ranked.config.owner:
             discard_member(index.by_member, kept, database)
-    ranked.uses_all = not any(index.eligible.get(place) for place in ranked.places)
+    ranked.uses_all = not has_near_members(index, ranked)
     if ranked.uses_all:
         index.using_all.add(database)
     else:
         index.using_all.discard(database)
     scores = ((-compute_score(database, vm), vm) for vm in find_candidates(index, ranked))
-    ranked.best = sorted(scores)[:MAX_KEPT]
+    ranked.best = heapq.nsmallest(MAX_KEPT, scores)
+    ranked.position = index.count_additions()
     for _, best_vm in ranked.best:
         index.by_member.setdefault(best_vm, set()).add(database)
     refresh_names(index, ranked)
@@ -194,73 +238,105 @@
             index.watched.setdefault(watched, set()).add(ranked.config.name)
 
 
-def add_eligible(index: RankingIndex, vm: str, place: str) -> set[str]:
-    """Let a VM compete; return the databases whose ranking changed."""
-    if index.place_of.get(vm) == place:
-        return set()
-    changed = remove_eligible(index, vm)
-    index.place_of[vm] = place
-    index.eligible.setdefault(place, set()).add(vm)
-    concerned = index.by_place.get(place, set()) | index.using_all
-    concerned |= index.by_member.get(vm, set())
-    for database in concerned:
-        if add_candidate(index, index.databases[database], vm, place):
-            changed.add(database)
-    return changed
-
-
-def add_candidate(index: RankingIndex, ranked: RankedDatabase, vm: str, place: str) -> bool:
-    """Enter a new VM into one ranking; return whether the ranking changed."""
-    competes = place in ranked.places
-    if ranked.uses_all and competes:
+def catch_up(index: RankingIndex, ranked: RankedDatabase) -> None:
+    """Let the members compete that became eligible since the ranking was last used."""
+    if ranked.position == index.count_additions():
+        return
+    added = index.list_additions(ranked.position)
+    if added is None:
         rebuild_ranking(index, ranked)
-        return True
-    is_kept = False
-    if competes or ranked.uses_all:
-        is_kept = insert_score(index, ranked, vm)
-    if is_kept or ranked.config.owner == vm:
+        return
+    ranked.position = index.count_additions()
+    is_changed = False
+    for vm in added:
+        place = index.place_of.get(vm)
+        if place in ranked.places and ranked.uses_all:
+            rebuild_ranking(index, ranked)
+            return
+        if place in ranked.places or (place is not None and ranked.uses_all):
+            is_changed = insert_score(index, ranked, vm) or is_changed
+    if is_changed:
         refresh_names(index, ranked)
-        return True
-    return False
+    ensure_kept(index, ranked)
 
 
 def insert_score(index: RankingIndex, ranked: RankedDatabase, vm: str) -> bool:
     """Insert a VM into the kept candidates if it is good enough."""
+    best = ranked.best
     entry = (-compute_score(ranked.config.name, vm), vm)
-    # A shortened list holds the best candidates only down to its last one.
-    is_shortened = count_candidates(index, ranked) - 1 > len(ranked.best)
-    if is_shortened and entry > ranked.best[-1]:
+    if best and entry > best[-1]:
+        # A shortened list holds the best candidates only down to its last one.
+        is_shortened = count_candidates(index, ranked) - 1 > len(best)
+        if is_shortened or len(best) >= MAX_KEPT:
+            return False
+    if entry in best:
         return False
-    bisect.insort(ranked.best, entry)
+    bisect.insort(best, entry)
     index.by_member.setdefault(vm, set()).add(ranked.config.name)
-    for _, dropped in ranked.best[MAX_KEPT:]:
+    for _, dropped in best[MAX_KEPT:]:
         if dropped != ranked.config.owner:
             discard_member(index.by_member, dropped, ranked.config.name)
-    del ranked.best[MAX_KEPT:]
+    del best[MAX_KEPT:]
     return True
 
 
+def ensure_kept(index: RankingIndex, ranked: RankedDatabase) -> None:
+    """Compute a ranking again when too few candidates are left."""
+    if len(ranked.best) < max(1, min(MIN_KEPT, count_candidates(index, ranked))):
+        rebuild_ranking(index, ranked)
+
+
+def add_eligible(index: RankingIndex, vm: str, place: str) -> set[str]:
+    """Let a VM compete; return the databases whose owner may have changed here.
+
+    Only the rankings that matter to this daemon are brought up to date; the others follow when
+    they are used.
+    """
+    if index.place_of.get(vm) == place:
+        return set()
+    concerned = remove_eligible(index, vm)
+    index.place_of[vm] = place
+    index.eligible.setdefault(place, set()).add(vm)
+    index.note_addition(vm)
+    concerned.update(index.owned, index.using_all, index.by_member.get(vm, ()))
+    concerned.update(*index.watched.values())
+    if vm == index.vm:
+        concerned.update(index.by_place.get(place, ()))
+    update_rankings(index, concerned)
+    return concerned
+
+
 def remove_eligible(index: RankingIndex, vm: str) -> set[str]:
-    """Take a VM out of the competition; return the databases whose ranking changed."""
+    """Take a VM out of the competition; return the databases whose owner may have changed."""
     place = index.place_of.pop(vm, None)
     if place is None:
         return set()
     discard_member(index.eligible, place, vm)
     concerned = set(index.by_member.get(vm, ()))
     for database in concerned:
-        remove_candidate(index, index.databases[database], vm)
+        drop_candidate(index, index.databases[database], vm)
+    if place not in index.eligible:
+        # Databases of an empty place may now be open to all members.
+        concerned.update(index.by_place.get(place, ()))
+    update_rankings(index, concerned)
     return concerned
 
 
-def remove_candidate(index: RankingIndex, ranked: RankedDatabase, vm: str) -> None:
-    """Take a VM out of one ranking."""
+def drop_candidate(index: RankingIndex, ranked: RankedDatabase, vm: str) -> None:
+    """Take a VM out of the kept candidates of one ranking."""
     ranked.best = [entry for entry in ranked.best if entry[1] != vm]
     if vm != ranked.config.owner:
         discard_member(index.by_member, vm, ranked.config.name)
-    if len(ranked.best) < min(MIN_KEPT, count_candidates(index, ranked)) or not ranked.best:
-        rebuild_ranking(index, ranked)
-    else:
-        refresh_names(index, ranked)
+
+
+def update_rankings(index: RankingIndex, databases: Iterable[str]) -> None:
+    """Bring some rankings up to date."""
+    for database in databases:
+        ranked = index.databases.get(database)
+        if ranked is not None:
+            catch_up(index, ranked)
+            ensure_kept(index, ranked)
+            refresh_names(index, ranked)
 
 
 def find_config_watchers(membership: 'MembershipState', place: str) -> list[str]:
