--- a/src/cassiaseam/peers/link.py
+++ b/src/cassiaseam/peers/link.py
@@ -23,6 +23,9 @@
 # A heartbeat timer that fires this late shows that this process itself was stalled, so the
 # silence says nothing about the peer.
 _OWN_STALL_S = 0.2
+# Checks of an idle link until it is closed. A daemon may have links to all others, so that checks
+# at the rate of heartbeats would take more processor time than the requests.
+IDLE_CHECKS = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -283,11 +286,21 @@
         return bool(self.pending or self.incoming or self.open_transactions)
 
     def schedule_timer(self) -> None:
-        """Arrange the next heartbeat check."""
-        interval_s = self.context.limits.heartbeat_interval_s
+        """Arrange the next check: soon while something depends on the link, else rarely."""
+        limits = self.context.limits
+        interval_s = limits.heartbeat_interval_s
+        if not self.is_busy():
+            interval_s = max(interval_s, limits.idle_s / IDLE_CHECKS)
         self.timer_due_at = self.context.clock() + interval_s
         self.timer = asyncio.get_running_loop().call_later(interval_s, self.run_timer)
 
+    def watch_closely(self) -> None:
+        """Start heartbeats on a link that something now depends on."""
+        interval_s = self.context.limits.heartbeat_interval_s
+        if self.timer is not None and self.timer_due_at > self.context.clock() + interval_s:
+            self.timer.cancel()
+            self.schedule_timer()
+
     def run_timer(self) -> None:
         """Send a heartbeat, notice a frozen peer or close an idle link."""
         now = self.context.clock()
--- a/src/cassiaseam/peers/transport.py
+++ b/src/cassiaseam/peers/transport.py
@@ -140,6 +140,7 @@
         wire_id = next(self.wire_ids)
         link.pending[wire_id] = pending
         link.track_transaction(request)
+        link.watch_closely()
         try:
             link.send(wire_id, request, pending)
             answer = await self.wait_for_answer(pending, remaining_s, link)
@@ -261,6 +262,7 @@
         self.incoming[link.vm, request.request_id] = _IncomingRequest(link, wire_id, request)
         link.incoming.add(wire_id)
         link.track_transaction(request)
+        link.watch_closely()
         self.on_request(link.vm, request)
 
     def drop_incoming(self, vm: str, request_id: str) -> None:
