--- a/src/cassiaseam/reducer/node_state.py
+++ b/src/cassiaseam/reducer/node_state.py
@@ -19,8 +19,7 @@
         group_due: Heap of `(time in seconds, database)` at which groups need a Tick.
         group_terms: Highest term known per database that this daemon no longer owns. A term is
             not used twice, because late answers carry only the term.
-        group_terms: dict[str, int] = field(default_factory=dict)
-    database_configs: Configuration in force per database, from `DatabaseConfigured`.
+        database_configs: Configuration in force per database, from `DatabaseConfigured`.
         databases: Owner state per database (`cassiaseam.owner`).
         owner: Owner state that all databases share, such as due times (`cassiaseam.owner`).
         membership: State of `cassiaseam.membership`.
--- a/tests/group_model.py
+++ b/tests/group_model.py
@@ -357,4 +357,3 @@
             target.frozen, target.batch, target.leaving = False, 5, False
             if not target.running:
                 target.restart()
-
