Serve the administration API from the daemon

Cause: operators and load balancers need readiness, status, metrics and plans of a running daemon.

The store loops keep the VM list they read last, which the API needs to ask other daemons. The reactor is installed before the settings of the runtime are built, since the API imports the reactor and would install the default one.

Ruled out: a second reading of the VM list for the API, which costs the platform one more call per daemon and period.

--- a/src/cassiaseam/daemon/main.py
+++ b/src/cassiaseam/daemon/main.py
@@ -8,6 +8,8 @@
 from absl import flags, logging
 from result import Err
 
+EXIT_BAD_SETTINGS = 2
+
 
 def parse_arguments(arguments: list[str] | None = None) -> argparse.Namespace:
     """Return the command line arguments."""
@@ -19,22 +21,21 @@
 def main(arguments: list[str] | None = None) -> int:
     """Run the daemon until SIGTERM and return the exit code."""
     parsed = parse_arguments(arguments)
-    from cassiaseam.daemon.settings_file import read_runtime_settings  # noqa: PLC0415
-    from cassiaseam.observability.logs import set_log_level  # noqa: PLC0415
+    from cassiaseam.daemon.settings_file import read_settings_file  # noqa: PLC0415
 
-    read = read_runtime_settings(parsed.settings)
+    read = read_settings_file(parsed.settings)
     if isinstance(read, Err):
         sys.stderr.write(f'{read.err_value}\n')
-        return 2
-    # Without parsed flags absl prints a warning and drops all lines below warnings.
-    flags.FLAGS.mark_as_parsed()
-    logging.use_absl_handler()
-    set_log_level(read.ok_value.log_level)
-    return run_daemon(read.ok_value)
+        return EXIT_BAD_SETTINGS
+    return run_daemon(*read.ok_value)
+
 
+def run_daemon(settings: Any, secrets: Any) -> int:
+    """Run a daemon on the asyncio reactor of Twisted.
 
-def run_daemon(settings: Any) -> int:
-    """Run a daemon on the asyncio reactor of Twisted."""
+    The reactor is installed before other modules are imported, because several of them import
+    the reactor, which would install the default one.
+    """
     from twisted.internet import asyncioreactor  # noqa: PLC0415
 
     loop = asyncio.new_event_loop()
@@ -42,13 +43,30 @@
     asyncioreactor.install(loop)
     from twisted.internet import reactor  # noqa: PLC0415
 
+    from cassiaseam.daemon.runtime_settings import build_runtime_settings  # noqa: PLC0415
     from cassiaseam.daemon.supervision import DaemonSupervisor  # noqa: PLC0415
 
-    supervisor = DaemonSupervisor(reactor, loop, settings)
+    start_logging(settings.log_level)
+    try:
+        runtime_settings = build_runtime_settings(settings, secrets)
+    except OSError as error:
+        sys.stderr.write(f'tls.peers: {error}\n')
+        return EXIT_BAD_SETTINGS
+    supervisor = DaemonSupervisor(reactor, loop, runtime_settings)
     supervisor.schedule()
     reactor.run()
     return supervisor.exit_code
 
 
+def start_logging(level: str) -> None:
+    """Send log lines of at least `level` to the standard error output."""
+    from cassiaseam.observability.logs import set_log_level  # noqa: PLC0415
+
+    # Without parsed flags absl prints a warning and drops all lines below warnings.
+    flags.FLAGS.mark_as_parsed()
+    logging.use_absl_handler()
+    set_log_level(level)
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/src/cassiaseam/daemon/runtime.py
+++ b/src/cassiaseam/daemon/runtime.py
@@ -7,8 +7,10 @@
 
 from absl import logging
 
+from cassiaseam.admin.service import AdminService
 from cassiaseam.configuration.model import DatabaseConfig
 from cassiaseam.daemon import target_executors, timeline_executors
+from cassiaseam.daemon.administration import AdministrationSettings, build_admin_service
 from cassiaseam.daemon.local_owner import LocalOwner
 from cassiaseam.daemon.node import Node
 from cassiaseam.daemon.static_databases import StaticDatabases
@@ -46,7 +48,7 @@
         limits: Bounds of the listener.
         shutdown_limit_s: Seconds that work in flight may take after a stop was requested.
         timeline_records: Size of the time line buffer.
-        log_level: Lowest level that is logged.
+        administration: Settings of the administration API, or None to run without.
     """
 
     callers: Address
@@ -57,7 +59,7 @@
     limits: ListenerLimits = field(default_factory=ListenerLimits)
     shutdown_limit_s: float = SHUTDOWN_LIMIT_S
     timeline_records: int = 10000
-    log_level: str = 'info'
+    administration: AdministrationSettings | None = None
 
 
 class Runtime:
@@ -69,6 +71,8 @@
         peers: Transport, membership and platform.
         listener: Listener for callers.
         callers_port: Port of the callers' listener after the start.
+        admin_port: Port of the administration API after the start, or 0.
+        stopping: Whether the daemon shuts down.
     """
 
     def __init__(self, settings: RuntimeSettings, reactor: Any, seed: int | None = None):
@@ -77,6 +81,8 @@
         state = NodeState(vm, settings.peers.place, random.Random(seed))
         self.node = Node(state)
         self.callers_port = 0
+        self.admin_port = 0
+        self.stopping = False
         self.peers = PeerServices(self.node, settings.peers, reactor)
         self.static = StaticDatabases(self.node, self.peers.client, settings.databases)
         self.targets = TargetService(state.database_configs, settings.credentials)
@@ -90,6 +96,9 @@
         self.node.services[TimelineBuffer] = TimelineBuffer(
             vm, settings.peers.place, str(self.peers.incarnation), settings.timeline_records
         )
+        self.admin: AdminService | None = None
+        if settings.administration is not None:
+            self.admin = build_admin_service(self, settings.administration, reactor)
 
     def rank_owners(self, database: str) -> list[str]:
         """Return the VMs that may serve a database, best first."""
@@ -99,6 +108,12 @@
             return []
         return rank_owners(state.membership, config, self.node.clock())
 
+    def find_unready_reason(self) -> str:
+        """Return why callers should use another daemon, or ''."""
+        if self.stopping:
+            return 'shutting down'
+        return '' if self.callers_port else 'starting'
+
     async def start(self) -> None:
         """Open the sockets and take over databases."""
         peers_port = await self.peers.start()
@@ -106,12 +121,15 @@
         await self.static.start()
         self.peers.loops.start_task(self.static.retire_when_stored())
         self.targets.run_in_background(self.targets.close_idle_channels())
+        if self.admin is not None:
+            self.admin_port = await self.admin.start()
         self.callers_port = await self.listener.start(*self.settings.callers)
         logging.info(
-            'event=daemon_started vm=%s callers_port=%d peers_port=%d',
+            'event=daemon_started vm=%s callers_port=%d peers_port=%d admin_port=%d',
             self.node.state.vm,
             self.callers_port,
             peers_port,
+            self.admin_port,
         )
 
     async def stop(self) -> bool:
@@ -120,6 +138,7 @@
         Returns:
             Whether everything in flight ended in time.
         """
+        self.stopping = True
         loop = asyncio.get_running_loop()
         limit_s = self.settings.shutdown_limit_s
         end = loop.time() + limit_s
@@ -130,6 +149,8 @@
             await asyncio.sleep(SHUTDOWN_POLL_S)
         finished = finished and not has_work_in_flight(self.node.state)
         self.timer.stop()
+        if self.admin is not None:
+            await self.admin.stop()
         await self.peers.stop()
         await self.targets.stop()
         logging.info('event=daemon_stopped vm=%s finished=%s', self.node.state.vm, finished)
--- /dev/null
+++ b/src/cassiaseam/daemon/runtime_settings.py
@@ -0,0 +1,51 @@
+"""Settings of the runtime from the settings of the daemon."""
+
+from cassiaseam.daemon.administration import AdministrationSettings
+from cassiaseam.daemon.runtime import RuntimeSettings
+from cassiaseam.daemon.target_service import TargetCredentials
+from cassiaseam.daemon.tls_contexts import build_peer_contexts
+from cassiaseam.entry.identity import CallerLogin, hash_password
+from cassiaseam.entry.listener import ListenerLimits
+from cassiaseam.entry.statements import DeadlineLimits
+from cassiaseam.peers.services import PeerSettings
+from cassiaseam.settings.loader import Secrets, build_database_configs
+from cassiaseam.settings.model import Settings
+
+
+def build_runtime_settings(settings: Settings, secrets: Secrets) -> RuntimeSettings:
+    """Return the settings of the runtime.
+
+    Raises:
+        OSError: A certificate file is not valid.
+    """
+    login = settings.target_login
+    limits = settings.limits
+    listen = settings.listen
+    return RuntimeSettings(
+        callers=(listen.callers.host, listen.callers.port),
+        peers=PeerSettings(
+            vm=settings.vm,
+            place=settings.place,
+            host=listen.peers.host,
+            peer_port=listen.peers.port,
+            platform_url=str(settings.platform.url).rstrip('/'),
+            admin_port=listen.admin.port,
+            platform_token=secrets.platform_token,
+            tls=build_peer_contexts(settings.tls.peers) if settings.tls.peers else None,
+            seeds=tuple((seed.host, seed.port) for seed in settings.seeds),
+        ),
+        credentials=TargetCredentials(login.user if login else '', secrets.target_password),
+        logins=tuple(
+            CallerLogin(user.name, hash_password(secrets.passwords[user.name]), user.databases)
+            for user in settings.users
+        ),
+        databases=build_database_configs(settings),
+        limits=ListenerLimits(
+            sessions=limits.sessions,
+            statement_bytes=limits.statement_size,
+            deadlines=DeadlineLimits(limits.deadline, limits.max_deadline),
+        ),
+        shutdown_limit_s=limits.drain,
+        timeline_records=limits.timeline_records,
+        administration=AdministrationSettings(settings, secrets),
+    )
--- a/src/cassiaseam/daemon/settings_file.py
+++ b/src/cassiaseam/daemon/settings_file.py
@@ -1,73 +1,28 @@
-"""Settings of the runtime from a settings file."""
+"""Settings file of the daemon.
+
+This module is imported before the reactor is installed, so it imports nothing of Twisted.
+"""
 
 from result import Err, Ok, Result
 
-from cassiaseam.daemon.runtime import RuntimeSettings
-from cassiaseam.daemon.target_service import TargetCredentials
-from cassiaseam.daemon.tls_contexts import build_peer_contexts
-from cassiaseam.entry.identity import CallerLogin, hash_password
-from cassiaseam.entry.listener import ListenerLimits
-from cassiaseam.entry.statements import DeadlineLimits
-from cassiaseam.peers.services import PeerSettings
-from cassiaseam.settings.loader import (
-    Secrets,
-    build_database_configs,
-    load_settings,
-    read_secrets,
-)
+from cassiaseam.settings.loader import Secrets, load_settings, read_secrets
 from cassiaseam.settings.model import Settings
+from cassiaseam.settings.problems import SettingsProblem
 
 
-def read_runtime_settings(path: str) -> Result[RuntimeSettings, str]:
+def read_settings_file(path: str) -> Result[tuple[Settings, Secrets], str]:
     """Read a settings file and its secret files; the error lists all problems."""
     loaded = load_settings(path)
     if isinstance(loaded, Err):
-        return Err('\n'.join(str(problem) for problem in loaded.err_value))
-    secrets = read_secrets(loaded.ok_value)
-    if isinstance(secrets, Err):
-        return Err('\n'.join(str(problem) for problem in secrets.err_value))
-    if loaded.ok_value.tls.callers is not None:
+        return _describe(loaded.err_value)
+    settings = loaded.ok_value
+    if settings.tls.callers is not None:
         return Err(f'{path}: tls.callers: callers cannot use TLS yet; remove the section')
-    try:
-        return Ok(build_runtime_settings(loaded.ok_value, secrets.ok_value))
-    except OSError as error:
-        return Err(f'{path}: tls.peers: {error}')
-
+    secrets = read_secrets(settings)
+    if isinstance(secrets, Err):
+        return _describe(secrets.err_value)
+    return Ok((settings, secrets.ok_value))
 
-def build_runtime_settings(settings: Settings, secrets: Secrets) -> RuntimeSettings:
-    """Return the settings of the runtime.
 
-    Raises:
-        OSError: A certificate file is not valid.
-    """
-    login = settings.target_login
-    limits = settings.limits
-    listen = settings.listen
-    return RuntimeSettings(
-        callers=(listen.callers.host, listen.callers.port),
-        peers=PeerSettings(
-            vm=settings.vm,
-            place=settings.place,
-            host=listen.peers.host,
-            peer_port=listen.peers.port,
-            platform_url=str(settings.platform.url).rstrip('/'),
-            admin_port=listen.admin.port,
-            platform_token=secrets.platform_token,
-            tls=build_peer_contexts(settings.tls.peers) if settings.tls.peers else None,
-            seeds=tuple((seed.host, seed.port) for seed in settings.seeds),
-        ),
-        credentials=TargetCredentials(login.user if login else '', secrets.target_password),
-        logins=tuple(
-            CallerLogin(user.name, hash_password(secrets.passwords[user.name]), user.databases)
-            for user in settings.users
-        ),
-        databases=build_database_configs(settings),
-        limits=ListenerLimits(
-            sessions=limits.sessions,
-            statement_bytes=limits.statement_size,
-            deadlines=DeadlineLimits(limits.deadline, limits.max_deadline),
-        ),
-        shutdown_limit_s=limits.drain,
-        timeline_records=limits.timeline_records,
-        log_level=settings.log_level,
-    )
+def _describe(problems: list[SettingsProblem]) -> Err[str]:
+    return Err('\n'.join(str(problem) for problem in problems))
--- a/src/cassiaseam/entry/forwarding.py
+++ b/src/cassiaseam/entry/forwarding.py
@@ -64,6 +64,7 @@
         rank_owners: Returns the VM names for a database, best first.
         local: Owner role of this daemon.
         peers: Transport to other daemons, or None for a single daemon.
+        outcomes: Requests by kind and outcome: `replica`, `primary` or the kind of the error.
     """
 
     def __init__(
@@ -84,6 +85,7 @@
         self.budget = RetryBudget()
         self.in_flight: Counter[str] = Counter()
         self.total_in_flight = 0
+        self.outcomes: Counter[tuple[str, str]] = Counter()
         self.background: set[asyncio.Task] = set()
 
     async def forward_request(self, request: Request, owner: str = '') -> OwnedAnswer:
@@ -93,20 +95,13 @@
             request: Request with its deadline on the clock of this daemon.
             owner: Only owner to ask, for statements of a transaction; '' asks the ranked owners.
         """
-        refusal = self.find_admission_error(request.caller)
-        if refusal is not None:
-            return OwnedAnswer(Answer(request.request_id, error=refusal), owner)
-        self.in_flight[request.caller] += 1
-        self.total_in_flight += 1
-        self.budget.note_request()
-        try:
-            async with asyncio.timeout(max(request.deadline - self.clock(), 0)):
-                return await self._ask_owners(request, owner)
-        except TimeoutError:
-            error = describe_timeout(request)
-            return OwnedAnswer(Answer(request.request_id, error=error), owner)
-        finally:
-            self._release(request.caller)
+        owned = await self._forward_bounded(request, owner)
+        error = owned.answer.error
+        outcome = 'replica' if owned.answer.replica else 'primary'
+        if error is not None:
+            outcome = error.kind.value
+        self.outcomes[request.kind.value, outcome] += 1
+        return owned
 
     def find_admission_error(self, caller: str) -> RequestError | None:
         """Return the error of a request that exceeds a bound, or None."""
@@ -132,6 +127,22 @@
         except TimeoutError:
             return
 
+    async def _forward_bounded(self, request: Request, owner: str) -> OwnedAnswer:
+        refusal = self.find_admission_error(request.caller)
+        if refusal is not None:
+            return OwnedAnswer(Answer(request.request_id, error=refusal), owner)
+        self.in_flight[request.caller] += 1
+        self.total_in_flight += 1
+        self.budget.note_request()
+        try:
+            async with asyncio.timeout(max(request.deadline - self.clock(), 0)):
+                return await self._ask_owners(request, owner)
+        except TimeoutError:
+            error = describe_timeout(request)
+            return OwnedAnswer(Answer(request.request_id, error=error), owner)
+        finally:
+            self._release(request.caller)
+
     async def _ask_owners(self, request: Request, pinned: str) -> OwnedAnswer:
         owners = [pinned] if pinned else self.rank_owners(request.database)[:MAX_OWNERS_TRIED]
         if not owners:
--- a/src/cassiaseam/peers/store_loops.py
+++ b/src/cassiaseam/peers/store_loops.py
@@ -36,6 +36,7 @@
         node: Daemon that gets the events.
         client: Client of the platform.
         own: Entry of this VM in the list.
+        listed: Latest list of VMs.
         tasks: Tasks under way.
         watch: Task of the watch, or None.
     """
@@ -44,6 +45,7 @@
         self.node = node
         self.client = client
         self.own = own
+        self.listed: tuple[VmDocument, ...] = ()
         self.tasks: set[asyncio.Task[Any]] = set()
         self.watch: asyncio.Task[None] | None = None
 
@@ -82,7 +84,8 @@
         listed = await self.client.list_vms()
         if listed.is_err():
             return MIN_VM_LIST_PERIOD_S
-        self.node.dispatch(VmListReceived(tuple(map(convert_vm, listed.unwrap()))))
+        self.listed = listed.unwrap()
+        self.node.dispatch(VmListReceived(tuple(map(convert_vm, self.listed))))
         names = {vm.name for vm in listed.unwrap()}
         if self.own.name not in names:
             await self.client.register_vm(self.own)
--- a/tests/daemon/test_main.py
+++ b/tests/daemon/test_main.py
@@ -1,6 +1,9 @@
 import signal
 import subprocess
 import sys
+import time
+import urllib.error
+import urllib.request
 
 import pymysql
 import pytest
@@ -49,10 +52,11 @@
     process.stderr.close()
 
 
-def wait_for_port(process):
+def wait_for_ports(process):
     for line in process.stderr:
         if START_PATTERN in line:
-            return int(line.split('callers_port=')[1].split()[0])
+            ports = dict(pair.split('=') for pair in line.split() if 'port=' in pair)
+            return int(ports['callers_port']), int(ports['admin_port'])
     raise AssertionError('the daemon did not start')
 
 
@@ -67,12 +71,30 @@
     )
 
 
+def read_health(port, path):
+    try:
+        with urllib.request.urlopen(f'http://127.0.0.1:{port}/{path}', timeout=5) as reply:
+            return reply.status
+    except urllib.error.HTTPError as error:
+        return error.code
+
+
+def wait_until(condition):
+    for _ in range(200):
+        if condition():
+            return True
+        time.sleep(0.01)
+    return False
+
+
 def test_sigterm_lets_a_transaction_commit_and_ends_with_zero(program):
-    port = wait_for_port(program)
+    port, admin_port = wait_for_ports(program)
     connection = connect(port)
     cursor = connection.cursor()
     cursor.execute('SELECT 1')
+    assert read_health(admin_port, 'readyz') == 200
     program.send_signal(signal.SIGTERM)
+    assert wait_until(lambda: read_health(admin_port, 'readyz') == 503)
     connection.commit()
     assert program.wait(10) == 0
 
