--- a/tests/daemon/test_runtime.py
+++ b/tests/daemon/test_runtime.py
@@ -10,6 +10,7 @@
 from cassiaseam.daemon.target_service import TargetCredentials
 from cassiaseam.entry.identity import CallerLogin, hash_password
 from cassiaseam.peers.services import PeerSettings
+from cassiaseam_standin.group_launcher import start_group
 
 LOOPBACK = ('127.0.0.1', 0)
 LOGIN = CallerLogin('shop', hash_password('secret'), ('*',))
@@ -166,3 +167,26 @@
                 raise
             time.sleep(0.1)
     raise AssertionError('no owner took over')
+
+
+def test_no_acknowledged_write_is_lost_when_the_primary_is_killed(loop_thread):
+    own = loop_thread.run(start_group())
+    runtime = loop_thread.run(start_daemon(build_settings(own), 3))
+    try:
+        with connect(runtime) as connection:
+            write_until_accepted(connection, 'CREATE TABLE t (id INT PRIMARY KEY)')
+            acknowledged = set()
+            for number in range(60):
+                if number == 30:
+                    own.targets['a'].kill()
+                try:
+                    run(connection, f'INSERT INTO t VALUES ({number})')
+                except pymysql.err.MySQLError:
+                    continue
+                acknowledged.add(number)
+            assert max(acknowledged) == 59
+            found = {row[0] for row in run(connection, 'SELECT id FROM t')}
+            assert acknowledged <= found
+    finally:
+        loop_thread.run(runtime.stop())
+        own.stop()
