--- /dev/null
+++ b/tests/test_owner_with_group.py
@@ -0,0 +1,150 @@
+"""Owner and group role together against targets that are killed, frozen and drained."""
+
+from dataclasses import replace
+
+import pytest
+from group_model import DATABASE, World
+
+from cassiaseam.configuration.model import DatabaseConfigured, TargetState
+from cassiaseam.errors import ANSWERS, RunState
+from cassiaseam.messages import Request, RequestKind, ResultSet
+from cassiaseam.positions import LogPosition
+from cassiaseam.reducer import target_io
+from cassiaseam.reducer.common import AnswerRequest, RecordTimeline, RequestArrived
+from cassiaseam.reducer.registry import reduce_event
+
+STATEMENT_S = 0.002
+CONNECTION_EFFECTS = (
+    target_io.OpenConnection,
+    target_io.ResetConnection,
+    target_io.RunStatement,
+)
+
+
+class ServedWorld(World):
+    """World whose writes and reads pass through the owner role."""
+
+    def __init__(self, **fields):
+        self.answers, self.requests, self.executed = {}, {}, {}
+        super().__init__(**fields)
+
+    def dispatch(self, owner, event):
+        for effect in reduce_event(self.owners[owner], event, self.now):
+            if isinstance(effect, AnswerRequest):
+                self.take_answer(effect.answer)
+            elif isinstance(effect, CONNECTION_EFFECTS):
+                self.serve(owner, effect)
+            elif isinstance(effect, target_io.ClaimTerm):
+                self.claim_term(owner, effect)
+            elif isinstance(effect, RecordTimeline):
+                self.records.append(effect.record)
+            elif not isinstance(effect, target_io.RecordPrimary | target_io.CloseConnection):
+                self.send(owner, effect, self.now)
+
+    def serve(self, owner, effect):
+        target = self.targets[effect.target]
+        incarnation = target.incarnation
+
+        def arrive():
+            if target.frozen:
+                self.schedule(0.05, arrive)
+            elif self.is_connected(owner, target.name):
+                alive = target.running and target.incarnation == incarnation
+                self.dispatch(owner, self.end(effect, target, alive))
+
+        self.schedule(STATEMENT_S, arrive)
+
+    def end(self, effect, target, alive):
+        base = (DATABASE, target.name, effect.connection_id)
+        if isinstance(effect, target_io.OpenConnection):
+            if alive:
+                return target_io.ConnectionOpened(*base, str(target.incarnation))
+            return target_io.ConnectionFailed(*base, 'refused')
+        if isinstance(effect, target_io.ResetConnection):
+            return target_io.ConnectionReset(*base, alive)
+        failure, position = None, None
+        if not alive:
+            failure = target_io.StatementFailure.LOST
+        elif effect.mode is target_io.ExecutionMode.WRITE:
+            if target.commit(effect.request_id):
+                position = target.last()
+                self.executed[effect.request_id] = (position, target.log[-1])
+            else:
+                failure = target_io.StatementFailure.READ_ONLY
+        return target_io.StatementFinished(
+            *base, effect.request_id, ResultSet(), failure, position=position
+        )
+
+    def take_answer(self, answer):
+        request = self.requests[answer.request_id]
+        assert answer.request_id not in self.answers
+        assert self.now <= request.deadline + 0.02
+        self.answers[answer.request_id] = (self.now, answer)
+        if request.kind is not RequestKind.WRITE:
+            return
+        if answer.error is not None:
+            if ANSWERS[answer.error.kind].ran is RunState.NO:
+                assert answer.request_id not in self.executed
+            return
+        position, entry = self.executed[answer.request_id]
+        self.committed.append((self.now, position, entry))
+        self.covering = LogPosition(
+            max(self.covering.term, position.term), max(self.covering.offset, position.offset)
+        )
+
+    def write(self, owner):
+        for kind, age_s in ((RequestKind.WRITE, None), (RequestKind.READ, 1.0)):
+            request_id = f'r{len(self.requests)}'
+            request = Request(
+                request_id, 'entry-1', 'caller', 'session-1', DATABASE, kind, deadline=self.now + 3,
+                floor=self.covering, max_age_s=age_s,
+            )  # fmt: skip
+            self.requests[request_id] = request
+            self.dispatch(owner, RequestArrived(request))
+
+    def acknowledge(self, owner):
+        """Leave the acknowledgement to the owner role."""
+
+    def count(self, kind, since, until):
+        times = [
+            answered_at
+            for request_id, (answered_at, answer) in self.answers.items()
+            if self.requests[request_id].kind is kind and answer.error is None
+        ]
+        return sum(since <= answered_at < until for answered_at in times)
+
+
+def kill(world):
+    world.targets[world.group().primary].running = False
+
+
+def freeze(world):
+    world.targets[world.group().primary].frozen = True
+
+
+def drain(world):
+    name = world.group().primary
+    targets = tuple(
+        replace(target, state=TargetState.DRAINING) if target.name == name else target
+        for target in world.config.targets
+    )
+    world.dispatch('vm1', DatabaseConfigured(replace(world.config, targets=targets, version=1)))
+
+
+@pytest.mark.parametrize('fault', [kill, freeze, drain])
+@pytest.mark.parametrize('seed', [1, 2])
+def test_writes_resume_and_reads_go_on_after_the_loss_of_the_primary(fault, seed):
+    world = ServedWorld(seed=seed)
+    world.run_for(3)
+    former = world.group().primary
+    assert world.count(RequestKind.WRITE, 0, world.now) > 20
+    lost_at = world.now
+    fault(world)
+    world.run_for(8)
+    assert world.group().primary != former
+    assert world.count(RequestKind.WRITE, lost_at + 4, world.now) > 20
+    for second in range(8):
+        begun = lost_at + second
+        assert world.count(RequestKind.READ, begun, begun + 1) > 5
+    late = [r for r in world.requests.values() if r.deadline < world.now - 0.02]
+    assert all(request.request_id in world.answers for request in late)
