--- a/tests/test_owner_with_group.py
+++ b/tests/test_owner_with_group.py
@@ -96,9 +96,16 @@
         for kind, age_s in ((RequestKind.WRITE, None), (RequestKind.READ, 1.0)):
             request_id = f'r{len(self.requests)}'
             request = Request(
-                request_id, 'entry-1', 'caller', 'session-1', DATABASE, kind, deadline=self.now + 3,
-                floor=self.covering, max_age_s=age_s,
-            )  # fmt: skip
+                request_id,
+                'entry-1',
+                'caller',
+                'session-1',
+                DATABASE,
+                kind,
+                deadline=self.now + 3,
+                floor=self.covering,
+                max_age_s=age_s,
+            )
             self.requests[request_id] = request
             self.dispatch(owner, RequestArrived(request))
 
