Keep idempotency keys of different callers apart

Cause: the key was stored without the login name, so a second caller that chose the same key and statement would have got the first caller's outcome. Ruled out: the session id as scope, because a key has to hold over sessions. Change: the stored key is login name and key; the model of the owner tests follows. Figures: the new test failed before the change with ['order-1', 'order-1']. Conclusion: one caller's key can no longer reveal another caller's request.

--- a/src/cassiaseam/owner/pool.py
+++ b/src/cassiaseam/owner/pool.py
@@ -1,5 +1,6 @@
 """Connections and slots of the targets."""
 
+from cassiaseam.messages import Request
 from cassiaseam.owner.breaker import record_connection, record_failure
 from cassiaseam.owner.state import (
     Connection,
@@ -223,11 +224,22 @@
             mode,
             request.sql,
             request.deadline - turn.now,
-            request.idempotency_key if mode in KEYED_MODES else None,
+            scope_key(request) if mode in KEYED_MODES else None,
         )
     )
 
 
+def scope_key(request: Request) -> str | None:
+    """Return the idempotency key as it is stored.
+
+    Two callers may choose the same key; without the login name the second one would get the
+    outcome of the first one's request.
+    """
+    if request.idempotency_key is None:
+        return None
+    return f'{request.caller}/{request.idempotency_key}'
+
+
 def count_target_failure(turn: Turn, pool: TargetPool) -> None:
     """Count a failure of a target; an open breaker also closes its idle connections."""
     if not record_failure(pool.breaker, turn.node.rng, turn.now):
--- a/tests/owner_faults.py
+++ b/tests/owner_faults.py
@@ -154,8 +154,11 @@
             return
         autocommit = 'transaction_id' not in request and request['kind'] is RequestKind.WRITE
         if autocommit or (request['kind'] is RequestKind.COMMIT):
-            key = request.get('idempotency_key')
-            self.check_durable(request_id if key is None else key)
+            self.check_durable(self.find_stored_key(request) or request_id)
+
+    def find_stored_key(self, request):
+        key = request.get('idempotency_key')
+        return None if key is None else f'{request.get("caller", "caller")}/{key}'
 
     def check_durable(self, entry):
         holders = [t for t in self.targets.values() if entry in {name for _, name in t.log}]
@@ -311,7 +314,7 @@
             request = self.requests[request_id]
             autocommit = 'transaction_id' not in request and request['kind'] is RequestKind.WRITE
             if answer.error is None and autocommit:
-                return request.get('idempotency_key') or request_id, answer.position
+                return self.find_stored_key(request) or request_id, answer.position
         return None, LogPosition(0, 0)
 
     def cancel(self, pick):
--- a/tests/test_owner_requests.py
+++ b/tests/test_owner_requests.py
@@ -58,3 +58,12 @@
     ]
     late = world.request(WRITE, **fields)
     assert world.error(late) is ErrorKind.TRANSACTION_ABORTED
+
+
+def test_same_key_of_two_callers_never_gives_one_the_outcome_of_the_other():
+    world = OwnerWorld()
+    keys = []
+    for caller in ('dealer', 'clerk'):
+        world.request(WRITE, caller=caller, idempotency_key='order-1')
+        keys.append(world.finish(position=LogPosition(1, 11)).idempotency_key)
+    assert keys == ['dealer/order-1', 'clerk/order-1']
