Own no database before the other members are known

A daemon that had just started knew only itself and ranked itself first for every database: with a configuration from the store it would have opened connections to all targets until the VM list arrived. It now waits for the VM list, for one second after the first page of a peer, or for five seconds when nobody answers. Ownership is reported once per VM list instead of once per VM in it.

--- a/src/cassiaseam/membership/detector.py
+++ b/src/cassiaseam/membership/detector.py
@@ -27,6 +27,7 @@
     forget_member,
     merge_record,
     store_record,
+    update_eligibility,
 )
 from cassiaseam.membership.state import (
     MembershipState,
@@ -69,6 +70,9 @@
     """Ping, ask others to ping, suspect and declare dead, each when it is due."""
     membership: MembershipState = state.membership
     effects = check_probes(state, now)
+    if not membership.is_ready and now >= membership.may_own_from:
+        membership.is_ready = True
+        effects.extend(update_eligibility(membership, membership.own.vm))
     effects.extend(end_suspicions(membership, now))
     effects.extend(ping_watched(membership, now))
     effects.extend(gossip_updates(state))
@@ -270,7 +274,10 @@
 
 
 def accept_page(state: NodeState, event: HeartbeatReceived, now: float) -> list[Effect]:
-    """Do nothing more: the records were merged."""
+    """Own databases soon: the view of another member is arriving."""
+    membership: MembershipState = state.membership
+    may_own_from = now + membership.settings.page_wait_s
+    membership.may_own_from = min(membership.may_own_from, may_own_from)
     return []
 
 
--- a/src/cassiaseam/membership/records.py
+++ b/src/cassiaseam/membership/records.py
@@ -4,7 +4,7 @@
 
 from cassiaseam.configuration.model import OwnershipChanged
 from cassiaseam.membership.messages import MemberChanged, MemberRecord, MemberStatus
-from cassiaseam.membership.ranking import add_eligible, remove_eligible
+from cassiaseam.membership.ranking import add_eligible, remove_eligible, update_rankings
 from cassiaseam.membership.state import MembershipState, PendingUpdate
 from cassiaseam.reducer.registry import Effect
 
@@ -137,7 +137,12 @@
 
 
 def update_eligibility(membership: MembershipState, vm: str) -> list[Effect]:
-    """Let a VM own databases or not, depending on its record and the VM list.
+    """Let a VM own databases or not, and report what this daemon gains or loses by it."""
+    return report_ownership(membership, change_eligibility(membership, vm))
+
+
+def change_eligibility(membership: MembershipState, vm: str) -> set[str]:
+    """Let a VM own databases or not; return the databases whose owner may have changed.
 
     A suspect owns nothing: waiting for its suspicion to end would keep its databases without an
     owner, and two owners at the same time are safe.
@@ -146,17 +151,20 @@
     may_own = record is not None and record.status is MemberStatus.ALIVE
     if may_own:
         may_own = not record.leaving and vm not in membership.listed_leaving
+    if vm == membership.own.vm:
+        may_own = may_own and membership.is_ready
     index = membership.ranking
     before = index.place_of.get(vm)
     changed = add_eligible(index, vm, record.place) if may_own else remove_eligible(index, vm)
     if index.place_of.get(vm) != before:
         membership.generation += 1
-    return report_ownership(membership, changed)
+    return changed
 
 
 def report_ownership(membership: MembershipState, databases: set[str]) -> list[Effect]:
     """Return the ownership changes of this daemon among some databases."""
     index = membership.ranking
+    update_rankings(index, databases)
     effects: list[Effect] = []
     for database in sorted(databases):
         ranked = index.databases.get(database)
--- a/src/cassiaseam/membership/state.py
+++ b/src/cassiaseam/membership/state.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from cassiaseam.membership.messages import Address, MemberRecord, MemberStatus
-from cassiaseam.membership.ranking import RankingIndex, add_eligible
+from cassiaseam.membership.ranking import RankingIndex
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +25,9 @@
         forget_after_s: A dead member is dropped when a VM list that was read this long after its
             death does not contain it.
         seeds: Members asked for their view at the start.
+        page_wait_s: Time after the first page of another member's view until this daemon may own
+            databases; the other pages arrive meanwhile.
+        lonely_wait_s: The same after a start at which nobody answers.
     """
 
     period_s: float = 1
@@ -38,6 +41,8 @@
     reconnect_period_s: float = 5
     forget_after_s: float = 600
     seeds: int = 3
+    page_wait_s: float = 1
+    lonely_wait_s: float = 5
 
 
 @dataclass(slots=True)
@@ -107,6 +112,9 @@
         next_period_at: Next ping of a random member, in seconds.
         next_reconnect_at: Next ping of a dead member, in seconds.
         has_joined: Whether seeds were asked.
+        may_own_from: Time in seconds from which this daemon may own databases; before it knows
+            the others it would take all of them.
+        is_ready: Whether that time was reached or a VM list was read.
         sequence: Last sequence number used.
         generation: Raised with every change of the members that may own databases.
         digest: Hash of the configuration versions; set by the configuration role.
@@ -129,6 +137,8 @@
     next_period_at: float | None = None
     next_reconnect_at: float = 0
     has_joined: bool = False
+    may_own_from: float = 0
+    is_ready: bool = False
     sequence: int = 0
     generation: int = 0
     digest: int = 0
@@ -166,8 +176,8 @@
     membership = MembershipState(
         own, RankingIndex(own.vm), settings or MembershipSettings(), next_reconnect_at=now
     )
+    membership.may_own_from = now + membership.settings.lonely_wait_s
     membership.members[own.vm] = own
-    add_eligible(membership.ranking, own.vm, own.place)
     return membership
 
 
--- a/src/cassiaseam/membership/vm_list.py
+++ b/src/cassiaseam/membership/vm_list.py
@@ -12,9 +12,9 @@
 )
 from cassiaseam.membership.ranking import register_database, remove_database
 from cassiaseam.membership.records import (
+    change_eligibility,
     queue_update,
     report_ownership,
-    update_eligibility,
 )
 from cassiaseam.membership.state import MembershipState, choose_members
 from cassiaseam.reducer.node_state import NodeState
@@ -30,6 +30,7 @@
     membership: MembershipState = state.membership
     was_leaving = membership.listed_leaving
     membership.listed_at = now
+    membership.is_ready = True
     membership.listed = {listed.vm for listed in event.listed}
     membership.listed_leaving = {listed.vm for listed in event.listed if listed.leaving}
     added = [listed for listed in event.listed if listed.vm not in membership.members]
@@ -37,8 +38,11 @@
         membership.members[listed.vm] = make_listed_record(listed)
     changed = was_leaving ^ membership.listed_leaving
     changed.update((membership.own.vm, *(new.vm for new in added)))
-    effects = [effect for vm in sorted(changed) for effect in update_eligibility(membership, vm)]
-    return effects + join_through_seeds(state)
+    # Reported once for the whole list: on the way this daemon may seem to own what it does not.
+    databases: set[str] = set()
+    for vm in sorted(changed):
+        databases |= change_eligibility(membership, vm)
+    return report_ownership(membership, databases) + join_through_seeds(state)
 
 
 def make_listed_record(listed: ListedVm) -> MemberRecord:
--- a/src/cassiaseam_load/cluster_simulation.py
+++ b/src/cassiaseam_load/cluster_simulation.py
@@ -237,6 +237,7 @@
     for node in simulation.nodes.values():
         membership = node.state.membership
         membership.has_joined = True
+        membership.is_ready = True
         membership.members.update((record.vm, record) for record in records)
         for record in records:
             update_eligibility(membership, record.vm)
--- a/tests/test_owner_ranking.py
+++ b/tests/test_owner_ranking.py
@@ -26,9 +26,30 @@
 def make_state(own):
     state = NodeState(own.vm, own.place, random.Random(1))
     state.membership = create_membership(own, 0)
+    reduce_event(state, VmListReceived(()), 0)
     return state
 
 
+def test_daemon_that_does_not_know_the_others_yet_owns_nothing():
+    own = make_record(0, 'p0')
+    state = NodeState(own.vm, own.place, random.Random(1))
+    state.membership = create_membership(own, 0)
+    names = [f'd{number}' for number in range(40)]
+    effects = []
+    for name in names:
+        effects.extend(reduce_event(state, DatabaseConfigured(make_config(name, ['p0'])), 0))
+    assert effects == []
+    listed = [make_record(number, 'p0') for number in range(10)]
+    entries = (ListedVm(record.vm, 'p0', record.host, record.port) for record in listed)
+    changes = [
+        effect
+        for effect in reduce_event(state, VmListReceived(tuple(entries)), 1)
+        if isinstance(effect, OwnershipChanged)
+    ]
+    assert 0 < len(changes) < 15
+    assert all(change.owns for change in changes)
+
+
 def make_config(name, places, owner=''):
     targets = [TargetConfig(f't{place}', '10.0.0.1', 3306, place) for place in places]
     return DatabaseConfig(name, tuple(targets), owner=owner)
