--- a/src/cassiaseam/peers/transport.py
+++ b/src/cassiaseam/peers/transport.py
@@ -134,6 +134,10 @@
     ) -> Answer:
         """Send a request over a link and wait for its answer."""
         request = pending.request
+        if link.closed:
+            # It broke between the hello and the turn of this request; nobody would fail it.
+            message = f'link to vm {link.vm} lost: {link.close_reason}'
+            return make_error_answer(request, ErrorKind.PEER_UNREACHABLE, message)
         if len(link.pending) >= self.limits.requests_in_flight:
             message = f'{len(link.pending)} requests in flight to vm {link.vm}'
             return make_error_answer(request, ErrorKind.OVERLOADED, message)
--- a/tests/test_peer_transport.py
+++ b/tests/test_peer_transport.py
@@ -248,6 +248,24 @@
     run_in_mesh(scenario)
 
 
+def test_link_that_breaks_right_after_its_hello_does_not_hold_a_request_until_its_deadline():
+    async def scenario(mesh):
+        entry = await mesh.add('a')
+        await mesh.add('b')
+        link = await entry.table.obtain_link('b')
+        link.abort('test')
+
+        async def obtain_broken_link(vm):
+            return link
+
+        entry.table.obtain_link = obtain_broken_link
+        request = make_request(entry, kind=RequestKind.WRITE, wait_s=3600)
+        answer = await send(entry, 'b', request)
+        assert answer.error.kind is ErrorKind.PEER_UNREACHABLE
+
+    run_in_mesh(scenario)
+
+
 def test_slow_but_living_peer_is_not_taken_for_frozen():
     async def scenario(mesh):
         entry, owner = await mesh.add('a'), await mesh.add('b')
