--- a/tests/operations/test_cluster_view.py
+++ b/tests/operations/test_cluster_view.py
@@ -44,6 +44,9 @@
     node.state.configuration = create_configuration()
     config = build_config()
     node.state.configuration.databases['orders'] = config
+    # A daemon that does not yet know the other members owns nothing.
+    assert build_cluster_view(node, LatencySettings(), 'orders').owners == {}
+    node.state.membership.is_ready = True
     for vm in ('vm-1', 'vm-2'):
         update_eligibility(node.state.membership, vm)
     node.state.groups['orders'] = GroupState(config, primary='t2')
