Store all databases of the settings before the first plan takes effect

Change: confirming a plan whose shard does not exist first creates the other shards of the settings; if that fails the plan is refused and can be repeated.

--- a/src/cassiaseam/plans/store.py
+++ b/src/cassiaseam/plans/store.py
@@ -41,6 +41,7 @@
     SettledWrite,
     write_settled,
 )
+from cassiaseam.plans.static import group_by_shard, publish_static_databases
 
 MAX_HISTORY = 32
 LISTED_DAYS = 2
@@ -162,8 +163,7 @@
             return Err(found.unwrap_err())
         stored = found.unwrap()
         if stored is None:
-            static = {it.name: it for it in self.static if find_shard(it.name) == shard}
-            return Ok(ShardState(shard, databases=static))
+            return Ok(ShardState(shard, databases=group_by_shard(self.static).get(shard, {})))
         return decode_shard(shard, stored.version, stored.value)
 
     async def confirm_plan(
@@ -297,6 +297,12 @@
         if size > MAX_VALUE_BYTES:
             message = f'shard {plan.shard} would have {size} bytes of at most {MAX_VALUE_BYTES}'
             return Err(RequestError(ErrorKind.TOO_LARGE, message))
+        if not shard.version:
+            published = await publish_static_databases(
+                self.store, self.static, plan.shard, self.pause
+            )
+            if published.is_err():
+                return Err(_refuse_unavailable(published.unwrap_err()))
         written = await write_settled(
             self.store,
             format_shard_key(plan.shard),
--- a/tests/operations/test_plan_store.py
+++ b/tests/operations/test_plan_store.py
@@ -1,11 +1,12 @@
 import asyncio
+import dataclasses
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from operations_fakes import FakeStore, build_config, put_database, skip_pause
 
-from cassiaseam.configuration.document import find_shard
+from cassiaseam.configuration.document import find_shard, format_shard_key
 from cassiaseam.errors import ErrorKind
 from cassiaseam.plans.intents import parse_intent
 from cassiaseam.plans.model import PLAN_LIFETIME_S, PlanState
@@ -179,6 +180,44 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize('fault', ['ok', 'lost_before', 'lost_after'])
+def test_first_plan_stores_all_static_databases_before_its_own_shard(fault):
+    async def scenario():
+        store = FakeStore()
+        static = tuple(build_config(name) for name in ('orders', 'labels', 'pumps'))
+        await put_database(store, dataclasses.replace(static[2], queue_limit=77))
+        plans = PlanStore(store, pause=skip_pause, static=static)
+        plan = (await plans.create_plan(parse_intent(LIMIT).unwrap(), 'team-a', NOW)).unwrap()
+        # The second write, after the mark of the plan, is the shard of another database.
+        store.write_faults = ['ok', fault]
+        assert (await plans.confirm_plan(plan.plan_id, 'team-a', NOW)).is_ok()
+        limits = {}
+        for name in ('orders', 'labels', 'pumps'):
+            shard = (await plans.read_shard(find_shard(name))).unwrap()
+            assert shard.version
+            limits[name] = shard.databases[name].queue_limit
+        assert limits == {'orders': 9, 'labels': 256, 'pumps': 77}
+        written = [key for key, _ in store.applied if key.startswith('config/')]
+        assert written[-1] == format_shard_key(SHARD)
+
+    asyncio.run(scenario())
+
+
+def test_first_plan_is_refused_while_static_databases_cannot_be_stored():
+    async def scenario():
+        store = FakeStore()
+        static = (build_config(), build_config('labels'))
+        plans = PlanStore(store, pause=skip_pause, static=static)
+        plan = (await plans.create_plan(parse_intent(LIMIT).unwrap(), 'team-a', NOW)).unwrap()
+        store.write_faults = ['ok', 'down', 'down', 'down']
+        error = (await plans.confirm_plan(plan.plan_id, 'team-a', NOW)).unwrap_err()
+        assert error.kind is ErrorKind.PLATFORM_UNAVAILABLE
+        assert store.list_confirmed(SHARD) == []
+        assert (await plans.confirm_plan(plan.plan_id, 'team-a', NOW)).is_ok()
+
+    asyncio.run(scenario())
+
+
 def test_list_shows_recent_plans_and_survives_a_malformed_one():
     async def scenario(bench):
         plan = await bench.create()
