--- a/src/cassiaseam/owner/acknowledgement.py
+++ b/src/cassiaseam/owner/acknowledgement.py
@@ -16,7 +16,8 @@
 from cassiaseam.positions import LogPosition
 from cassiaseam.reducer.target_io import PollTarget, StatementFinished
 
-SHORTEST_POLL_GAP_S = 0.002
+# The group role does not poll a target more often than this.
+SHORTEST_POLL_GAP_S = 0.005
 LONGEST_POLL_GAP_S = 0.05
 POLL_GAP_GROWTH = 1.5
 
@@ -43,7 +44,7 @@
     if work.position is not None:
         return work.position
     view = turn.group.targets.get(work.target)
-    if view is None or view.status is None or view.status_started_at < work.finished_at:
+    if view is None or view.status is None or view.status_started_at <= work.finished_at:
         return None
     return view.status.last if view.status.term == work.term else None
 
--- a/src/cassiaseam/owner/handlers.py
+++ b/src/cassiaseam/owner/handlers.py
@@ -8,6 +8,10 @@
     OwnershipChanged,
 )
 from cassiaseam.errors import ErrorKind
+
+# The owner role decides on the state that the group role has updated for the same event, so the
+# handlers of the group role are registered first.
+from cassiaseam.group import handlers as _group_handlers  # noqa: F401
 from cassiaseam.messages import RequestKind
 from cassiaseam.owner.acknowledgement import check_commits
 from cassiaseam.owner.answers import build_refusal, forget_work, refuse_request
@@ -37,6 +41,7 @@
     Work,
     WorkPhase,
     ensure_owner_state,
+    is_monitored,
     schedule_timer,
     start_turn,
 )
@@ -162,28 +167,31 @@
     effects: Effects = []
     owner = ensure_owner_state(node)
     run_due_timers(node, owner, now, effects)
-    requests = dict(owner.requests_by_entry.get(event.entry, {}))
-    transactions = dict(owner.transactions_by_entry.get(event.entry, {}))
-    touched = {}
+    requests = owner.requests_by_entry.get(event.entry, {})
+    transactions = owner.transactions_by_entry.get(event.entry, {})
     names = {*requests.values(), *transactions.values()}
-    for name in names:
+    for name in sorted(names):
         turn = begin_turn(node, name, now, effects)
         if turn is not None:
-            touched[name] = turn
-    for request_id, name in requests.items():
-        work = touched[name].database.works.get(request_id) if name in touched else None
-        if work is not None:
-            cancel_work(touched[name], work)
-    for transaction_id, name in transactions.items():
-        turn = touched.get(name)
-        transaction = turn.database.transactions.get(transaction_id) if turn else None
-        if transaction is not None:
-            leave_transaction(turn, transaction, 'the entry daemon was lost')
-    for turn in touched.values():
-        end_turn(turn)
+            drop_entry(turn, event.entry)
+            end_turn(turn)
     return effects
 
 
+def drop_entry(turn: Turn, entry: str) -> None:
+    """Drop the requests and transactions of an entry daemon in one database."""
+    database = turn.database
+    works = [work for work in database.works.values() if work.request.entry == entry]
+    # All are marked before the first is withdrawn, because BEGIN takes its statements with it.
+    for lost in works:
+        lost.cancelled = True
+    for lost in works:
+        cancel_work(turn, lost)
+    for transaction in tuple(database.transactions.values()):
+        if transaction.entry == entry:
+            leave_transaction(turn, transaction, 'the entry daemon was lost')
+
+
 def find_connection(turn: Turn, target: str, connection_id: str) -> Connection | None:
     """Return a connection that is not forgotten, or None."""
     pool = turn.database.targets.get(target)
@@ -285,7 +293,9 @@
     turn = begin_turn(node, event.config.name, now, effects)
     if turn is None:
         return effects
-    apply_configuration(turn, event.config)
+    # The group role ignores a configuration that is older than the one in force.
+    config = turn.group.config if is_monitored(turn) else event.config
+    apply_configuration(turn, config)
     return end_turn(turn)
 
 
