Open the port for callers only when owners can be ranked

Ruled out: dropping the rule, since a restarted daemon would take over every database; holding requests at the entry, because the load balancer can use another VM at once. Conclusion: a starting daemon refuses no caller for lack of members.

--- a/src/cassiaseam/daemon/runtime.py
+++ b/src/cassiaseam/daemon/runtime.py
@@ -29,6 +29,7 @@
 
 SHUTDOWN_LIMIT_S = 30.0
 SHUTDOWN_POLL_S = 0.02
+JOIN_POLL_S = 0.02
 Address = tuple[str, int]
 
 # Importing these modules registers the handlers and executors.
@@ -123,6 +124,7 @@
         self.targets.run_in_background(self.targets.close_idle_channels())
         if self.admin is not None:
             self.admin_port = await self.admin.start()
+        await self.wait_until_members_are_known()
         self.callers_port = await self.listener.start(*self.settings.callers)
         logging.info(
             'event=daemon_started vm=%s callers_port=%d peers_port=%d admin_port=%d',
@@ -132,6 +134,15 @@
             self.admin_port,
         )
 
+    async def wait_until_members_are_known(self) -> None:
+        """Wait until owners can be ranked.
+
+        Callers that come earlier would be told that no daemon serves their database. The wait is
+        bounded by the time after which membership assumes that this daemon is alone.
+        """
+        while not self.node.state.membership.is_ready:
+            await asyncio.sleep(JOIN_POLL_S)
+
     async def stop(self) -> bool:
         """Let what is in flight end within the limit, then close everything.
 
--- a/src/cassiaseam/peers/services.py
+++ b/src/cassiaseam/peers/services.py
@@ -160,7 +160,11 @@
             settings.vm, self.incarnation, alive, settings.place, settings.host, self.port
         )
         state = self.node.state
-        state.membership = create_membership(own, self.node.clock())
+        now = self.node.clock()
+        state.membership = create_membership(own, now)
+        if not settings.seeds:
+            # Without seeds there is nobody to wait for but the platform's list.
+            state.membership.may_own_from = now + state.membership.settings.page_wait_s
         state.configuration = create_configuration()
 
     def describe_vm(self, listed_state: str) -> VmDocument:
