--- a/src/cassiaseam/group/detection.py
+++ b/src/cassiaseam/group/detection.py
@@ -45,6 +45,8 @@
     A daemon that does not reach a majority never has a reason, because it could only fence the
     instances that it does reach.
     """
+    if group.no_primary_since is None and not group.suspicious:
+        return ''
     reachable = [
         view
         for name, view in group.targets.items()
@@ -141,7 +143,8 @@
     return [
         name
         for name, view in group.targets.items()
-        if is_reachable(view, now)
+        if view.status is not None
         and view.status.fenced_term > group.term
+        and is_reachable(view, now)
         and is_trusted(group, name)
     ]
--- a/src/cassiaseam/group/evidence.py
+++ b/src/cassiaseam/group/evidence.py
@@ -4,7 +4,6 @@
 that it granted. Its evidence counts again only when its log has caught up.
 """
 
-from cassiaseam.configuration.model import TargetState
 from cassiaseam.group.state import GroupState, TargetView
 from cassiaseam.messages import TargetRole
 from cassiaseam.positions import ZERO_POSITION
@@ -36,8 +35,9 @@
         return False
     if view.catch_up is not None:
         return status.last >= view.catch_up
-    blank = status.last == ZERO_POSITION and status.term == 0 and status.fenced_term == 0
-    return not blank or group.known_position == ZERO_POSITION
+    if status.term or status.fenced_term or status.last.offset:
+        return True
+    return group.known_position == ZERO_POSITION
 
 
 def remember_lost_data(group: GroupState, name: str) -> None:
@@ -50,12 +50,9 @@
 def is_leaving(group: GroupState, name: str) -> bool:
     """Return whether operators drain a target or the vendor announced that it goes away."""
     view = group.targets.get(name)
-    if view is not None and view.status is not None and view.status.leaving:
+    if name in group.draining:
         return True
-    return any(
-        target.name == name and target.state is TargetState.DRAINING
-        for target in group.config.targets
-    )
+    return view is not None and view.status is not None and view.status.leaving
 
 
 def is_in_charge(group: GroupState, polled_after: float = -1) -> bool:
--- a/src/cassiaseam/group/handlers.py
+++ b/src/cassiaseam/group/handlers.py
@@ -5,6 +5,7 @@
     DatabaseConfigured,
     DatabaseRemoved,
     OwnershipChanged,
+    TargetState,
 )
 from cassiaseam.group.detection import (
     detect_departure,
@@ -21,6 +22,7 @@
     take_promote_answer,
 )
 from cassiaseam.group.monitoring import (
+    IDLE_POLL_S,
     expire_polls,
     fail_poll,
     hasten_rounds,
@@ -84,6 +86,7 @@
     if config is None or event.database in node_state.groups:
         return []
     group = GroupState(config, due_heap=node_state.group_due, next_round_at=now)
+    group.idle_phase_s = node_state.rng.uniform(0, IDLE_POLL_S)
     group.known_term = node_state.group_terms.get(event.database, 0)
     _apply_targets(group, config)
     node_state.groups[event.database] = group
@@ -266,6 +269,10 @@
 
 def _apply_targets(group: GroupState, config: DatabaseConfig) -> None:
     group.config = config
+    group.sampled_at.clear()
+    group.draining = frozenset(
+        target.name for target in config.targets if target.state is TargetState.DRAINING
+    )
     names = [target.name for target in config.targets]
     for name in group.targets.keys() - set(names):
         del group.targets[name]
--- a/src/cassiaseam/group/monitoring.py
+++ b/src/cassiaseam/group/monitoring.py
@@ -45,7 +45,8 @@
     """Return the polls that a round or a request makes due; at most one per target under way."""
     round_due = now >= group.next_round_at
     if round_due:
-        group.next_round_at = now + _choose_interval_s(group, now)
+        group.next_round_at = _find_idle_round(group, now)
+        hasten_rounds(group, now)
     polls = []
     for name, view in group.targets.items():
         if view.poll_started_at is not None:
@@ -63,7 +64,7 @@
     """Count polls without an answer within the time limit as failed."""
     for view in group.targets.values():
         started_at = view.poll_started_at
-        if started_at is not None and now - started_at >= POLL_TIMEOUT_S:
+        if started_at is not None and now >= started_at + POLL_TIMEOUT_S:
             fail_poll(view, started_at)
 
 
@@ -75,8 +76,10 @@
 
 
 def hasten_rounds(group: GroupState, now: float) -> None:
-    """Bring the next round of polls forward to the short interval."""
-    group.next_round_at = min(group.next_round_at, now + _choose_interval_s(group, now))
+    """Bring the next round of polls forward when the group needs a short interval."""
+    interval_s = _choose_interval_s(group, now)
+    if now + interval_s < group.next_round_at:
+        group.next_round_at = now + interval_s
 
 
 def schedule_group(group: GroupState, now: float) -> None:
@@ -111,10 +114,18 @@
     return node_state.group_due[0][0] if node_state.group_due else None
 
 
+def _find_idle_round(group: GroupState, now: float) -> float:
+    wait_s = IDLE_POLL_S - (now - group.idle_phase_s) % IDLE_POLL_S
+    # A round that is almost due was started a little early and is not repeated.
+    if wait_s < QUICK_POLL_S:
+        wait_s += IDLE_POLL_S
+    return now + wait_s
+
+
 def _is_requested(group: GroupState, view: TargetView, now: float) -> bool:
     return (
         view.last_poll_at < group.poll_requested_at
-        and now - view.last_poll_at >= REQUEST_SPACING_S
+        and now >= view.last_poll_at + REQUEST_SPACING_S
     )
 
 
--- a/src/cassiaseam/group/samples.py
+++ b/src/cassiaseam/group/samples.py
@@ -1,7 +1,10 @@
 """Quorum samples and what they say about the age of replicas."""
 
+from operator import itemgetter
+
 from cassiaseam.group.evidence import count_majority, is_trusted
 from cassiaseam.group.state import GroupState, QuorumSample, TargetView
+from cassiaseam.messages import TargetStatus
 from cassiaseam.positions import LogPosition
 
 SAMPLE_LIMIT = 128
@@ -17,27 +20,34 @@
     instances at least `answered - (instances - majority)` hold it, so the position of that rank
     covers the write. More answers than a majority thus give a lower position.
     """
-    polled = sorted(
-        (
-            (view.status_started_at, view.status.last, view.status.fenced_term)
-            for name, view in group.targets.items()
-            if view.status is not None and is_trusted(group, name)
-        ),
-        reverse=True,
-    )
+    polled = [
+        (view.status_started_at, view.status)
+        for name, view in group.targets.items()
+        if view.status is not None and is_trusted(group, name)
+    ]
+    polled.sort(key=itemgetter(0), reverse=True)
     majority = count_majority(group)
     changed = False
     for answered in range(majority, len(polled) + 1):
-        part = polled[:answered]
-        rank = answered - (len(group.config.targets) - majority)
-        position = sorted((entry[1] for entry in part), reverse=True)[rank - 1]
-        term = max(entry[2] for entry in part)
-        changed |= _add_sample(group, QuorumSample(part[-1][0], position, term))
+        started_at = polled[answered - 1][0]
+        # Without a later start the sample would not differ from the one before.
+        if started_at <= group.sampled_at.get(answered, -1):
+            continue
+        group.sampled_at[answered] = started_at
+        rank = answered - (len(group.targets) - majority)
+        statuses = [status for _, status in polled[:answered]]
+        changed |= _add_sample(group, _build_sample(started_at, statuses, rank))
     if changed:
         for view in group.targets.values():
             update_freshness(group, view)
 
 
+def _build_sample(started_at: float, statuses: list[TargetStatus], rank: int) -> QuorumSample:
+    positions = sorted((status.last for status in statuses), reverse=True)
+    term = max(status.fenced_term for status in statuses)
+    return QuorumSample(started_at, positions[rank - 1], term)
+
+
 def update_freshness(group: GroupState, view: TargetView) -> None:
     """Set the time as of which the applied data of a target is complete."""
     if view.status is None:
--- a/src/cassiaseam/group/state.py
+++ b/src/cassiaseam/group/state.py
@@ -131,6 +131,9 @@
         retry_at: Time in seconds before which no promotion is started.
         open_writes: Writes and open transactions at the primary. The owner role sets it; a
             planned promotion waits for them for a short time.
+        draining: Names of the targets that operators drain.
+        sampled_at: Start in seconds of the latest sample by number of answers.
+        idle_phase_s: Offset of the idle rounds, so that groups of a daemon are polled evenly.
         next_round_at: Time in seconds of the next round of polls.
         quick_until: Time in seconds until which rounds follow at the short interval.
         poll_requested_at: Time in seconds of the latest request for a poll.
@@ -157,6 +160,9 @@
     failed_attempts: int = 0
     retry_at: float = 0
     open_writes: int = 0
+    draining: frozenset[str] = frozenset()
+    sampled_at: dict[int, float] = field(default_factory=dict)
+    idle_phase_s: float = 0
     next_round_at: float = 0
     quick_until: float = 0
     poll_requested_at: float = -1
--- a/src/cassiaseam/group/statuses.py
+++ b/src/cassiaseam/group/statuses.py
@@ -36,6 +36,7 @@
     view = group.targets[status.instance]
     if status.incarnation == view.former_incarnation:
         return []
+    _end_poll(view, started_at)
     if view.status is not None and started_at <= view.status_started_at:
         return []
     effects = []
@@ -125,9 +126,12 @@
     return group.no_primary_since if group.primary_contact_at is None else group.primary_contact_at
 
 
-def _note_answer(view: TargetView, started_at: float, now: float) -> None:
+def _end_poll(view: TargetView, started_at: float) -> None:
     if view.poll_started_at is not None and started_at >= view.poll_started_at:
         view.poll_started_at = None
+
+
+def _note_answer(view: TargetView, started_at: float, now: float) -> None:
     # An answer that took longer than the silence limit says nothing about the present.
     if now - started_at <= SILENCE_LIMIT_S:
         view.answered_at = now
