Confirm an inherited log by an entry of the new term

Cause: a replayed idempotency key was acknowledged when a majority held a log that ends in an earlier term. An instance that was away with an entry of a term in between wins a later promotion and drops it, so an acknowledged request was lost. Ruled out: comparing whole logs (positions are all that targets expose); waiting for the next write of a caller (statements without changes would time out after a failover). Change: the owner commits a record of the term on a new primary (MarkTerm) and acknowledges only positions of the current term. Conclusion: an acknowledged replay survives every later promotion.

--- a/src/cassiaseam/daemon/target_executors.py
+++ b/src/cassiaseam/daemon/target_executors.py
@@ -18,6 +18,7 @@
     FenceTarget,
     FollowAnswered,
     FollowPrimary,
+    MarkTerm,
     OpenConnection,
     PollTarget,
     PromoteAnswered,
@@ -36,6 +37,7 @@
 FENCE_TIMEOUT_S = 1.0
 PROMOTE_TIMEOUT_S = 2.0
 FOLLOW_TIMEOUT_S = 5.0
+MARK_TIMEOUT_S = 1.0
 NOT_CONFIGURED = 'target is not configured'
 
 
@@ -195,6 +197,21 @@
     node.dispatch(PromoteAnswered(effect.database, effect.target, effect.term, succeeded))
 
 
+@executes(MarkTerm)
+def mark_term(node: Node, effect: MarkTerm) -> None:
+    """Commit a first entry in the term of a new primary."""
+    find_service(node).run_in_background(_mark_term(node, effect))
+
+
+async def _mark_term(node: Node, effect: MarkTerm) -> None:
+    await _run_control(
+        node,
+        effect,
+        MARK_TIMEOUT_S,
+        lambda connection, timeout_s: adapter.mark_term(connection, effect.term, timeout_s),
+    )
+
+
 @executes(FollowPrimary)
 def follow_primary(node: Node, effect: FollowPrimary) -> None:
     """Make a target follow a primary."""
--- a/src/cassiaseam/group/handlers.py
+++ b/src/cassiaseam/group/handlers.py
@@ -33,7 +33,7 @@
     take_due_groups,
 )
 from cassiaseam.group.records import record_decision
-from cassiaseam.group.repair import repair_followers
+from cassiaseam.group.repair import mark_new_term, repair_followers
 from cassiaseam.group.state import GroupState, TargetView
 from cassiaseam.group.statuses import accept_status
 from cassiaseam.reducer.common import Tick
@@ -227,6 +227,7 @@
         effects.extend(_start_needed_promotion(node_state, group, now))
     if group.failover is None and group.no_primary_since is None:
         effects.extend(repair_followers(node_state, group, now))
+        effects.extend(mark_new_term(group, now))
     return effects
 
 
--- a/src/cassiaseam/group/repair.py
+++ b/src/cassiaseam/group/repair.py
@@ -6,7 +6,7 @@
 from cassiaseam.messages import TargetRole
 from cassiaseam.reducer.node_state import NodeState
 from cassiaseam.reducer.registry import Effect
-from cassiaseam.reducer.target_io import FollowPrimary
+from cassiaseam.reducer.target_io import FollowPrimary, MarkTerm
 
 REPAIR_INTERVAL_S = 1.0
 
@@ -25,6 +25,25 @@
     return effects
 
 
+def mark_new_term(group: GroupState, now: float) -> list[Effect]:
+    """Make a primary whose log ends in an earlier term commit an entry of its own term.
+
+    Entries that a primary inherited are durable only below an entry of its own term: an instance
+    that was away may hold an entry of a term in between and win the next promotion.
+    """
+    view = group.targets.get(group.primary)
+    if group.failover is not None or view is None or view.status is None:
+        return []
+    status = view.status
+    leads = status.role is TargetRole.PRIMARY and status.term == group.term
+    if not leads or status.last.term >= group.term or not is_reachable(view, now):
+        return []
+    if group.marked_at is not None and now - group.marked_at < REPAIR_INTERVAL_S:
+        return []
+    group.marked_at = now
+    return [MarkTerm(group.config.name, group.primary, group.term)]
+
+
 def follow_target(
     node_state: NodeState,
     group: GroupState,
--- a/src/cassiaseam/group/state.py
+++ b/src/cassiaseam/group/state.py
@@ -129,6 +129,7 @@
         suspicious: Whether polls fail or replicas lose their primary, so that polls hasten.
         failed_attempts: Promotions in a row that did not succeed.
         retry_at: Time in seconds before which no promotion is started.
+        marked_at: Time in seconds of the latest `MarkTerm`, or None.
         open_writes: Writes and open transactions at the primary. The owner role sets it; a
             planned promotion waits for them for a short time.
         draining: Names of the targets that operators drain.
@@ -159,6 +160,7 @@
     suspicious: bool = False
     failed_attempts: int = 0
     retry_at: float = 0
+    marked_at: float | None = None
     open_writes: int = 0
     draining: frozenset[str] = frozenset()
     sampled_at: dict[int, float] = field(default_factory=dict)
--- a/src/cassiaseam/owner/acknowledgement.py
+++ b/src/cassiaseam/owner/acknowledgement.py
@@ -13,7 +13,7 @@
     is_monitored,
     schedule_timer,
 )
-from cassiaseam.positions import LogPosition
+from cassiaseam.positions import ZERO_POSITION, LogPosition
 from cassiaseam.reducer.target_io import PollTarget, StatementFinished
 
 # The group role does not poll a target more often than this.
@@ -74,18 +74,12 @@
 def is_durable(group: GroupState, position: LogPosition, term: int) -> bool:
     """Return whether no promotion can lose the log up to a position of the primary of `term`.
 
-    A log that ends in an earlier term belongs to a primary without entries of its own, after a
-    promotion. A majority with exactly this end then holds the same log; without this rule
-    statements that change nothing would stay unanswered until the next write.
+    A log that ends in an earlier term is durable only after the primary committed an entry of its
+    own term (`MarkTerm`): an instance that was away may hold an entry of a term in between and
+    win the next promotion, however many instances hold the inherited log. An empty log has
+    nothing to lose.
     """
-    if position.term == term:
-        return group_view.is_committed(group, position, term)
-    holders = 0
-    for view in group.targets.values():
-        status = view.status
-        if status is not None and status.term == term and status.fenced_term <= term:
-            holders += status.last == position
-    return holders * 2 > len(group.targets)
+    return position == ZERO_POSITION or group_view.is_committed(group, position, term)
 
 
 def answer_unknown(turn: Turn, work: Work, message: str) -> None:
--- a/src/cassiaseam/reducer/target_io.py
+++ b/src/cassiaseam/reducer/target_io.py
@@ -204,6 +204,15 @@
     succeeded: bool
 
 
+@dataclass(frozen=True, slots=True)
+class MarkTerm:
+    """Effect: commit a first log entry in the term of a new primary; no answer is awaited."""
+
+    database: str
+    target: str
+    term: int
+
+
 @dataclass(frozen=True, slots=True)
 class FollowPrimary:
     """Effect: make a target follow a primary; answered by `FollowAnswered`."""
--- a/src/cassiaseam/targets/adapter.py
+++ b/src/cassiaseam/targets/adapter.py
@@ -31,6 +31,7 @@
 )
 from cassiaseam.targets.statements import MODE_RUNNERS
 from cassiaseam.targets.status import STATUS_SQL, query_status
+from cassiaseam.targets.term_records import write_term_record
 
 KEYED_MODES = frozenset((ExecutionMode.KEYED_WRITE, ExecutionMode.KEYED_BEGIN))
 DUPLICATE_KEY = 1062
@@ -165,6 +166,17 @@
     return await run_operation(connection, 'follow', timeout_s, run)
 
 
+async def mark_term(
+    connection: TargetConnection, term: int, timeout_s: float
+) -> Result[None, RequestError]:
+    """Commit a log entry in the term of a new primary, in the table `cassiaseam_terms`."""
+
+    async def run() -> None:
+        await write_term_record(connection.protocol, term)
+
+    return await run_operation(connection, 'mark term', timeout_s, run)
+
+
 def build_finished(effect: RunStatement, **values: Any) -> StatementFinished:
     """Return the event that answers `effect`."""
     return StatementFinished(
--- a/tests/group_model.py
+++ b/tests/group_model.py
@@ -22,6 +22,8 @@
 DATABASE = 'orders'
 PLATFORM = 'platform'
 STEP_S = 0.01
+# Entry ids above this belong to `MarkTerm`, not to a write.
+MARK_BASE = 10**9
 
 
 class ModelTarget:
@@ -187,7 +189,10 @@
             self.schedule(delay_s, lambda: self.arrive(owner, effect, target, started_at))
 
     def arrive(self, owner, effect, target, started_at):
-        if not target.running and self.is_connected(owner, target.name):
+        if isinstance(effect, target_io.MarkTerm):
+            if target.running and not target.frozen and self.is_connected(owner, target.name):
+                target.commit(MARK_BASE + effect.term)
+        elif not target.running and self.is_connected(owner, target.name):
             self.answer(owner, self.refuse(effect, started_at))
         elif target.frozen:
             self.schedule(0.05, lambda: self.arrive(owner, effect, target, started_at))
--- a/tests/test_group_scenarios.py
+++ b/tests/test_group_scenarios.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 import pytest
-from group_model import DATABASE, PLATFORM, World
+from group_model import DATABASE, MARK_BASE, PLATFORM, World
 
 from cassiaseam.configuration.model import DatabaseConfigured, TargetState
 from cassiaseam.group import monitoring, view
@@ -221,3 +221,13 @@
         world.targets[replica].batch = 0
     world.run_for(2)
     assert view.estimate_commit_delay_s(world.group(), world.now) > 1
+
+
+def test_log_inherited_from_an_earlier_term_is_confirmed_by_an_entry_of_the_new_term():
+    world, primary, replicas = start_world()
+    world.targets[primary].running = False
+    world.run_for(4)
+    leader = world.targets[world.group().primary]
+    assert leader.name in replicas
+    terms = {term for term, entry_id in leader.log if entry_id > MARK_BASE}
+    assert world.group().term in terms
--- a/tests/test_owner_requests.py
+++ b/tests/test_owner_requests.py
@@ -67,3 +67,20 @@
         world.request(WRITE, caller=caller, idempotency_key='order-1')
         keys.append(world.finish(position=LogPosition(1, 11)).idempotency_key)
     assert keys == ['dealer/order-1', 'clerk/order-1']
+
+
+def test_replayed_outcome_in_an_inherited_log_waits_for_an_entry_of_the_new_term():
+    """Guards against a replay that a later primary with an entry of a term in between drops."""
+    world = OwnerWorld()
+    world.fail_over('b', 3)
+    world.poll()
+    request_id = world.request(WRITE, idempotency_key='order-1')
+    world.finish(position=LogPosition(1, 10), replayed=True)
+    world.now += 0.01
+    world.poll()
+    assert request_id not in world.answers
+    world.targets['b'].last_term, world.targets['b'].offset = 3, 11
+    world.replicate()
+    world.now += 0.01
+    world.poll()
+    assert world.answers[request_id].error is None
