Test the guards of the owner role that its properties did not reach

Cause: the properties passed without the guards for the order of statements, for a late end of another request and for the term of an unchanged log.

Conclusion: each guard that was removed by hand makes a test fail; the two guards for the order of statements replace each other and fail only together.

--- a/tests/test_owner_refusals.py
+++ b/tests/test_owner_refusals.py
@@ -234,6 +234,45 @@
     assert not pool.connections
 
 
+def test_write_without_a_commit_waits_for_a_majority_of_its_own_term():
+    world = OwnerWorld()
+    world.fail_over('b', 2)
+    world.poll()
+    request_id = world.request(WRITE)
+    world.finish()
+    for name in ('a', 'c'):
+        world.targets[name].term = 1
+    for _ in range(2):
+        world.now += 0.01
+        world.poll()
+        assert request_id not in world.answers
+    world.targets['a'].term = 2
+    world.now += 0.01
+    world.poll()
+    assert world.answers[request_id].error is None
+
+
+def test_late_end_of_another_request_does_not_answer_the_running_one():
+    world = OwnerWorld()
+    request_id = world.request(WRITE)
+    run = world.statements[-1]
+    world.statements.append(replace(run, request_id='another'))
+    world.finish(SQL_ERROR)
+    assert request_id not in world.answers
+    assert world.state.targets['a'].running == 1
+
+
+def test_statements_of_a_transaction_run_one_at_a_time_and_in_order():
+    world = OwnerWorld()
+    world.request(BEGIN, **T1)
+    sent = [world.request(WRITE, **T1)]
+    world.finish()
+    sent.extend(world.request(WRITE, **T1) for _ in range(2))
+    for request_id in sent:
+        assert [run.request_id for run in world.statements] == [request_id]
+        world.finish()
+
+
 def test_write_under_an_old_term_is_unknown_at_once_after_a_promotion():
     world = OwnerWorld()
     committing = world.request(WRITE)
