Drop the connections of a target whose address changes

Cause: a target that is configured with another host or port kept connections to the former address.

Change: `replace_target`; `drop_connection` moves to `statements.py`.

Conclusion: a test covers it.

--- a/src/cassiaseam/owner/drain.py
+++ b/src/cassiaseam/owner/drain.py
@@ -1,6 +1,7 @@
 """Drain of targets, loss of ownership and shutdown of the daemon."""
 
-from cassiaseam.configuration.model import DatabaseConfig, TargetState
+from cassiaseam.configuration.model import DatabaseConfig, TargetConfig, TargetState
+from cassiaseam.owner.breaker import Breaker
 from cassiaseam.owner.pool import close_connection, close_idle_connections
 from cassiaseam.owner.state import (
     DatabaseState,
@@ -10,6 +11,7 @@
     Turn,
     schedule_timer,
 )
+from cassiaseam.owner.statements import drop_connection
 from cassiaseam.owner.transactions import abort_transaction
 from cassiaseam.reducer.node_state import NodeState
 
@@ -25,13 +27,23 @@
         if pool is None:
             database.targets[target.name] = TargetPool(target)
         else:
-            pool.config = target
-            pool.removed = False
+            replace_target(turn, pool, target)
     for pool in list(database.targets.values()):
         pool.removed = pool.config.name not in names
         update_drain(turn, pool)
 
 
+def replace_target(turn: Turn, pool: TargetPool, target: TargetConfig) -> None:
+    """Apply the configuration of a target; a new address makes its connections useless."""
+    moved = (pool.config.host, pool.config.port) != (target.host, target.port)
+    pool.config = target
+    if not moved:
+        return
+    pool.breaker = Breaker()
+    for connection in tuple(pool.connections.values()):
+        drop_connection(turn, connection, 'the target has a new address')
+
+
 def update_drain(turn: Turn, pool: TargetPool) -> None:
     """Start or end the drain of a target after a change of its state or status."""
     wanted = pool.removed or pool.config.state is TargetState.DRAINING or is_leaving(turn, pool)
--- a/src/cassiaseam/owner/incarnations.py
+++ b/src/cassiaseam/owner/incarnations.py
@@ -2,10 +2,8 @@
 
 from cassiaseam.owner.breaker import record_success
 from cassiaseam.owner.drain import update_drain
-from cassiaseam.owner.pool import close_connection
-from cassiaseam.owner.state import Connection, ConnectionPhase, TargetPool, Turn, is_monitored
-from cassiaseam.owner.statements import lose_connection
-from cassiaseam.owner.transactions import abort_transaction
+from cassiaseam.owner.state import ConnectionPhase, TargetPool, Turn, is_monitored
+from cassiaseam.owner.statements import drop_connection
 from cassiaseam.reducer.target_io import TargetStatusReceived
 
 
@@ -46,15 +44,4 @@
             continue
         # A connection opened after the poll started may belong to a still later incarnation.
         if connection.opened_at <= event.started_at:
-            drop_connection(turn, connection)
-
-
-def drop_connection(turn: Turn, connection: Connection) -> None:
-    """Close a connection whose target has restarted, and end what it was used for."""
-    transaction = connection.transaction
-    if connection.phase is ConnectionPhase.RUNNING:
-        lose_connection(turn, connection, 'the target has restarted')
-    elif transaction is not None:
-        abort_transaction(turn, transaction, 'the target has restarted', close=True)
-    else:
-        close_connection(turn, connection)
+            drop_connection(turn, connection, 'the target has restarted')
--- a/src/cassiaseam/owner/statements.py
+++ b/src/cassiaseam/owner/statements.py
@@ -32,6 +32,7 @@
 )
 from cassiaseam.owner.transactions import (
     CONNECTION_LOSSES,
+    abort_transaction,
     build_sql_error,
     finish_transaction_statement,
 )
@@ -240,6 +241,17 @@
     finish_statement(turn, event)
 
 
+def drop_connection(turn: Turn, connection: Connection, reason: str) -> None:
+    """Close a connection whose target is gone, and end what it was used for."""
+    transaction = connection.transaction
+    if connection.phase is ConnectionPhase.RUNNING:
+        lose_connection(turn, connection, reason)
+    elif transaction is not None:
+        abort_transaction(turn, transaction, reason, close=True)
+    else:
+        close_connection(turn, connection)
+
+
 def build_deadline_error(work: Work) -> RequestError:
     """Return the error for a request whose deadline passed."""
     return RequestError(
--- a/tests/test_owner_refusals.py
+++ b/tests/test_owner_refusals.py
@@ -416,6 +416,16 @@
     assert not world.state.targets['a'].connections
 
 
+def test_connections_to_a_former_address_are_not_used():
+    world = OwnerWorld()
+    world.request(WRITE)
+    world.commit()
+    targets = tuple(replace(target, port=3307) for target in world.config.targets)
+    world.group.config = replace(world.config, targets=targets)
+    world.send(DatabaseConfigured(world.group.config))
+    assert not world.state.targets['a'].connections
+
+
 def test_cancelled_request_gets_no_answer_and_frees_its_place():
     world = OwnerWorld(make_config(slots=1))
     running = world.request(WRITE)
