--- a/src/cassiaseam/group/handlers.py
+++ b/src/cassiaseam/group/handlers.py
@@ -5,11 +5,13 @@
     DatabaseConfigured,
     DatabaseRemoved,
     OwnershipChanged,
+    TargetState,
 )
 from cassiaseam.group.detection import (
     detect_departure,
     detect_failure,
     find_fenced_above,
+    is_settled,
     update_health,
 )
 from cassiaseam.group.events import PromotionRequested
@@ -21,6 +23,7 @@
     take_promote_answer,
 )
 from cassiaseam.group.monitoring import (
+    IDLE_POLL_S,
     expire_polls,
     fail_poll,
     hasten_rounds,
@@ -84,6 +87,7 @@
     if config is None or event.database in node_state.groups:
         return []
     group = GroupState(config, due_heap=node_state.group_due, next_round_at=now)
+    group.idle_phase_s = node_state.rng.uniform(0, IDLE_POLL_S)
     group.known_term = node_state.group_terms.get(event.database, 0)
     _apply_targets(group, config)
     node_state.groups[event.database] = group
@@ -209,16 +213,23 @@
     effects: list[Effect] = []
     if group.failover is not None:
         effects.extend(advance_failover(node_state, group, now))
-    elif now >= group.retry_at:
-        effects.extend(_start_needed_promotion(node_state, group, now))
-    if group.failover is None and group.no_primary_since is None:
-        effects.extend(repair_followers(node_state, group, now))
+    elif not is_settled(group):
+        effects.extend(_repair_group(node_state, group, now))
     hasten_rounds(group, now)
     effects.extend(start_due_polls(group, now))
     schedule_group(group, now)
     return effects
 
 
+def _repair_group(node_state: NodeState, group: GroupState, now: float) -> list[Effect]:
+    effects: list[Effect] = []
+    if now >= group.retry_at:
+        effects.extend(_start_needed_promotion(node_state, group, now))
+    if group.failover is None and group.no_primary_since is None:
+        effects.extend(repair_followers(node_state, group, now))
+    return effects
+
+
 def _start_needed_promotion(
     node_state: NodeState,
     group: GroupState,
@@ -266,6 +277,10 @@
 
 def _apply_targets(group: GroupState, config: DatabaseConfig) -> None:
     group.config = config
+    group.sampled_at.clear()
+    group.draining = frozenset(
+        target.name for target in config.targets if target.state is TargetState.DRAINING
+    )
     names = [target.name for target in config.targets]
     for name in group.targets.keys() - set(names):
         del group.targets[name]
