Report the owner's own cause and test the handover at a shutdown

Cause: after an owner that was cut off, the next-ranked daemon answered that it is no owner, and callers saw that instead of the cause. A reset of the connection also cleared the value of USER().

Ruled out: hiding NOT_OWNER for the first owner asked, where it is the cause.

--- a/src/cassiaseam/entry/caller_session.py
+++ b/src/cassiaseam/entry/caller_session.py
@@ -115,7 +115,9 @@
         self.runner.abandon_transaction()
         reset_session(self.state, self.runner.clock())
         self.runner.reset_options()
+        login_name = self.variables.get('external_user')
         self.variables._values.clear()
+        self.variables.set('external_user', login_name, force=True)
         self.login_done = False
 
     async def use(self, database: str) -> None:
--- a/src/cassiaseam/entry/forwarding.py
+++ b/src/cassiaseam/entry/forwarding.py
@@ -11,6 +11,7 @@
     NextStep,
     RetryBudget,
     choose_next_step,
+    choose_reported_error,
     describe_failure,
     describe_timeout,
 )
@@ -151,19 +152,20 @@
             return OwnedAnswer(Answer(request.request_id, error=error))
         maybe_ran = False
         asked = ''
+        failure: RequestError | None = None
         for position, owner in enumerate(owners):
             asked = owner
             answer = await self._send(owner, request)
             step = choose_next_step(request, answer.error)
+            failure = choose_reported_error(failure, answer.error)
             if answer.error is None or step is NextStep.RETURN:
                 break
             maybe_ran = maybe_ran or step is NextStep.RESEND
             is_last = position + 1 == len(owners)
             if step is NextStep.RESEND and not is_last and not self.budget.take_retry():
                 break
-        if answer.error is not None:
-            failure = describe_failure(request, answer.error, maybe_ran)
-            answer = replace(answer, error=failure)
+        if failure is not None:
+            answer = replace(answer, error=describe_failure(request, failure, maybe_ran))
         return OwnedAnswer(answer, asked)
 
     async def _send(self, owner: str, request: Request) -> Answer:
--- a/src/cassiaseam/entry/retries.py
+++ b/src/cassiaseam/entry/retries.py
@@ -49,6 +49,19 @@
     return request.kind is RequestKind.WRITE and request.idempotency_key is not None
 
 
+def choose_reported_error(
+    earlier: RequestError | None, latest: RequestError | None
+) -> RequestError | None:
+    """Return the error to report after a further attempt.
+
+    The next-ranked daemon mostly answers that it is no owner, which hides the cause that the
+    owner itself reported.
+    """
+    if latest is None or earlier is None or latest.kind is not ErrorKind.NOT_OWNER:
+        return latest
+    return earlier
+
+
 def describe_failure(request: Request, error: RequestError, maybe_ran: bool) -> RequestError:
     """Return the final error after the last attempt.
 
--- a/tests/daemon/test_runtime.py
+++ b/tests/daemon/test_runtime.py
@@ -113,7 +113,8 @@
     runtimes = {'vm1': first, 'vm2': second}
     yield runtimes
     for runtime in runtimes.values():
-        loop_thread.run(runtime.stop())
+        if not runtime.stopping:
+            loop_thread.run(runtime.stop())
 
 
 async def wait_for_agreement(runtimes):
@@ -143,6 +144,22 @@
         assert run(near, 'SELECT COUNT(*) FROM w') == ((11,),)
 
 
+@pytest.mark.parametrize('sql', ['INSERT INTO {table} VALUES ({n})', 'SELECT {n} FROM {table}'])
+def test_shutdown_of_an_owner_fails_no_statement_of_other_daemons(loop_thread, pair, sql):
+    owner = loop_thread.run(wait_for_agreement(pair))
+    other = next(vm for vm in pair if vm != owner)
+    table = f'handover_{len(sql)}'
+    with connect(pair[other]) as connection:
+        run(connection, f'CREATE TABLE {table} (id INT PRIMARY KEY)')
+        for number in range(20):
+            run(connection, sql.format(table=table, n=number))
+        stopping = asyncio.run_coroutine_threadsafe(pair[owner].stop(), loop_thread.loop)
+        for number in range(20, 120):
+            run(connection, sql.format(table=table, n=number))
+        assert stopping.result(10) is True
+        run(connection, sql.format(table=table, n=120))
+
+
 def test_entry_uses_the_next_owner_after_the_first_one_has_gone(loop_thread, pair):
     owner = loop_thread.run(wait_for_agreement(pair))
     other = next(vm for vm in pair if vm != owner)
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -58,6 +58,7 @@
         ('begin', {}, None, None, None, 1),
         ('write', {}, cut_off, None, None, 2),
         ('write', {}, ErrorKind.NO_PRIMARY, None, ErrorKind.NO_PRIMARY, 1),
+        ('write', {}, cut_off, ErrorKind.NOT_OWNER, ErrorKind.NO_PRIMARY, 2),
         ('write', {}, ErrorKind.OVERLOADED, None, ErrorKind.OVERLOADED, 1),
         ('write', {}, UNKNOWN, None, UNKNOWN, 1),
         ('write', KEYED, UNKNOWN, None, None, 2),
--- a/tests/entry/test_listener.py
+++ b/tests/entry/test_listener.py
@@ -308,3 +308,11 @@
         assert served.owner.requests[-1].database == 'labels'
     assert served.wait_until(lambda: 'rollback' in served.owner.kinds())
     connection.close()
+
+
+def test_text_of_several_packets_is_refused_without_ending_the_session(served):
+    with served.connect(autocommit=True, max_allowed_packet=1 << 26) as connection:
+        with pytest.raises(pymysql.err.MySQLError) as failure:
+            run(connection, 'SELECT ' + '1' * (20 << 20))
+        assert failure.value.args[0] == 1153
+        assert run(connection, 'SELECT 1 FROM t')
