Answer in the caller's character set and end a failed start with an error

Cause: rows were sent as utf8mb4 whatever the caller had chosen, so a latin1 caller read wrong characters. A stop during the start ran into services that did not exist yet.

Change: the character set of the handshake applies to results too, and characters outside of it become a question mark as in MySQL. A stop cancels a start under way. Property tests use fixed seeds.

Ruled out: letting the encoder fail, since the header of the rows has been sent by then and the connection would be unusable.

--- a/src/cassiaseam/daemon/supervision.py
+++ b/src/cassiaseam/daemon/supervision.py
@@ -47,6 +47,9 @@
             self.reactor.stop()
 
     def _stop(self) -> Deferred | None:
+        if self.starting is not None and not self.starting.done():
+            self.starting.cancel()
+            return None
         if self.runtime is None or self.exit_code:
             return None
         return Deferred.fromFuture(self.loop.create_task(self.runtime.stop()))
--- a/src/cassiaseam/entry/caller_session.py
+++ b/src/cassiaseam/entry/caller_session.py
@@ -84,6 +84,7 @@
         if self.database:
             refusal = self.directory.find_refusal(self.username, self.database)
         if refusal is None:
+            self._take_client_charset()
             self.state.caller = self.username
             self.state.database = self.database or ''
             refusal = self._apply_attributes(attributes)
@@ -191,6 +192,12 @@
             raise CallerError(RequestError(ErrorKind.UNSUPPORTED, message))
         super()._set_transaction(item)
 
+    def _take_client_charset(self) -> None:
+        # The character set of the handshake applies to all three variables, as in MySQL.
+        charset = self.variables.get('character_set_client')
+        for name in ('character_set_connection', 'character_set_results'):
+            self.variables.set(name, charset)
+
     def _apply_attributes(self, attributes: dict[str, str]) -> RequestError | None:
         for name, text in select_prefixed_options(attributes).items():
             if name == 'key':
@@ -226,7 +233,7 @@
         if found is None:
             return SentResultSet([], [])
         if found.columns:
-            return convert_result_set(found)
+            return convert_result_set(found, self.connection.server_charset)
         self.connection.set_counters(found.affected_rows, found.last_insert_id)
         return SentResultSet([], [])
 
--- a/src/cassiaseam/entry/packets.py
+++ b/src/cassiaseam/entry/packets.py
@@ -43,6 +43,7 @@
     ColumnType.LONG: 4,
     ColumnType.LONGLONG: 8,
 }
+_UNICODE_CHARSETS = frozenset((CharacterSet.utf8mb4, CharacterSet.utf8))
 _KNOWN_TYPES = {int(column_type): column_type for column_type in ColumnType}
 
 
@@ -81,24 +82,41 @@
     return b''.join(parts)
 
 
-def convert_result_set(result_set: ResultSet) -> SentResultSet:
-    """Return the rows of a target in the form that `mysql_mimic` sends."""
+def convert_result_set(result_set: ResultSet, charset: CharacterSet) -> SentResultSet:
+    """Return the rows of a target in the form that `mysql_mimic` sends.
+
+    Args:
+        result_set: Rows with their text as `str`.
+        charset: Character set that the caller wants; characters outside of it become `?`, as an
+            error in the middle of the rows would break the protocol.
+    """
     types = result_set.column_types
+    rows = result_set.rows
     columns = []
     for number, name in enumerate(result_set.columns):
         code = types[number] if number < len(types) else None
-        columns.append(_build_column(name, code, result_set.rows, number))
-    return SentResultSet(rows=result_set.rows, columns=columns)
+        columns.append(_build_column(name, code, rows, number, charset))
+    if charset not in _UNICODE_CHARSETS:
+        rows = tuple(_encode_row(row, charset.codec) for row in rows)
+    return SentResultSet(rows=rows, columns=columns)
+
+
+def _encode_row(row: tuple, codec: str) -> tuple:
+    return tuple(
+        field.encode(codec, 'replace') if isinstance(field, str) else field for field in row
+    )
 
 
-def _build_column(name: str, code: int | None, rows: tuple, number: int) -> ResultColumn:
+def _build_column(
+    name: str, code: int | None, rows: tuple, number: int, text_charset: CharacterSet
+) -> ResultColumn:
     sample = next((row[number] for row in rows if row[number] is not None), None)
     column_type = _KNOWN_TYPES.get(code) if code is not None else None
     if column_type is None:
         column_type = _infer_type(sample)
     if column_type in _UNUSABLE_TYPES:
         column_type = ColumnType.VAR_STRING
-    charset = CharacterSet.binary if isinstance(sample, bytes) else CharacterSet.utf8mb4
+    charset = CharacterSet.binary if isinstance(sample, bytes) else text_charset
     if column_type in _INTEGERS and not isinstance(sample, int | None):
         column_type = ColumnType.VAR_STRING
     encoder: Any = None
--- a/tests/daemon/test_main.py
+++ b/tests/daemon/test_main.py
@@ -1,4 +1,5 @@
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -105,3 +106,14 @@
     shown = capsys.readouterr().err
     assert 'place' in shown
     assert 'users' in shown
+
+
+def test_port_in_use_ends_the_program_with_an_error(tmp_path, group):
+    with socket.create_server(('127.0.0.1', 0)) as taken:
+        address = f'127.0.0.1:{taken.getsockname()[1]}'
+        listen = {'callers': address, 'peers': '127.0.0.1:0', 'admin': '127.0.0.1:0'}
+        path = write_settings(tmp_path, group, listen=listen)
+        command = [sys.executable, '-m', 'cassiaseam.daemon.main', '--settings', str(path)]
+        ended = subprocess.run(command, capture_output=True, text=True, timeout=20, check=False)
+    assert ended.returncode == 1
+    assert 'event=daemon_start_failed' in ended.stderr
--- a/tests/entry/test_classification.py
+++ b/tests/entry/test_classification.py
@@ -1,5 +1,5 @@
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from cassiaseam.entry.classification import classify_statement
@@ -73,11 +73,13 @@
     assert classify_statement(sql).needs_transaction
 
 
+@settings(derandomize=True)
 @given(st.text(), st.sampled_from(['INSERT INTO t VALUES (1)', 'DELETE FROM t', 'CALL p()']))
 def test_a_change_is_never_a_read_whatever_follows(tail, sql):
     assert classify_statement(f'{sql} {tail}').kind.value in {'write', 'refused'}
 
 
+@settings(derandomize=True)
 @given(st.text())
 def test_text_in_a_literal_does_not_change_the_kind(text):
     literal = text.replace('\\', '\\\\').replace("'", "''").replace('cassiaseam_', '')
--- a/tests/entry/test_listener.py
+++ b/tests/entry/test_listener.py
@@ -316,3 +316,19 @@
             run(connection, 'SELECT ' + '1' * (20 << 20))
         assert failure.value.args[0] == 1153
         assert run(connection, 'SELECT 1 FROM t')
+
+
+@pytest.mark.parametrize(
+    ('charset', 'expected'), [('latin1', 'é ?'), ('utf8mb4', 'é €'), ('utf8', 'é €')]
+)
+def test_text_outside_the_character_set_does_not_break_the_answer(served, charset, expected):
+    async def reply(request):
+        assert request.sql == "SELECT n FROM t WHERE a = 'é'"
+        rows = (('é €',),)
+        return Answer(request.request_id, ResultSet(('n',), rows, column_types=(253,)))
+
+    served.owner.replies["SELECT n FROM t WHERE a = 'é'"] = reply
+    with served.connect(autocommit=True, charset=charset) as connection:
+        rows = run(connection, "SELECT n FROM t WHERE a = 'é'")
+        assert rows[0] == (expected,)
+        assert run(connection, 'SELECT 1 FROM t')
--- a/tests/entry/test_options.py
+++ b/tests/entry/test_options.py
@@ -1,5 +1,5 @@
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from cassiaseam.entry.options import parse_duration, parse_leading_comment, validate_options
@@ -20,12 +20,14 @@
     assert parse_duration(text).is_err()
 
 
+@settings(derandomize=True)
 @given(st.dictionaries(names, plain))
 def test_options_survive_the_comment(options):
     text = ', '.join(f'{name}={value}' for name, value in options.items())
     assert parse_leading_comment(f'/* cassiaseam: {text} */ SELECT 1').unwrap() == options
 
 
+@settings(derandomize=True)
 @given(st.text())
 def test_any_comment_gives_options_or_an_error(text):
     parsed = parse_leading_comment(f'/* cassiaseam: {text} */ SELECT 1')
