Accept callers only when the other members are known

The tests run against the stand-in platform in place of a closed port, and one new test covers the start without a platform.

Ruled out: a shorter wait in the tests, which would not have shown callers arriving too early.

--- a/src/cassiaseam/daemon/runtime.py
+++ b/src/cassiaseam/daemon/runtime.py
@@ -29,6 +29,7 @@
 
 SHUTDOWN_LIMIT_S = 30.0
 SHUTDOWN_POLL_S = 0.02
+READY_POLL_S = 0.02
 Address = tuple[str, int]
 
 # Importing these modules registers the handlers and executors.
@@ -123,6 +124,7 @@
         self.targets.run_in_background(self.targets.close_idle_channels())
         if self.admin is not None:
             self.admin_port = await self.admin.start()
+        await self._wait_for_members()
         self.callers_port = await self.listener.start(*self.settings.callers)
         logging.info(
             'event=daemon_started vm=%s callers_port=%d peers_port=%d admin_port=%d',
@@ -132,6 +134,11 @@
             self.admin_port,
         )
 
+    async def _wait_for_members(self) -> None:
+        # Before it knows the other members, the daemon owns nothing and cannot name an owner.
+        while not self.node.state.membership.is_ready:
+            await asyncio.sleep(READY_POLL_S)
+
     async def stop(self) -> bool:
         """Let what is in flight end within the limit, then close everything.
 
--- a/tests/daemon/conftest.py
+++ b/tests/daemon/conftest.py
@@ -2,8 +2,10 @@
 import threading
 
 import pytest
+from twisted.internet.asyncioreactor import AsyncioSelectorReactor
 
-from cassiaseam_standin.group_launcher import start_group
+from cassiaseam_standin.group_launcher import start_group, start_platform
+from cassiaseam_standin.platform_http import build_platform_site
 
 
 class LoopThread:
@@ -30,6 +32,29 @@
     thread.stop()
 
 
+@pytest.fixture
+def platform_url(loop_thread):
+    """Stand-in platform in the loop of the daemons, empty for every test."""
+
+    async def listen():
+        reactor = AsyncioSelectorReactor(asyncio.get_running_loop())
+        return reactor.listenTCP(0, build_platform_site(reactor), interface='127.0.0.1')
+
+    async def close(port):
+        await port.stopListening().asFuture(asyncio.get_running_loop())
+
+    port = loop_thread.run(listen())
+    yield f'http://127.0.0.1:{port.getHost().port}'
+    loop_thread.run(close(port))
+
+
+@pytest.fixture
+def platform():
+    started = asyncio.run(start_platform())
+    yield started
+    started.kill()
+
+
 @pytest.fixture(scope='session')
 def group():
     started = asyncio.run(start_group())
--- a/tests/daemon/test_main.py
+++ b/tests/daemon/test_main.py
@@ -15,7 +15,8 @@
 START_PATTERN = 'event=daemon_started'
 
 
-def write_settings(folder, group, **changes):
+def write_settings(folder, group, platform=None, **changes):
+    platform_port = platform.port if platform else 9
     (folder / 'shop').write_text('secret')
     targets = [
         {'name': target.name, 'host': target.host, 'port': target.port, 'place': 'p1'}
@@ -30,7 +31,7 @@
             'peers': '127.0.0.1:0',
             'admin': '127.0.0.1:0',
         },
-        'platform': {'url': 'http://127.0.0.1:9'},
+        'platform': {'url': f'http://127.0.0.1:{platform_port}'},
         'users': [{'name': 'shop', 'password_file': 'shop', 'databases': ['orders']}],
         'databases': {'orders': {'targets': targets}},
         'limits': {'drain': '5s'},
@@ -42,9 +43,9 @@
 
 
 @pytest.fixture
-def program(tmp_path, group):
+def program(tmp_path, group, platform):
     command = [sys.executable, '-m', 'cassiaseam.daemon.main', '--settings']
-    command.append(str(write_settings(tmp_path, group)))
+    command.append(str(write_settings(tmp_path, group, platform)))
     process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
     yield process
     if process.poll() is None:
@@ -108,11 +109,11 @@
     assert 'users' in shown
 
 
-def test_port_in_use_ends_the_program_with_an_error(tmp_path, group):
+def test_port_in_use_ends_the_program_with_an_error(tmp_path, group, platform):
     with socket.create_server(('127.0.0.1', 0)) as taken:
         address = f'127.0.0.1:{taken.getsockname()[1]}'
         listen = {'callers': address, 'peers': '127.0.0.1:0', 'admin': '127.0.0.1:0'}
-        path = write_settings(tmp_path, group, listen=listen)
+        path = write_settings(tmp_path, group, platform, listen=listen)
         command = [sys.executable, '-m', 'cassiaseam.daemon.main', '--settings', str(path)]
         ended = subprocess.run(command, capture_output=True, text=True, timeout=20, check=False)
     assert ended.returncode == 1
--- a/tests/daemon/test_runtime.py
+++ b/tests/daemon/test_runtime.py
@@ -16,9 +16,8 @@
 LOGIN = CallerLogin('shop', hash_password('secret'), ('*',))
 
 
-def build_settings(group, vm='vm1', seeds=()):
-    # Nothing listens on the discard port, so the platform counts as down.
-    peers = PeerSettings(vm, 'p1', '127.0.0.1', 0, 'http://127.0.0.1:9', seeds=seeds)
+def build_settings(group, platform_url, vm='vm1', seeds=()):
+    peers = PeerSettings(vm, 'p1', '127.0.0.1', 0, platform_url, seeds=seeds)
     return RuntimeSettings(
         callers=LOOPBACK,
         peers=peers,
@@ -37,8 +36,8 @@
 
 
 @pytest.fixture
-def daemon(loop_thread, group):
-    runtime = loop_thread.run(start_daemon(build_settings(group), 1))
+def daemon(loop_thread, group, platform_url):
+    runtime = loop_thread.run(start_daemon(build_settings(group, platform_url), 1))
     yield runtime
     loop_thread.run(runtime.stop())
 
@@ -106,10 +105,10 @@
 
 
 @pytest.fixture
-def pair(loop_thread, group):
-    first = loop_thread.run(start_daemon(build_settings(group), 1))
+def pair(loop_thread, group, platform_url):
+    first = loop_thread.run(start_daemon(build_settings(group, platform_url), 1))
     seeds = (('127.0.0.1', first.peers.port),)
-    second = loop_thread.run(start_daemon(build_settings(group, 'vm2', seeds), 2))
+    second = loop_thread.run(start_daemon(build_settings(group, platform_url, 'vm2', seeds), 2))
     runtimes = {'vm1': first, 'vm2': second}
     yield runtimes
     for runtime in runtimes.values():
@@ -186,9 +185,9 @@
     raise AssertionError('no owner took over')
 
 
-def test_no_acknowledged_write_is_lost_when_the_primary_is_killed(loop_thread):
+def test_no_acknowledged_write_is_lost_when_the_primary_is_killed(loop_thread, platform_url):
     own = loop_thread.run(start_group())
-    runtime = loop_thread.run(start_daemon(build_settings(own), 3))
+    runtime = loop_thread.run(start_daemon(build_settings(own, platform_url), 3))
     try:
         with connect(runtime) as connection:
             write_until_accepted(connection, 'CREATE TABLE t (id INT PRIMARY KEY)')
@@ -207,3 +206,14 @@
     finally:
         loop_thread.run(runtime.stop())
         own.stop()
+
+
+def test_daemon_serves_without_a_platform(loop_thread, group):
+    # Nothing listens on the discard port, so the platform counts as down.
+    settings = build_settings(group, 'http://127.0.0.1:9')
+    runtime = loop_thread.run(start_daemon(settings, 1))
+    try:
+        with connect(runtime) as connection:
+            assert run(connection, 'SELECT 1') == ((1,),)
+    finally:
+        loop_thread.run(runtime.stop())
