Count the failover gap from the loss of the replicas

Change: the contact time goes back by the limit at which the loss is noticed. The docstring of the evidence module names what an owner cannot recognise.

--- a/src/cassiaseam/group/detection.py
+++ b/src/cassiaseam/group/detection.py
@@ -35,8 +35,13 @@
     group.no_primary_since = None
     cut = is_cut_from_replicas(group, HEARD_LIMIT_S, now)
     group.suspicious = cut or view.failures > 0
-    if not cut and group.failover is None:
+    if group.failover is not None:
+        return
+    if not cut:
         group.primary_contact_at = view.status_started_at
+    elif group.primary_contact_at is not None:
+        # Writes could not be acknowledged from the time on at which the replicas lost contact.
+        group.primary_contact_at = min(group.primary_contact_at, now - HEARD_LIMIT_S)
 
 
 def is_settled(group: GroupState) -> bool:
--- a/src/cassiaseam/group/evidence.py
+++ b/src/cassiaseam/group/evidence.py
@@ -1,7 +1,9 @@
 """What the reported statuses of a group prove.
 
 A target that restarted without its log may have forgotten entries that it acknowledged and fences
-that it granted. Its evidence counts again only when its log has caught up.
+that it granted. Its evidence counts again only when its log has caught up. An owner that started
+after the restart recognises such a target only while it is blank, because statuses do not tell
+that a partial log was longer before.
 """
 
 from cassiaseam.group.state import GroupState, TargetView
