--- /dev/null
+++ b/features/support/load.py
@@ -0,0 +1,320 @@
+"""Callers at work during a scenario, and the checks of their answers."""
+
+import asyncio
+import itertools
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+import aiomysql
+import pymysql
+from support.world import World, fetch, wait_until
+
+from cassiaseam.errors import ANSWERS, ErrorKind
+from cassiaseam_load.caller import CallerFailure, classify_failure
+from cassiaseam_load.checker import SessionLedger, Violations, WriteJournal, check_read, check_rows
+
+SESSIONS = 8
+PAUSE_S = 0.005
+KEY_ATTEMPTS = 4
+ROWS_PER_TRANSACTION = 3
+FINISH_LIMIT_S = 15.0
+NOT_ANSWERED = 'hanging'
+LOST = 'connection_lost'
+FAILURES = (pymysql.err.MySQLError, OSError, TimeoutError, asyncio.IncompleteReadError)
+
+
+class RequestFailed(Exception):
+    """A request was answered with an error or not at all."""
+
+    def __init__(self, failure: CallerFailure):
+        super().__init__(f'{failure}')
+        self.failure = failure
+
+
+@dataclass(slots=True)
+class Load:
+    """Callers of one scenario.
+
+    Attributes:
+        world: Installation.
+        deadline_s: Deadline that every request states.
+        margin_s: Time after the deadline that the network and this process may take.
+        interrupted: Failures that cut off a request, by kind and run state.
+        torn: Transactions of which only a part exists.
+        unannounced: Refusals that invite a retry without telling when.
+        in_flight: Daemon, start and number of the requests without an answer.
+        served: Time of sending and target of each served request.
+    """
+
+    world: World
+    deadline_s: float
+    margin_s: float
+    journal: WriteJournal = field(default_factory=WriteJournal)
+    violations: Violations = field(default_factory=Violations)
+    outcomes: Counter[str] = field(default_factory=Counter)
+    checked: Counter[str] = field(default_factory=Counter)
+    transactions: list[str] = field(default_factory=list)
+    torn: int = 0
+    unannounced: int = 0
+    in_flight: dict[int, str] = field(default_factory=dict)
+    watched: set[int] = field(default_factory=set)
+    interrupted: list[str] = field(default_factory=list)
+    served: list[tuple[float, str]] = field(default_factory=list)
+    stopping: bool = False
+    tasks: list[asyncio.Task] = field(default_factory=list)
+    sequence: itertools.count = field(default_factory=itertools.count)
+
+    @property
+    def label(self) -> str:
+        return f's{self.world.scenario}'
+
+    def start(self, sessions: int = SESSIONS) -> None:
+        for number in range(sessions):
+            session = LoadSession(self, number)
+            self.tasks.append(asyncio.create_task(session.run()))
+
+    async def wait_for_writes(self, count: int, limit_s: float) -> None:
+        """Wait until `count` more writes are acknowledged."""
+        goal = len(self.journal.acknowledged) + count
+
+        async def reached() -> bool:
+            return len(self.journal.acknowledged) >= goal
+
+        await wait_until(reached, limit_s, f'{count} writes; outcomes {dict(self.outcomes)}')
+
+    async def stop(self) -> None:
+        """Let the requests under way end and compare the rows with the answers."""
+        self.stopping = True
+        if not self.tasks:
+            return
+        done, pending = await asyncio.wait(self.tasks, timeout=FINISH_LIMIT_S)
+        self.tasks = []
+        self.violations.hanging += len(pending)
+        for task in pending:
+            task.cancel()
+        for task in done:
+            task.result()
+
+    async def compare_rows(self) -> None:
+        """Compare the rows that exist with the answers that were given."""
+        daemon = self.world.find_other_daemon()
+        like = f"SELECT row_id FROM proof_rows WHERE session_id LIKE '{self.label}-%'"
+        rows = [row[0] for row in await self.world.query(daemon, like)]
+        check_rows(self.journal, rows, self.violations)
+        known = self.journal.acknowledged | self.journal.refused | self.journal.unknown
+        for row in set(rows) - known:
+            self.violations.note(f'row {row} belongs to no request')
+            self.violations.foreign_answers += 1
+        parts = Counter(row.rsplit('.', 1)[0] for row in rows if '.' in row)
+        for transaction in self.transactions:
+            if parts[transaction] not in {0, ROWS_PER_TRANSACTION}:
+                self.torn += 1
+                self.violations.note(f'{parts[transaction]} rows of transaction {transaction}')
+
+    def describe(self) -> str:
+        return f'{self.violations} torn={self.torn} outcomes={dict(self.outcomes)}'
+
+
+class LoadSession:
+    """One caller: writes and reads its own rows on changing daemons."""
+
+    def __init__(self, load: Load, number: int):
+        self.load = load
+        self.ledger = SessionLedger(f'{load.label}-{number}')
+        self.rng = random.Random(number)
+        self.turn = number
+        self.daemon = ''
+        self.connection: aiomysql.Connection | None = None
+
+    async def run(self) -> None:
+        actions = (self.write_plain, self.write_keyed, self.run_transaction, self.read_rows)
+        moves = (self.stay, self.move_with_token, self.move_without_token)
+        while not self.load.stopping:
+            try:
+                await self.rng.choices(actions, (3, 3, 2, 1))[0]()
+                await self.rng.choices(moves, (4, 3, 2))[0]()
+                await self.read_rows()
+            except RequestFailed:
+                pass
+            except ConnectionError:
+                self.drop()
+            await asyncio.sleep(PAUSE_S)
+        self.drop()
+
+    def drop(self) -> None:
+        if self.connection is not None:
+            self.connection.close()
+        self.connection = None
+
+    async def connect(self) -> aiomysql.Connection:
+        if self.connection is None:
+            self.turn += 1
+            live = self.load.world.list_live_daemons()
+            daemon = live[self.turn % len(live)]
+            self.connection = await self.load.world.connect(daemon)
+            self.daemon = daemon.vm
+        return self.connection
+
+    async def send(self, sql: str, options: str = '') -> tuple[tuple, ...]:
+        """Send one request and return its rows.
+
+        Raises:
+            RequestFailed: It was refused, or there was no answer.
+        """
+        load = self.load
+        connection = await self.connect()
+        hint = f'/* cassiaseam: deadline={int(load.deadline_s * 1000)}ms{options} */ '
+        number = next(load.sequence)
+        load.in_flight[number] = self.daemon
+        try:
+            async with asyncio.timeout(load.deadline_s + load.margin_s):
+                rows = await fetch(connection, hint + sql)
+        except FAILURES as error:
+            raise RequestFailed(self.note_failure(number, sql, error)) from error
+        finally:
+            load.in_flight.pop(number, None)
+        load.outcomes['ok'] += 1
+        return rows
+
+    def note_failure(self, number: int, sql: str, error: Exception) -> CallerFailure:
+        load = self.load
+        failure = classify_failure(error)
+        load.outcomes[f'{failure.kind}/{failure.ran}'] += 1
+        if number in load.watched:
+            load.interrupted.append(f'{self.daemon}: {error}')
+        if failure.kind == NOT_ANSWERED and self.daemon not in load.world.frozen:
+            load.violations.hanging += 1
+            load.violations.note(f'no answer of {self.daemon} to {sql}')
+        if failure.kind in {NOT_ANSWERED, LOST}:
+            self.drop()
+        elif ANSWERS[ErrorKind(failure.kind)].retryable and 'retry_after_ms=' not in str(error):
+            load.unannounced += 1
+            load.violations.note(f'no time to come back in {error}')
+        return failure
+
+    def build_insert(self, row: str, number: int) -> str:
+        values = f"('{row}', '{self.ledger.session}', {number})"
+        return f'INSERT INTO proof_rows (row_id, session_id, number) VALUES {values}'
+
+    def take_number(self) -> int:
+        self.ledger.next_number += 1
+        return self.ledger.next_number
+
+    async def write_plain(self) -> None:
+        number = self.take_number()
+        row = f'{self.ledger.session}/{number}'
+        await self.record(row, number, self.send(self.build_insert(row, number)))
+
+    async def record(self, row: str, number: int, sending) -> None:
+        """Record the outcome of one write."""
+        journal = self.load.journal
+        try:
+            await sending
+        except ConnectionError:
+            journal.refused.add(row)
+            raise
+        except RequestFailed as failed:
+            known = journal.refused if failed.failure.ran == 'no' else journal.unknown
+            known.add(row)
+            raise
+        journal.acknowledged.add(row)
+        self.ledger.acknowledged = number
+
+    async def write_keyed(self) -> None:
+        """Submit one write under its key until it is acknowledged."""
+        number = self.take_number()
+        row = f'{self.ledger.session}/{number}'
+        await self.record(row, number, self.submit_until_acknowledged(row, number))
+
+    async def submit_until_acknowledged(self, row: str, number: int) -> None:
+        sql = self.build_insert(row, number)
+        maybe_ran = False
+        for _ in range(KEY_ATTEMPTS):
+            try:
+                await self.send(sql, f', key={row}, repeatable=no')
+            except ConnectionError:
+                self.drop()
+            except RequestFailed as failed:
+                maybe_ran = maybe_ran or failed.failure.ran != 'no'
+                self.drop()
+            else:
+                self.load.checked['keyed'] += 1
+                return
+            await asyncio.sleep(PAUSE_S)
+        raise RequestFailed(CallerFailure('given_up', 'unknown' if maybe_ran else 'no'))
+
+    async def run_transaction(self) -> None:
+        """Insert three rows in one transaction and commit it or roll it back."""
+        number = self.take_number()
+        name = f'{self.ledger.session}/{number}'
+        rows = {f'{name}.{part}' for part in range(ROWS_PER_TRANSACTION)}
+        journal = self.load.journal
+        self.load.transactions.append(name)
+        try:
+            await self.fill_transaction(name, rows, number)
+            if self.rng.random() < 0.3:
+                await self.send('ROLLBACK')
+                journal.refused |= rows
+                return
+        except (RequestFailed, ConnectionError):
+            # COMMIT was not sent; without the connection the transaction is rolled back.
+            journal.refused |= rows
+            self.drop()
+            raise
+        try:
+            await self.send('COMMIT')
+        except RequestFailed as failed:
+            known = journal.refused if failed.failure.ran == 'no' else journal.unknown
+            known |= rows
+            raise
+        journal.acknowledged |= rows
+        self.ledger.acknowledged = number
+
+    async def fill_transaction(self, name: str, rows: set[str], number: int) -> None:
+        await self.send('BEGIN')
+        for row in sorted(rows):
+            await self.send(self.build_insert(row, number))
+        count = f"SELECT COUNT(*) FROM proof_rows WHERE row_id LIKE '{name}.%'"
+        found = (await self.send(count))[0][0]
+        self.load.checked['transaction'] += 1
+        if found != ROWS_PER_TRANSACTION:
+            self.load.torn += 1
+            self.load.violations.note(f'transaction {name} saw {found} rows of its own')
+
+    async def read_rows(self) -> None:
+        """Read what this session wrote, with or without an accepted age."""
+        aged = self.rng.random() < 0.6
+        expected = self.ledger.acknowledged
+        session = self.ledger.session
+        nonce = f'{session}#{next(self.load.sequence)}'
+        sql = (
+            f"SELECT '{nonce}', MAX(number) FROM proof_rows WHERE session_id = '{session}'"
+        )
+        rows = await self.send(sql, ', max_age=5s' if aged else '')
+        answered, number = rows[0]
+        sender = session if answered == nonce else answered
+        check_read(self.ledger, (sender, number), expected, self.load.violations)
+        self.load.checked['aged' if aged else 'plain'] += 1
+        await self.note_target()
+
+    async def note_target(self) -> None:
+        sent_s = asyncio.get_running_loop().time()
+        target = (await self.send('SELECT @cassiaseam_last_target'))[0][0]
+        self.load.served.append((sent_s, target))
+
+    async def stay(self) -> None:
+        return
+
+    async def move_with_token(self) -> None:
+        """Move to another daemon and carry the floor there."""
+        token = (await self.send('SELECT @cassiaseam_token'))[0][0]
+        self.drop()
+        if token is not None:
+            await self.send(f"SET @cassiaseam_token = '{token}'")
+            self.load.checked['token'] += 1
+
+    async def move_without_token(self) -> None:
+        """Move to another daemon that has to derive the floor."""
+        self.drop()
+        self.load.checked['no token'] += 1
--- /dev/null
+++ b/features/support/world.py
@@ -0,0 +1,233 @@
+"""One installation of separate processes that the scenarios share."""
+
+import asyncio
+import json
+import urllib.error
+import urllib.request
+
+import aiomysql
+import pymysql
+
+from cassiaseam.membership.ranking import compute_score
+from cassiaseam.messages import TargetRole, TargetStatus
+from cassiaseam_standin.cluster import (
+    ADMIN_TOKEN,
+    CALLER_PASSWORD,
+    CALLER_USER,
+    Cluster,
+    ClusterShape,
+    start_cluster,
+)
+from cassiaseam_standin.daemon_process import DaemonProcess
+from cassiaseam_standin.faults import FaultSwitches
+from cassiaseam_standin.group_control import LOOPBACK, GroupError
+
+DATABASE = 'orders'
+STATEMENT_MS = 2
+HEAL_LIMIT_S = 25.0
+POLL_S = 0.03
+CONNECT_LIMIT_S = 2.0
+FAULT_DEFAULTS = {
+    'replication_pause': 'off',
+    'replication_delay_ms': '0',
+    'apply_delay_ms': '0',
+    'cut_from': '',
+    'client_cut': 'off',
+    'statement_delay_ms': '0',
+    'drop_before_commit': '0',
+    'drop_after_commit': '0',
+    'leaving': 'off',
+}
+PLATFORM_DEFAULTS = {'down': False, 'delay_ms': 0, 'lose_next_write_answers': 0, 'vm_lag_ms': 0}
+TABLE_SQL = (
+    'CREATE TABLE IF NOT EXISTS proof_rows (id INTEGER PRIMARY KEY AUTO_INCREMENT, '
+    'row_id VARCHAR(60), session_id VARCHAR(40), number INTEGER)'
+)
+assert set(FAULT_DEFAULTS) == set(FaultSwitches.__slots__)
+
+
+class World:
+    """The installation, with what the scenarios did to it.
+
+    Attributes:
+        cluster: Processes.
+        frozen: Daemons that are stopped by SIGSTOP.
+        scenario: Number of the scenario at work; part of every row.
+    """
+
+    def __init__(self):
+        self.cluster: Cluster | None = None
+        self.frozen: set[str] = set()
+        self.scenario = 0
+
+    async def start(self) -> None:
+        arguments = (f'--statement-ms={STATEMENT_MS}',)
+        self.cluster = await start_cluster(ClusterShape(target_arguments=arguments))
+
+    @property
+    def group(self):
+        return self.cluster.groups[DATABASE]
+
+    def list_targets(self) -> list[str]:
+        return list(self.group.targets)
+
+    def list_live_daemons(self) -> list[DaemonProcess]:
+        daemons = self.cluster.list_daemons()
+        return [d for d in daemons if d.process is not None and d.vm not in self.frozen]
+
+    def find_owner(self) -> DaemonProcess:
+        live = self.list_live_daemons()
+        return max(live, key=lambda daemon: compute_score(DATABASE, daemon.vm))
+
+    def find_other_daemon(self) -> DaemonProcess:
+        """Return a daemon that does not own the database."""
+        live = self.list_live_daemons()
+        return min(live, key=lambda daemon: compute_score(DATABASE, daemon.vm))
+
+    async def connect(self, daemon: DaemonProcess) -> aiomysql.Connection:
+        """Open a caller's connection.
+
+        Raises:
+            ConnectionError: The daemon does not accept it in time.
+        """
+        try:
+            async with asyncio.timeout(CONNECT_LIMIT_S):
+                return await aiomysql.connect(
+                    host=LOOPBACK,
+                    port=daemon.ports.callers,
+                    user=CALLER_USER,
+                    password=CALLER_PASSWORD,
+                    db=DATABASE,
+                    autocommit=True,
+                )
+        except (pymysql.err.MySQLError, OSError, TimeoutError) as error:
+            raise ConnectionError(f'{daemon.vm}: {error!r}') from error
+
+    async def query(self, daemon: DaemonProcess, sql: str) -> tuple[tuple, ...]:
+        """Run one statement on a connection of its own."""
+        connection = await self.connect(daemon)
+        try:
+            return await fetch(connection, sql)
+        finally:
+            connection.close()
+
+    async def read_statuses(self) -> dict[str, TargetStatus]:
+        """Return the status of every target that answers."""
+        found = await asyncio.gather(
+            *(self._read_status(name) for name in self.list_targets())
+        )
+        return {status.instance: status for status in found if status is not None}
+
+    async def _read_status(self, name: str) -> TargetStatus | None:
+        if self.group.targets[name].process is None:
+            return None
+        try:
+            async with asyncio.timeout(0.5):
+                return await self.group.read_status(name)
+        except (GroupError, TimeoutError, OSError, pymysql.err.MySQLError):
+            return None
+
+    async def find_primary(self) -> TargetStatus | None:
+        """Return the status of the primary of the highest term."""
+        statuses = (await self.read_statuses()).values()
+        primaries = [found for found in statuses if found.role is TargetRole.PRIMARY]
+        return max(primaries, key=lambda found: found.term, default=None)
+
+    async def set_fault(self, target: str, fault: str, setting: object) -> None:
+        await self.group.set_fault(target, fault, str(setting))
+
+    async def set_platform(self, **faults: object) -> None:
+        url = f'http://{LOOPBACK}:{self.cluster.platform.port}/faults'
+        await asyncio.to_thread(call_http, 'PUT', url, faults)
+
+    async def call_admin(self, daemon: DaemonProcess, path: str, body: dict | None = None):
+        """Return status and JSON of one call of the administration API."""
+        url = f'http://{LOOPBACK}:{daemon.ports.admin}{path}'
+        method = 'GET' if body is None else 'POST'
+        return await asyncio.to_thread(call_http, method, url, body)
+
+    async def read_shards(self, daemon: DaemonProcess) -> dict[str, int]:
+        """Return the version per configuration shard of one daemon."""
+        _, status = await self.call_admin(daemon, '/v1/status')
+        return status['configuration']['shards']
+
+    async def heal(self) -> None:
+        """End all faults and wait until every process works again.
+
+        Raises:
+            AssertionError: The installation does not recover within the limit.
+        """
+        for daemon in self.cluster.list_daemons():
+            daemon.resume()
+        self.frozen.clear()
+        await self.set_platform(**PLATFORM_DEFAULTS)
+        for target in self.group.targets.values():
+            target.resume()
+            if target.process is None:
+                await target.restart()
+        await asyncio.gather(*(self._clear_faults(name) for name in self.list_targets()))
+        for daemon in self.cluster.list_daemons():
+            if daemon.process is None:
+                daemon.start()
+                await daemon.wait_until_listening()
+        await wait_until(self.is_whole, HEAL_LIMIT_S, 'the installation is whole again')
+
+    async def _clear_faults(self, name: str) -> None:
+        connection = await self.group.connect(name)
+        try:
+            for fault, setting in FAULT_DEFAULTS.items():
+                await connection.protocol.query(f"CALL standin_fault('{fault}', '{setting}')")
+        finally:
+            connection.close()
+
+    async def is_whole(self) -> bool:
+        """Return whether one primary has two followers and all daemons serve writes."""
+        statuses = await self.read_statuses()
+        primary = await self.find_primary()
+        if primary is None or len(statuses) != len(self.list_targets()):
+            return False
+        for status in statuses.values():
+            follows = status.instance == primary.instance or status.follows == primary.instance
+            if not follows or status.term != primary.term or status.leaving:
+                return False
+            if not status.applied.covers(primary.last):
+                return False
+        return all([await self._serves(daemon) for daemon in self.cluster.list_daemons()])
+
+    async def _serves(self, daemon: DaemonProcess) -> bool:
+        try:
+            _, status = await self.call_admin(daemon, '/v1/status')
+            if status['members']['alive'] != len(self.cluster.daemons):
+                return False
+            await self.query(daemon, TABLE_SQL)
+        except (ConnectionError, OSError, TimeoutError, pymysql.err.MySQLError):
+            return False
+        return True
+
+
+async def fetch(connection: aiomysql.Connection, sql: str) -> tuple[tuple, ...]:
+    """Run one statement and return its rows."""
+    async with connection.cursor() as cursor:
+        await cursor.execute(sql)
+        return tuple(await cursor.fetchall())
+
+
+async def wait_until(condition, limit_s: float, expected: str) -> None:
+    """Poll an asynchronous condition; raises `AssertionError` at the limit."""
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + limit_s
+    while not await condition():
+        assert loop.time() < end_s, f'not within {limit_s} s: {expected}'
+        await asyncio.sleep(POLL_S)
+
+
+def call_http(method: str, url: str, body: dict | None) -> tuple[int, dict]:
+    """Return status and JSON of one HTTP call."""
+    data = None if body is None else json.dumps(body).encode()
+    headers = {'Authorization': f'Bearer {ADMIN_TOKEN}'}
+    call = urllib.request.Request(url, data=data, headers=headers, method=method)
+    try:
+        with urllib.request.urlopen(call, timeout=10) as answer:
+            return answer.status, json.loads(answer.read() or b'{}')
+    except urllib.error.HTTPError as error:
+        return error.code, json.loads(error.read() or b'{}')
