Run statements of transactions that hold locks without a free slot

Cause: autocommit writes that wait for a lock of an open transaction occupied all write slots of the primary, so the COMMIT that would release the lock was never sent. Both sides waited until the deadline and ended as outcome unknown. Seen without any fault: 8 callers that mix writes and transactions. A reserved slot was ruled out, because a first statement of a second transaction may wait for the lock in that slot. Change: a transaction that sent a statement runs the next ones without a free slot; the connections that transactions may hold bound their number. An aborted transaction now always tells when to come back. Conclusion: test_commit_runs_although_writes_that_wait_for_its_locks_occupy_all_slots fails without the change.

--- a/features/support/faults.py
+++ b/features/support/faults.py
@@ -5,11 +5,10 @@
 
 from collections.abc import Awaitable, Callable
 
+from cassiaseam_standin.daemon_process import DaemonProcess
 from support.load import Load
 from support.world import World
 
-from cassiaseam_standin.daemon_process import DaemonProcess
-
 Condition = Callable[[], Awaitable[bool]]
 Fault = Callable[[World, Load], Awaitable[Condition]]
 FAULTS: dict[str, Fault] = {}
--- a/features/support/load.py
+++ b/features/support/load.py
@@ -8,11 +8,11 @@
 
 import aiomysql
 import pymysql
-from support.world import World, fetch, wait_until
 
 from cassiaseam.errors import ANSWERS, ErrorKind
 from cassiaseam_load.caller import CallerFailure, classify_failure
 from cassiaseam_load.checker import SessionLedger, Violations, WriteJournal, check_read, check_rows
+from support.world import World, fetch, wait_until
 
 SESSIONS = 8
 PAUSE_S = 0.005
@@ -288,9 +288,7 @@
         expected = self.ledger.acknowledged
         session = self.ledger.session
         nonce = f'{session}#{next(self.load.sequence)}'
-        sql = (
-            f"SELECT '{nonce}', MAX(number) FROM proof_rows WHERE session_id = '{session}'"
-        )
+        sql = f"SELECT '{nonce}', MAX(number) FROM proof_rows WHERE session_id = '{session}'"
         rows = await self.send(sql, ', max_age=5s' if aged else '')
         answered, number = rows[0]
         sender = session if answered == nonce else answered
--- a/features/support/world.py
+++ b/features/support/world.py
@@ -113,9 +113,7 @@
 
     async def read_statuses(self) -> dict[str, TargetStatus]:
         """Return the status of every target that answers."""
-        found = await asyncio.gather(
-            *(self._read_status(name) for name in self.list_targets())
-        )
+        found = await asyncio.gather(*(self._read_status(name) for name in self.list_targets()))
         return {status.instance: status for status in found if status is not None}
 
     async def _read_status(self, name: str) -> TargetStatus | None:
--- a/src/cassiaseam/entry/statements.py
+++ b/src/cassiaseam/entry/statements.py
@@ -14,6 +14,7 @@
     select_prefixed_options,
     validate_options,
 )
+from cassiaseam.entry.retries import RETRY_AFTER_S
 from cassiaseam.entry.session_state import (
     OpenTransaction,
     SessionState,
@@ -310,4 +311,5 @@
     if error.kind is ErrorKind.TRANSACTION_ABORTED:
         return error
     message = f'{error.kind.value}: {error.message}'
-    return RequestError(ErrorKind.TRANSACTION_ABORTED, message, error.retry_after_s)
+    after_s = RETRY_AFTER_S if error.retry_after_s is None else error.retry_after_s
+    return RequestError(ErrorKind.TRANSACTION_ABORTED, message, after_s)
--- a/src/cassiaseam/owner/state.py
+++ b/src/cassiaseam/owner/state.py
@@ -141,6 +141,7 @@
         waiting: Statements that wait for their turn, in order.
         running: Statement under way, or None.
         idle_since: Time in seconds at which the latest statement ended.
+        may_hold_locks: Whether a statement was sent that may have taken locks.
     """
 
     transaction_id: str
@@ -153,6 +154,7 @@
     waiting: deque[Work] = field(default_factory=deque)
     running: Work | None = None
     idle_since: float = 0
+    may_hold_locks: bool = False
 
 
 @dataclass(slots=True, eq=False)
--- a/src/cassiaseam/owner/transactions.py
+++ b/src/cassiaseam/owner/transactions.py
@@ -80,19 +80,36 @@
 
 
 def run_ready_statements(turn: Turn, pool: TargetPool) -> None:
-    """Run waiting statements of open transactions while the target has slots for them."""
-    while pool.ready and has_write_slot(pool):
+    """Run waiting statements of open transactions.
+
+    A transaction that may hold locks needs no free slot: autocommit writes that wait for its locks
+    could occupy all slots, and its COMMIT would never run. The number of these statements is
+    bounded by the connections that transactions may hold.
+    """
+    blocked = []
+    while pool.ready:
         transaction = pool.ready.popleft()
         connection = transaction.connection
         # Entries become stale when a transaction ends or its statement is withdrawn.
         stale = connection is None or connection.transaction is not transaction
         if stale or transaction.running is not None or not transaction.waiting:
             continue
-        work = transaction.waiting.popleft()
-        transaction.running = work
-        work.position = read_applied_position(turn, pool.config.name)
-        work.term = transaction.term
-        send_statement(turn, connection, work, MODES[work.request.kind])
+        if transaction.may_hold_locks or has_write_slot(pool):
+            run_next_statement(turn, transaction)
+        else:
+            blocked.append(transaction)
+    pool.ready.extend(blocked)
+
+
+def run_next_statement(turn: Turn, transaction: Transaction) -> None:
+    """Send the first waiting statement of a transaction."""
+    connection = transaction.connection
+    work = transaction.waiting.popleft()
+    transaction.running = work
+    transaction.may_hold_locks = True
+    work.position = read_applied_position(turn, connection.pool.config.name)
+    work.term = transaction.term
+    send_statement(turn, connection, work, MODES[work.request.kind])
 
 
 def start_begin(turn: Turn, connection: Connection, work: Work) -> None:
@@ -103,6 +120,7 @@
     transaction.term = turn.group.term
     work.term = turn.group.term
     keyed = work.request.idempotency_key is not None
+    transaction.may_hold_locks = keyed
     mode = ExecutionMode.KEYED_BEGIN if keyed else ExecutionMode.BEGIN
     send_statement(turn, connection, work, mode)
 
--- a/tests/test_owner_requests.py
+++ b/tests/test_owner_requests.py
@@ -1,4 +1,4 @@
-from owner_world import OwnerWorld
+from owner_world import OwnerWorld, make_config
 
 from cassiaseam.errors import ErrorKind
 from cassiaseam.messages import RequestKind
@@ -58,3 +58,17 @@
     ]
     late = world.request(WRITE, **fields)
     assert world.error(late) is ErrorKind.TRANSACTION_ABORTED
+
+
+def test_commit_runs_although_writes_that_wait_for_its_locks_occupy_all_slots():
+    world = OwnerWorld(config=make_config(slots=2))
+    fields = {'transaction_id': 't1'}
+    world.request(BEGIN, **fields)
+    world.finish()
+    world.request(WRITE, **fields)
+    world.finish()
+    world.request(WRITE)
+    assert [run.mode for run in world.statements] == [ExecutionMode.WRITE]
+    world.request(COMMIT, **fields)
+    modes = [run.mode for run in world.statements]
+    assert modes == [ExecutionMode.WRITE, ExecutionMode.COMMIT]
