Measure both workloads with make bench and bench-quick

Change: a registry of measurements over a cluster of processes on loopback, goals that only warn, checks of all answers that fail the run, and @cassiaseam_last_replica for callers.

--- a/src/cassiaseam/entry/caller_session.py
+++ b/src/cassiaseam/entry/caller_session.py
@@ -212,6 +212,8 @@
             return read_token(self.state)
         if name == 'cassiaseam_last_target':
             return self.state.last_target
+        if name == 'cassiaseam_last_replica':
+            return str(int(self.state.last_replica))
         option = name[len(OPTION_PREFIX) :]
         if option in OPTION_PARSERS:
             return self.state.option_texts.get(option)
--- a/src/cassiaseam/entry/session_state.py
+++ b/src/cassiaseam/entry/session_state.py
@@ -51,6 +51,7 @@
         autocommit: Whether statements outside a transaction commit on their own.
         transaction: Transaction in progress, or None.
         last_target: Target that served the latest statement, or ''.
+        last_replica: Whether that target was a replica.
         last_insert_id: Value that the latest insert generated, or 0.
         request_count: Requests built so far; part of their ids.
     """
@@ -65,6 +66,7 @@
     autocommit: bool = True
     transaction: OpenTransaction | None = None
     last_target: str = ''
+    last_replica: bool = False
     last_insert_id: int = 0
     request_count: int = 0
 
@@ -103,6 +105,7 @@
     """Take over what an answer says about positions, target and generated values."""
     if answer.target:
         state.last_target = answer.target
+        state.last_replica = answer.replica
     if answer.position.offset or answer.position.term:
         raise_floor(state, request.database, answer.position)
     if answer.result_set is not None and answer.result_set.last_insert_id:
@@ -156,4 +159,5 @@
     state.autocommit = True
     state.transaction = None
     state.last_target = ''
+    state.last_replica = False
     state.last_insert_id = 0
--- /dev/null
+++ b/src/cassiaseam_load/bench.py
@@ -0,0 +1,145 @@
+"""Program that measures both workloads and prints one JSON line per figure."""
+
+import argparse
+import asyncio
+import sys
+import time
+
+import pymysql
+
+from cassiaseam_load import direct_measures, failover_measures, idle_measures, load_measures
+from cassiaseam_load.figures import Figure, format_figure
+from cassiaseam_load.goals import find_missed_goal
+from cassiaseam_load.installation import Installation, InstallationError, start_installation
+from cassiaseam_load.measures import MEASURES, MeasureRun, RegisteredMeasure, Stage
+from cassiaseam_load.workloads import WORKLOADS, Workload
+from cassiaseam_standin.daemon_process import DaemonError
+from cassiaseam_standin.group_control import GroupError
+
+# Importing these modules registers the measurements.
+REGISTERED = (idle_measures, load_measures, direct_measures, failover_measures)
+
+
+def choose_measures(
+    workload: Workload, is_quick: bool, names: tuple[str, ...]
+) -> list[RegisteredMeasure]:
+    """Return the measurements of one workload; `names` limits them unless it is empty."""
+    chosen = [
+        found
+        for found in MEASURES
+        if workload.name in found.list_workloads(is_quick) and (not names or found.name in names)
+    ]
+    return sorted(chosen, key=lambda found: found.stage)
+
+
+def print_figure(figure: Figure) -> None:
+    """Print a figure, and a warning when it misses its goal."""
+    print(format_figure(figure), flush=True)
+    warning = find_missed_goal(figure)
+    if warning is not None:
+        print(warning, file=sys.stderr, flush=True)
+
+
+async def run_workload(
+    workload: Workload, chosen: list[RegisteredMeasure], is_quick: bool, load_done: asyncio.Event
+) -> int:
+    """Measure one workload and return the number of violations and failed measurements.
+
+    Args:
+        workload: Workload to start.
+        chosen: Measurements in their order.
+        is_quick: Whether the phases are short.
+        load_done: Set as soon as only measurements of faults remain, which load little.
+    """
+    if not chosen:
+        load_done.set()
+        return 0
+    installation = await start_installation(workload)
+    failed: list[int] = []
+    try:
+        for registered in chosen:
+            if registered.stage is Stage.FAULTS:
+                load_done.set()
+            failed.append(await run_measure(registered, MeasureRun(installation, is_quick)))
+        await installation.wait_until_healthy()
+        await installation.check_answers()
+    finally:
+        load_done.set()
+        installation.stop()
+    return sum(failed) + report_violations(installation)
+
+
+async def run_measure(registered: RegisteredMeasure, run: MeasureRun) -> int:
+    """Run one measurement and return 1 when it failed."""
+    started_s = time.monotonic()
+    try:
+        figures = await registered.measure(run)
+    except (InstallationError, OSError, pymysql.err.MySQLError) as error:
+        print(f'error: {registered.name} failed: {error}', file=sys.stderr, flush=True)
+        return 1
+    for figure in figures:
+        print_figure(figure)
+    elapsed_s = time.monotonic() - started_s
+    print(f'progress: {registered.name} took {elapsed_s:.1f} s', file=sys.stderr, flush=True)
+    return 0
+
+
+def report_violations(installation: Installation) -> int:
+    """Print the counts of wrong answers and return their sum."""
+    violations = installation.context.violations
+    workload = installation.workload.name
+    for name in violations.list_kinds():
+        print_figure(Figure(name, workload, getattr(violations, name), '1'))
+    for example in violations.examples:
+        print(f'violation: {example}', file=sys.stderr, flush=True)
+    return violations.count()
+
+
+async def run_guarded(
+    workload: Workload, is_quick: bool, names: tuple[str, ...], load_done: asyncio.Event
+) -> int:
+    """Measure one workload; an installation that does not work counts as one failure."""
+    chosen = choose_measures(workload, is_quick, names)
+    try:
+        return await run_workload(workload, chosen, is_quick, load_done)
+    except (InstallationError, GroupError, DaemonError) as error:
+        print(f'error: {workload.name}: {error}', file=sys.stderr, flush=True)
+        return 1
+
+
+async def run_bench(is_quick: bool, names: tuple[str, ...]) -> int:
+    """Run everything and return the exit code.
+
+    The quick bench starts the second workload while the first one measures faults, so that it
+    ends in time; the full bench runs one after the other.
+    """
+    running: list[asyncio.Task[int]] = []
+    for workload in WORKLOADS.values():
+        load_done = asyncio.Event()
+        task = asyncio.create_task(run_guarded(workload, is_quick, names, load_done))
+        running.append(task)
+        if is_quick:
+            await load_done.wait()
+        else:
+            await task
+    failures = await asyncio.gather(*running)
+    return 1 if any(failures) else 0
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the bench program."""
+    parser = argparse.ArgumentParser(description='measures cassiaseam on loopback')
+    parser.add_argument('--quick', action='store_true', help='short phases')
+    parser.add_argument(
+        '--only', action='append', default=[], metavar='NAME', help='measurement; repeatable'
+    )
+    parsed = parser.parse_args(arguments)
+    started_s = time.monotonic()
+    code = asyncio.run(run_bench(parsed.quick, tuple(parsed.only)))
+    elapsed_s = time.monotonic() - started_s
+    print(f'bench took {elapsed_s:.1f} s, exit code {code}', file=sys.stderr)
+    return code
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/src/cassiaseam_load/caller.py
+++ b/src/cassiaseam_load/caller.py
@@ -17,7 +17,7 @@
 CONNECT_TIMEOUT_S = 3.0
 CONNECT_ATTEMPTS = 6
 CONNECT_PAUSE_S = 0.1
-PLACEMENT_EVERY = 10
+PLACEMENT_EVERY = 5
 
 KIND_PATTERN = re.compile(r'kind=(\w+) ran=(\w+)')
 
@@ -52,13 +52,30 @@
 
 @dataclass(slots=True)
 class RunContext:
-    """What the sessions of one run share."""
+    """What the sessions of one run share.
+
+    Attributes:
+        endpoints: Daemons that sessions connect to.
+        recorder: Measurements of the phase under way.
+        violations: Wrong answers of the whole run.
+        journal: Outcome of every write of the whole run.
+        max_age_ms: Age of data that aged reads accept.
+        deadline_ms: Deadline that requests state; 0 leaves the daemon's default.
+        aged_reads: Answered reads that accept an age.
+    """
 
     endpoints: list[Endpoint]
     recorder: Recorder = field(default_factory=Recorder)
     violations: Violations = field(default_factory=Violations)
     journal: WriteJournal = field(default_factory=WriteJournal)
     max_age_ms: int = 5000
+    deadline_ms: int = 0
+    aged_reads: int = 0
+
+    def take_placement_turn(self) -> bool:
+        """Count an aged read and return whether its target is to be asked for."""
+        self.aged_reads += 1
+        return self.aged_reads % PLACEMENT_EVERY == 0
 
 
 class CallerSession:
@@ -70,7 +87,6 @@
         self.ledger = SessionLedger(identity)
         self.daemon = daemon
         self.connection: aiomysql.Connection | None = None
-        self.reads = 0
 
     async def connect(self) -> None:
         """Connect to the daemon in turn, or to the next one that accepts.
@@ -133,17 +149,16 @@
     async def read_own_rows(self, operation: Operation, due_s: float) -> None:
         """Read the highest number this session wrote and check it."""
         expected = self.ledger.acknowledged
-        hint = ''
+        hint = self.format_hint()
         if operation is Operation.AGED_READ:
-            hint = f'/* cassiaseam: max_age={self.context.max_age_ms}ms */ '
+            hint = self.format_hint(f'max_age={self.context.max_age_ms}ms')
         session = self.ledger.session
         sql = f"{hint}SELECT '{session}', MAX(number) FROM {TABLE} WHERE session_id = '{session}'"
         rows = await self.attempt(sql, due_s, is_read=True)
         if rows is None:
             return
         check_read(self.ledger, rows[0], expected, self.context.violations)
-        self.reads += 1
-        if self.reads % PLACEMENT_EVERY == 0:
+        if operation is Operation.AGED_READ and self.context.take_placement_turn():
             await self.record_placement()
 
     async def record_placement(self) -> None:
@@ -160,9 +175,9 @@
         number = self.ledger.next_number
         self.ledger.next_number += 1
         row = f'{self.ledger.session}/{number}'
-        hint = '/* cassiaseam: repeatable=no */ '
+        hint = self.format_hint('repeatable=no')
         if operation is Operation.KEYED_WRITE:
-            hint = f'/* cassiaseam: key={row}, repeatable=no */ '
+            hint = self.format_hint(f'key={row}', 'repeatable=no')
         values = f"('{row}', '{self.ledger.session}', {number})"
         sql = f'{hint}INSERT INTO {TABLE} (row_id, session_id, number) VALUES {values}'
         rows = await self.attempt(sql, due_s, is_read=False, row=row)
@@ -170,6 +185,12 @@
             self.context.journal.acknowledged.add(row)
             self.ledger.acknowledged = number
 
+    def format_hint(self, *options: str) -> str:
+        """Return the leading comment that states options of one request."""
+        deadline_ms = self.context.deadline_ms
+        stated = [*options, f'deadline={deadline_ms}ms'] if deadline_ms else options
+        return f'/* cassiaseam: {", ".join(stated)} */ ' if stated else ''
+
     async def attempt(
         self, sql: str, due_s: float, *, is_read: bool, row: str = ''
     ) -> tuple[tuple, ...] | None:
--- a/src/cassiaseam_load/checker.py
+++ b/src/cassiaseam_load/checker.py
@@ -4,6 +4,16 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+MAX_EXAMPLES = 10
+KINDS = (
+    'lost_writes',
+    'doubled_writes',
+    'ran_refused',
+    'stale_reads',
+    'foreign_answers',
+    'hanging',
+)
+
 
 @dataclass(slots=True)
 class SessionLedger:
@@ -42,16 +52,17 @@
     hanging: int = 0
     examples: list[str] = field(default_factory=list)
 
-    MAX_EXAMPLES = 10
+    def list_kinds(self) -> tuple[str, ...]:
+        """Return the names of the counts."""
+        return KINDS
 
     def count(self) -> int:
         """Return the number of violations of all kinds."""
-        kept = self.lost_writes + self.doubled_writes + self.ran_refused
-        return kept + self.stale_reads + self.foreign_answers + self.hanging
+        return sum(getattr(self, kind) for kind in KINDS)
 
     def note(self, example: str) -> None:
         """Keep an example for the report."""
-        if len(self.examples) < self.MAX_EXAMPLES:
+        if len(self.examples) < MAX_EXAMPLES:
             self.examples.append(example)
 
 
--- /dev/null
+++ b/src/cassiaseam_load/installation.py
@@ -0,0 +1,262 @@
+"""A running installation with load on it and the checks of its answers."""
+
+import asyncio
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from urllib.request import Request, urlopen
+
+from cassiaseam.messages import TargetRole, TargetStatus
+from cassiaseam.targets.connection import execute_sql
+from cassiaseam_load.caller import TABLE, CallerSession, Endpoint, RunContext
+from cassiaseam_load.checker import check_rows
+from cassiaseam_load.driver import SessionPool, make_sessions, run_schedule
+from cassiaseam_load.recorder import Recorder
+from cassiaseam_load.schedule import Arrival, generate_arrivals
+from cassiaseam_load.workloads import Workload
+from cassiaseam_standin.cluster import (
+    CALLER_PASSWORD,
+    CALLER_USER,
+    Cluster,
+    ClusterShape,
+    start_cluster,
+)
+from cassiaseam_standin.group_control import LOOPBACK
+from cassiaseam_standin.group_launcher import StandinGroup
+
+READY_LIMIT_S = 20.0
+HEALTHY_LIMIT_S = 12.0
+POLL_S = 0.05
+SETTLE_S = 0.5
+HTTP_TIMEOUT_S = 3.0
+TABLE_SQL = f"""CREATE TABLE IF NOT EXISTS {TABLE}
+    (row_id VARCHAR(80), session_id VARCHAR(60), number INT)"""
+INDEX_SQL = f'CREATE INDEX {TABLE}_session ON {TABLE} (session_id, number)'
+
+
+class InstallationError(Exception):
+    """The installation did not reach the state that a measurement needs."""
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Requests of one phase.
+
+    Attributes:
+        reads_per_s: Offered reads.
+        writes_per_s: Offered writes.
+        duration_s: Length in seconds.
+        seed: Seed of the schedule.
+        aged_share: Share of reads that accept an age; None takes that of the workload.
+        keyed_share: Share of keyed writes; None takes that of the workload.
+        roam_share: Share of requests before which the session moves to another daemon.
+    """
+
+    reads_per_s: float
+    writes_per_s: float
+    duration_s: float
+    seed: int = 1
+    aged_share: float | None = None
+    keyed_share: float | None = None
+    roam_share: float = 0
+
+
+def build_arrivals(workload: Workload, load: Load) -> Iterable[Arrival]:
+    """Return the schedule of a phase."""
+    total = load.reads_per_s + load.writes_per_s
+    aged = workload.aged_share if load.aged_share is None else load.aged_share
+    keyed = workload.keyed_share if load.keyed_share is None else load.keyed_share
+    mix = replace(
+        workload, read_share=load.reads_per_s / total, aged_share=aged, keyed_share=keyed
+    )
+    return generate_arrivals(mix, total, load.duration_s, load.seed)
+
+
+class Installation:
+    """One cluster under one workload.
+
+    Attributes:
+        workload: Mix of requests.
+        cluster: Processes.
+        context: What all sessions share; violations count over all phases.
+        pools: Session pools by label; sessions are used again by later phases.
+    """
+
+    def __init__(self, workload: Workload, cluster: Cluster):
+        self.workload = workload
+        self.cluster = cluster
+        endpoints = [
+            Endpoint(LOOPBACK, daemon.ports.callers, CALLER_USER, CALLER_PASSWORD)
+            for daemon in cluster.list_daemons()
+        ]
+        self.context = RunContext(endpoints, max_age_ms=workload.max_age_ms)
+        self.pools: dict[str, SessionPool] = {}
+
+    @property
+    def database(self) -> str:
+        """Return the name of the first database."""
+        return self.cluster.shape.databases[0]
+
+    @property
+    def group(self) -> StandinGroup:
+        """Return the targets of the first database."""
+        return self.cluster.groups[self.database]
+
+    async def create_tables(self) -> None:
+        """Create the table of the sessions in every database, once writes are taken.
+
+        Raises:
+            InstallationError: No write is taken within the limit.
+        """
+        for database in self.cluster.shape.databases:
+            session = CallerSession(self.context, database, 'setup', 0)
+            await self.repeat_until_answered(session, TABLE_SQL)
+            await self.repeat_until_answered(session, INDEX_SQL)
+            session.disconnect()
+
+    async def repeat_until_answered(self, session: CallerSession, sql: str) -> None:
+        """Run one statement until it is acknowledged; an object that exists counts as well."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + READY_LIMIT_S
+        message = ''
+        while loop.time() < end_s:
+            try:
+                await session.execute(sql)
+            except Exception as error:  # noqa: BLE001  (the last one is reported)
+                message = str(error)
+                if 'already exists' in message:
+                    return
+                await asyncio.sleep(POLL_S)
+            else:
+                return
+        raise InstallationError(f'{sql!r} got no answer: {message}')
+
+    async def open_pool(self, label: str, count: int) -> SessionPool:
+        """Return a pool of connected sessions, which is kept for later phases."""
+        if label not in self.pools:
+            sessions = make_sessions(self.context, self.cluster.shape.databases, count, label)
+            self.pools[label] = SessionPool(sessions)
+            await self.pools[label].connect_all()
+        return self.pools[label]
+
+    async def run_load(
+        self, pool: SessionPool, load: Load, *, deadline_ms: int = 0
+    ) -> tuple[Recorder, float]:
+        """Run one phase.
+
+        Returns:
+            Its measurements and the time in seconds at which it started.
+        """
+        recorder = Recorder()
+        self.context.recorder = recorder
+        self.context.deadline_ms = deadline_ms
+        arrivals = build_arrivals(self.workload, load)
+        started_s = await run_schedule(pool, arrivals, roam_share=load.roam_share, seed=load.seed)
+        return recorder, started_s
+
+    async def read_statuses(self) -> dict[str, TargetStatus]:
+        """Return the status of the targets of the first database that answer."""
+        names = [name for name, target in self.group.targets.items() if target.process is not None]
+        found = await asyncio.gather(
+            *(self.group.read_status(name) for name in names), return_exceptions=True
+        )
+        pairs = zip(names, found, strict=True)
+        return {name: status for name, status in pairs if isinstance(status, TargetStatus)}
+
+    async def find_primary(self) -> str:
+        """Return the primary of the highest term; raises `InstallationError` without one."""
+        statuses = await self.read_statuses()
+        leading = [
+            (status.term, name)
+            for name, status in statuses.items()
+            if status.role is TargetRole.PRIMARY
+        ]
+        if not leading:
+            raise InstallationError(f'no primary among {sorted(statuses)}')
+        return max(leading)[1]
+
+    async def wait_until_healthy(self) -> None:
+        """Wait until one primary leads and all other targets have caught up with it.
+
+        Raises:
+            InstallationError: That does not happen within the limit.
+        """
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + HEALTHY_LIMIT_S
+        while loop.time() < end_s:
+            statuses = await self.read_statuses()
+            if self.is_healthy(list(statuses.values())):
+                return
+            await asyncio.sleep(POLL_S)
+        raise InstallationError(f'targets did not recover: {statuses}')
+
+    def is_healthy(self, statuses: list[TargetStatus]) -> bool:
+        """Return whether all targets answer and follow one log."""
+        terms = {status.term for status in statuses}
+        primaries = [status for status in statuses if status.role is TargetRole.PRIMARY]
+        if len(statuses) < len(self.workload.places) or len(terms) > 1 or len(primaries) != 1:
+            return False
+        last = primaries[0].last
+        return all(status.applied.covers(last) for status in statuses)
+
+    async def check_answers(self) -> None:
+        """Compare the rows at the primaries with the answers of all phases."""
+        await asyncio.sleep(SETTLE_S)
+        connection = await self.group.connect(await self.find_primary())
+        try:
+            found = await execute_sql(connection.protocol, f'SELECT row_id FROM {TABLE}')
+        finally:
+            connection.close()
+        rows = [row[0] for row in found.rows]
+        check_rows(self.context.journal, rows, self.context.violations)
+
+    async def call_platform(self, method: str, path: str, body: dict | None = None) -> dict:
+        """Call the stand-in platform; raises OSError when it does not answer."""
+        return await asyncio.to_thread(
+            call_json, f'http://{LOOPBACK}:{self.cluster.platform.port}{path}', method, body
+        )
+
+    def stop(self) -> None:
+        """Close all sessions and end all processes."""
+        for pool in self.pools.values():
+            pool.disconnect_all()
+        self.cluster.stop()
+
+
+def call_json(url: str, method: str, body: dict | None = None, token: str = '') -> dict:
+    """Return the JSON answer of an HTTP call on loopback; raises OSError on an error status."""
+    encoded = None if body is None else json.dumps(body).encode()
+    headers = {'Content-Type': 'application/json'}
+    if token:
+        headers['Authorization'] = f'Bearer {token}'
+    request = Request(url, encoded, headers, method=method)
+    with urlopen(request, timeout=HTTP_TIMEOUT_S) as answer:
+        return json.loads(answer.read() or b'{}')
+
+
+async def start_installation(workload: Workload, databases: int = 1) -> Installation:
+    """Start the processes of a workload and create its tables.
+
+    Raises:
+        InstallationError: The installation takes no writes.
+        GroupError: A stand-in did not start.
+    """
+    shape = ClusterShape(
+        places=workload.places,
+        databases=workload.databases[:databases],
+        daemons=len(workload.places),
+        slots=workload.slots,
+        connections=workload.connections,
+        target_arguments=(
+            f'--statement-ms={workload.statement_ms}',
+            f'--latency-ms={workload.latency_ms}',
+        ),
+        log_level='warning',
+    )
+    installation = Installation(workload, await start_cluster(shape))
+    try:
+        await installation.create_tables()
+    except BaseException:
+        installation.stop()
+        raise
+    return installation
--- /dev/null
+++ b/src/cassiaseam_load/load_measures.py
@@ -0,0 +1,115 @@
+"""Latency and goodput at low load, at capacity and beyond it."""
+
+from cassiaseam_load.figures import Figure
+from cassiaseam_load.installation import Load
+from cassiaseam_load.measures import USEFUL_DEADLINE_MS, MeasureRun, measures
+from cassiaseam_load.recorder import Recorder, read_percentile_ms
+
+LOW_SHARE = 0.25
+OVERLOAD_FACTOR = 2
+SESSIONS = 400
+P99 = 99
+P50 = 50
+
+
+def scale_load(run: MeasureRun, reads: float, writes: float, duration_s: float) -> Load:
+    """Return a load given as multiples of the capacity for reads and for writes."""
+    workload = run.installation.workload
+    return Load(
+        reads * workload.read_capacity_per_s, writes * workload.write_capacity_per_s, duration_s
+    )
+
+
+async def run_phase(run: MeasureRun, load: Load) -> Recorder:
+    """Run one phase on the sessions that all load phases share."""
+    pool = await run.installation.open_pool('load', SESSIONS)
+    recorder, _ = await run.installation.run_load(pool, load, deadline_ms=USEFUL_DEADLINE_MS)
+    return recorder
+
+
+def compute_goodput(recorder: Recorder, load: Load) -> float:
+    """Return the useful answers per second."""
+    return recorder.useful / load.duration_s
+
+
+@measures('load')
+async def measure_load(run: MeasureRun) -> list[Figure]:
+    """Measure the same mix at low load, at capacity and at twice the capacity."""
+    duration_s = run.choose_duration_s(2, 8)
+    low = await run_phase(run, scale_load(run, LOW_SHARE, LOW_SHARE, duration_s))
+    writes = await run_phase(run, scale_load(run, LOW_SHARE, OVERLOAD_FACTOR, duration_s))
+    capacity_load = scale_load(run, 1, 1, duration_s)
+    capacity = await run_phase(run, capacity_load)
+    overload = scale_load(run, OVERLOAD_FACTOR, OVERLOAD_FACTOR, duration_s)
+    beyond = await run_phase(run, overload)
+    goodput = compute_goodput(capacity, capacity_load)
+    placed = low.placed_reads + capacity.placed_reads
+    replicas = low.replica_reads + capacity.replica_reads
+    idle_p99 = read_percentile_ms(low.reads, P99)
+    overload_p99 = read_percentile_ms(writes.reads, P99)
+    return [
+        run.build_figure('replica_read_share', replicas / max(1, placed), '1'),
+        run.build_figure('read_p99_ms_idle', idle_p99, 'ms'),
+        run.build_figure('read_p50_ms_idle', read_percentile_ms(low.reads, P50), 'ms'),
+        run.build_figure('write_p99_ms_idle', read_percentile_ms(low.writes, P99), 'ms'),
+        run.build_figure('read_p99_ms_write_overload', overload_p99, 'ms'),
+        run.build_figure('read_p99_ratio_write_overload', overload_p99 / idle_p99, '1'),
+        run.build_figure('read_p99_ms_overload', read_percentile_ms(beyond.reads, P99), 'ms'),
+        run.build_figure('write_p99_ms_overload', read_percentile_ms(beyond.writes, P99), 'ms'),
+        run.build_figure('goodput_at_capacity', goodput, '1/s'),
+        run.build_figure(
+            'goodput_ratio_overload', compute_goodput(beyond, overload) / goodput, '1'
+        ),
+        run.build_figure('not_run_answer_ms', read_percentile_ms(beyond.refusals, P99), 'ms'),
+    ]
+
+
+@measures('primary_reads', quick=('pumpa-core',))
+async def measure_primary_reads(run: MeasureRun) -> list[Figure]:
+    """Compare reads that accept an age with the same reads at the primary alone."""
+    duration_s = run.choose_duration_s(1.5, 6)
+    mixed = scale_load(run, 1, LOW_SHARE, duration_s)
+    aged = Load(mixed.reads_per_s, mixed.writes_per_s, duration_s, aged_share=1)
+    fresh = Load(mixed.reads_per_s, mixed.writes_per_s, duration_s, aged_share=0)
+    spread = await run_phase(run, aged)
+    primary = await run_phase(run, fresh)
+    return [
+        run.build_figure(
+            'read_goodput',
+            compute_goodput(spread, aged),
+            '1/s',
+            compute_goodput(primary, fresh),
+        ),
+        run.build_figure(
+            'read_p99_ms_at_capacity',
+            read_percentile_ms(spread.reads, P99),
+            'ms',
+            read_percentile_ms(primary.reads, P99),
+        ),
+    ]
+
+
+@measures('roaming', quick=('pumpa-core',))
+async def measure_roaming(run: MeasureRun) -> list[Figure]:
+    """Measure the first read on another daemon without a token, with the connect."""
+    duration_s = run.choose_duration_s(1.5, 6)
+    reads_per_s = LOW_SHARE * run.installation.workload.read_capacity_per_s
+    load = Load(reads_per_s, 0, duration_s, roam_share=1)
+    pool = await run.installation.open_pool('load', SESSIONS)
+    recorder, _ = await run.installation.run_load(pool, load)
+    return [run.build_figure('roaming_read_ms', read_percentile_ms(recorder.reads, P99), 'ms')]
+
+
+@measures('platform_outage', quick=('pumpa-core',))
+async def measure_platform_outage(run: MeasureRun) -> list[Figure]:
+    """Compare the goodput while the platform is down with that before."""
+    duration_s = run.choose_duration_s(1.5, 8)
+    load = scale_load(run, 0.5, 0.5, duration_s)
+    before = await run_phase(run, load)
+    await run.installation.call_platform('PUT', '/faults', {'down': True})
+    try:
+        during = await run_phase(run, load)
+    finally:
+        await run.installation.call_platform('PUT', '/faults', {'down': False})
+    ratio = compute_goodput(during, load) / compute_goodput(before, load)
+    return [run.build_figure('platform_outage_goodput_ratio', ratio, '1')]
--- a/src/cassiaseam_load/workloads.py
+++ b/src/cassiaseam_load/workloads.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+KEYED_STATEMENTS = 3
+
 
 @dataclass(frozen=True, slots=True)
 class Workload:
@@ -18,7 +20,7 @@
         read_share: Share of reads among the requests.
         aged_share: Share of reads that accept data of `max_age_ms`.
         max_age_ms: Accepted age of data.
-        keyed_share: Share of writes that carry an idempotency key and must run at most once.
+        keyed_share: Share of writes that carry an idempotency key.
     """
 
     name: str
@@ -35,13 +37,18 @@
 
     @property
     def read_capacity_per_s(self) -> float:
-        """Return the reads per second that the slots of all targets of one database allow."""
-        return len(self.places) * self.slots * 1000 / self.statement_ms
+        """Return the reads per second that the slots of all replicas of one database allow."""
+        return (len(self.places) - 1) * self.slots * 1000 / self.statement_ms
 
     @property
     def write_capacity_per_s(self) -> float:
-        """Return the writes per second that the slots of one primary allow."""
-        return max(1, self.slots - 1) * 1000 / self.statement_ms
+        """Return the writes per second that one primary allows.
+
+        A stand-in target runs one write transaction at a time whatever its slots; a keyed write
+        takes three statements in it.
+        """
+        statements = 1 + (KEYED_STATEMENTS - 1) * self.keyed_share
+        return 1000 / (self.statement_ms * statements)
 
 
 PUMPA_CORE = Workload(
@@ -55,7 +62,7 @@
     read_share=0.7,
     aged_share=0.9,
     max_age_ms=5000,
-    keyed_share=0.5,
+    keyed_share=0.2,
 )
 
 LABEL_CATALOGUE = Workload(
@@ -69,7 +76,7 @@
     read_share=0.9,
     aged_share=0.95,
     max_age_ms=2000,
-    keyed_share=0.5,
+    keyed_share=0.2,
 )
 
 WORKLOADS: dict[str, Workload] = {
