--- a/src/cassiaseam_load/bench.py
+++ b/src/cassiaseam_load/bench.py
@@ -4,6 +4,7 @@
 import asyncio
 import sys
 import time
+from dataclasses import dataclass
 
 import pymysql
 
@@ -20,6 +21,19 @@
 REGISTERED = (idle_measures, load_measures, direct_measures, failover_measures)
 
 
+@dataclass(frozen=True, slots=True)
+class LoadTurn:
+    """Order of workloads that run side by side.
+
+    Attributes:
+        start: Set when the workload may load the machine.
+        done: Set as soon as only measurements of faults remain, which load little.
+    """
+
+    start: asyncio.Event
+    done: asyncio.Event
+
+
 def choose_measures(
     workload: Workload, is_quick: bool, names: tuple[str, ...]
 ) -> list[RegisteredMeasure]:
@@ -41,7 +55,7 @@
 
 
 async def run_workload(
-    workload: Workload, chosen: list[RegisteredMeasure], is_quick: bool, load_done: asyncio.Event
+    workload: Workload, chosen: list[RegisteredMeasure], is_quick: bool, turn: LoadTurn
 ) -> int:
     """Measure one workload and return the number of violations and failed measurements.
 
@@ -49,22 +63,23 @@
         workload: Workload to start.
         chosen: Measurements in their order.
         is_quick: Whether the phases are short.
-        load_done: Set as soon as only measurements of faults remain, which load little.
+        turn: When to start to load the machine.
     """
     if not chosen:
-        load_done.set()
+        turn.done.set()
         return 0
     installation = await start_installation(workload)
     failed: list[int] = []
     try:
+        await turn.start.wait()
         for registered in chosen:
             if registered.stage is Stage.FAULTS:
-                load_done.set()
+                turn.done.set()
             failed.append(await run_measure(registered, MeasureRun(installation, is_quick)))
         await installation.wait_until_healthy()
         await installation.check_answers()
     finally:
-        load_done.set()
+        turn.done.set()
         installation.stop()
     return sum(failed) + report_violations(installation)
 
@@ -96,12 +111,12 @@
 
 
 async def run_guarded(
-    workload: Workload, is_quick: bool, names: tuple[str, ...], load_done: asyncio.Event
+    workload: Workload, is_quick: bool, names: tuple[str, ...], turn: LoadTurn
 ) -> int:
     """Measure one workload; an installation that does not work counts as one failure."""
     chosen = choose_measures(workload, is_quick, names)
     try:
-        return await run_workload(workload, chosen, is_quick, load_done)
+        return await run_workload(workload, chosen, is_quick, turn)
     except (InstallationError, GroupError, DaemonError) as error:
         print(f'error: {workload.name}: {error}', file=sys.stderr, flush=True)
         return 1
@@ -110,17 +125,18 @@
 async def run_bench(is_quick: bool, names: tuple[str, ...]) -> int:
     """Run everything and return the exit code.
 
-    The quick bench starts the second workload while the first one measures faults, so that it
-    ends in time; the full bench runs one after the other.
+    The quick bench starts both workloads at once and loads the second while the first one
+    measures faults, so that it ends in time; the full bench runs one after the other.
     """
     running: list[asyncio.Task[int]] = []
+    may_start = asyncio.Event()
+    may_start.set()
     for workload in WORKLOADS.values():
-        load_done = asyncio.Event()
-        task = asyncio.create_task(run_guarded(workload, is_quick, names, load_done))
+        turn = LoadTurn(may_start, asyncio.Event())
+        task = asyncio.create_task(run_guarded(workload, is_quick, names, turn))
         running.append(task)
-        if is_quick:
-            await load_done.wait()
-        else:
+        may_start = turn.done
+        if not is_quick:
             await task
     failures = await asyncio.gather(*running)
     return 1 if any(failures) else 0
--- a/src/cassiaseam_load/load_measures.py
+++ b/src/cassiaseam_load/load_measures.py
@@ -1,5 +1,7 @@
 """Latency and goodput at low load, at capacity and beyond it."""
 
+from dataclasses import dataclass
+
 from cassiaseam_load.figures import Figure
 from cassiaseam_load.installation import Load
 from cassiaseam_load.measures import USEFUL_DEADLINE_MS, MeasureRun, measures
@@ -10,6 +12,8 @@
 SESSIONS = 400
 P99 = 99
 P50 = 50
+# Queues fill up in the first part of a phase; goodput is measured after it.
+WARM_UP_SHARE = 0.4
 
 
 def scale_load(run: MeasureRun, reads: float, writes: float, duration_s: float) -> Load:
@@ -20,16 +24,28 @@
     )
 
 
-async def run_phase(run: MeasureRun, load: Load) -> Recorder:
-    """Run one phase on the sessions that all load phases share."""
-    pool = await run.installation.open_pool('load', SESSIONS)
-    recorder, _ = await run.installation.run_load(pool, load, deadline_ms=USEFUL_DEADLINE_MS)
-    return recorder
+@dataclass(frozen=True, slots=True)
+class PhaseResult:
+    """Outcome of one phase.
 
+    Attributes:
+        recorder: What was measured.
+        goodput_per_s: Useful answers per second, without the first part of the phase.
+    """
 
-def compute_goodput(recorder: Recorder, load: Load) -> float:
-    """Return the useful answers per second."""
-    return recorder.useful / load.duration_s
+    recorder: Recorder
+    goodput_per_s: float
+
+
+async def run_phase(run: MeasureRun, load: Load) -> PhaseResult:
+    """Run one phase on the sessions that all load phases share."""
+    pool = await run.installation.open_pool('load', SESSIONS)
+    recorder, started_s = await run.installation.run_load(
+        pool, load, deadline_ms=USEFUL_DEADLINE_MS
+    )
+    warm_up_s = load.duration_s * WARM_UP_SHARE
+    useful = recorder.count_useful(started_s + warm_up_s, started_s + load.duration_s)
+    return PhaseResult(recorder, useful / (load.duration_s - warm_up_s))
 
 
 @measures('load')
@@ -38,29 +54,49 @@
     duration_s = run.choose_duration_s(2, 8)
     low = await run_phase(run, scale_load(run, LOW_SHARE, LOW_SHARE, duration_s))
     writes = await run_phase(run, scale_load(run, LOW_SHARE, OVERLOAD_FACTOR, duration_s))
-    capacity_load = scale_load(run, 1, 1, duration_s)
-    capacity = await run_phase(run, capacity_load)
+    capacity = await run_phase(run, scale_load(run, 1, 1, duration_s))
     overload = scale_load(run, OVERLOAD_FACTOR, OVERLOAD_FACTOR, duration_s)
     beyond = await run_phase(run, overload)
-    goodput = compute_goodput(capacity, capacity_load)
-    placed = low.placed_reads + capacity.placed_reads
-    replicas = low.replica_reads + capacity.replica_reads
+    return [
+        *describe_low_load(run, low.recorder, writes.recorder),
+        *describe_overload(run, capacity, beyond),
+        build_replica_share(run, low.recorder, capacity.recorder),
+    ]
+
+
+def build_replica_share(run: MeasureRun, *recorders: Recorder) -> Figure:
+    """Return the share of reads that accept an age and were served by replicas."""
+    placed = sum(recorder.placed_reads for recorder in recorders)
+    replicas = sum(recorder.replica_reads for recorder in recorders)
+    return run.build_figure('replica_read_share', replicas / max(1, placed), '1')
+
+
+def describe_low_load(run: MeasureRun, low: Recorder, writes: Recorder) -> list[Figure]:
+    """Return the latencies at low load, and of reads beside too many writes."""
     idle_p99 = read_percentile_ms(low.reads, P99)
     overload_p99 = read_percentile_ms(writes.reads, P99)
     return [
-        run.build_figure('replica_read_share', replicas / max(1, placed), '1'),
         run.build_figure('read_p99_ms_idle', idle_p99, 'ms'),
         run.build_figure('read_p50_ms_idle', read_percentile_ms(low.reads, P50), 'ms'),
         run.build_figure('write_p99_ms_idle', read_percentile_ms(low.writes, P99), 'ms'),
         run.build_figure('read_p99_ms_write_overload', overload_p99, 'ms'),
         run.build_figure('read_p99_ratio_write_overload', overload_p99 / idle_p99, '1'),
-        run.build_figure('read_p99_ms_overload', read_percentile_ms(beyond.reads, P99), 'ms'),
-        run.build_figure('write_p99_ms_overload', read_percentile_ms(beyond.writes, P99), 'ms'),
-        run.build_figure('goodput_at_capacity', goodput, '1/s'),
+    ]
+
+
+def describe_overload(run: MeasureRun, capacity: PhaseResult, beyond: PhaseResult) -> list[Figure]:
+    """Return latencies at twice the capacity and the goodput compared with capacity."""
+    recorder = beyond.recorder
+    ratio = beyond.goodput_per_s / capacity.goodput_per_s
+    return [
+        run.build_figure('read_p99_ms_overload', read_percentile_ms(recorder.reads, P99), 'ms'),
+        run.build_figure('write_p99_ms_overload', read_percentile_ms(recorder.writes, P99), 'ms'),
+        run.build_figure('goodput_at_capacity', capacity.goodput_per_s, '1/s'),
+        run.build_figure('goodput_ratio_overload', ratio, '1'),
+        run.build_figure('not_run_answer_ms', read_percentile_ms(recorder.refusals, P99), 'ms'),
         run.build_figure(
-            'goodput_ratio_overload', compute_goodput(beyond, overload) / goodput, '1'
+            'not_run_answer_ms_p50', read_percentile_ms(recorder.refusals, P50), 'ms'
         ),
-        run.build_figure('not_run_answer_ms', read_percentile_ms(beyond.refusals, P99), 'ms'),
     ]
 
 
@@ -76,15 +112,15 @@
     return [
         run.build_figure(
             'read_goodput',
-            compute_goodput(spread, aged),
+            spread.goodput_per_s,
             '1/s',
-            compute_goodput(primary, fresh),
+            primary.goodput_per_s,
         ),
         run.build_figure(
             'read_p99_ms_at_capacity',
-            read_percentile_ms(spread.reads, P99),
+            read_percentile_ms(spread.recorder.reads, P99),
             'ms',
-            read_percentile_ms(primary.reads, P99),
+            read_percentile_ms(primary.recorder.reads, P99),
         ),
     ]
 
@@ -111,5 +147,5 @@
         during = await run_phase(run, load)
     finally:
         await run.installation.call_platform('PUT', '/faults', {'down': False})
-    ratio = compute_goodput(during, load) / compute_goodput(before, load)
+    ratio = during.goodput_per_s / before.goodput_per_s
     return [run.build_figure('platform_outage_goodput_ratio', ratio, '1')]
--- a/src/cassiaseam_load/recorder.py
+++ b/src/cassiaseam_load/recorder.py
@@ -28,7 +28,7 @@
         writes: Latency of acknowledged writes in microseconds.
         refusals: Latency of refusals from sending to the error in microseconds.
         outcomes: Number of requests per outcome, 'ok' or the error kind.
-        useful: Number of answers within `USEFUL_WITHIN_S` of their due time.
+        useful_at_s: Times in seconds of answers within `USEFUL_WITHIN_S` of their due time.
         replica_reads: Number of reads that a replica served.
         placed_reads: Number of reads whose serving target is known.
         write_acks_s: Times in seconds of acknowledged writes, for gaps.
@@ -39,7 +39,7 @@
     writes: HdrHistogram = field(default_factory=make_histogram)
     refusals: HdrHistogram = field(default_factory=make_histogram)
     outcomes: Counter[str] = field(default_factory=Counter)
-    useful: int = 0
+    useful_at_s: list[float] = field(default_factory=list)
     replica_reads: int = 0
     placed_reads: int = 0
     write_acks_s: list[float] = field(default_factory=list)
@@ -52,7 +52,7 @@
         histogram.record_value(max(LOWEST_US, int(latency_s * 1e6)))
         self.outcomes['ok'] += 1
         if latency_s <= USEFUL_WITHIN_S:
-            self.useful += 1
+            self.useful_at_s.append(now_s)
         if not is_read:
             self.write_acks_s.append(now_s)
 
@@ -66,6 +66,14 @@
         self.placed_reads += 1
         self.replica_reads += int(replica)
 
+    def count_useful(self, since_s: float, until_s: float) -> int:
+        """Return the number of useful answers that arrived in a window.
+
+        Answers after the last request was due come from a queue that nothing fills any more, so
+        they do not count for a rate.
+        """
+        return sum(since_s <= at_s <= until_s for at_s in self.useful_at_s)
+
     def find_longest_write_gap_s(self, since_s: float, until_s: float) -> float:
         """Return the longest time in seconds without an acknowledged write in a window."""
         inside = [ack for ack in sorted(self.write_acks_s) if since_s <= ack <= until_s]
