--- a/src/cassiaseam/group/state.py
+++ b/src/cassiaseam/group/state.py
@@ -129,8 +129,12 @@
         suspicious: Whether polls fail or replicas lose their primary, so that polls hasten.
         failed_attempts: Promotions in a row that did not succeed.
         retry_at: Time in seconds before which no promotion is started.
+        marked_at: Time in seconds of the latest `MarkTerm`, or None.
         open_writes: Writes and open transactions at the primary. The owner role sets it; a
             planned promotion waits for them for a short time.
+        draining: Names of the targets that operators drain.
+        sampled_at: Start in seconds of the latest sample by number of answers.
+        idle_phase_s: Offset of the idle rounds, so that groups of a daemon are polled evenly.
         next_round_at: Time in seconds of the next round of polls.
         quick_until: Time in seconds until which rounds follow at the short interval.
         poll_requested_at: Time in seconds of the latest request for a poll.
@@ -156,7 +160,11 @@
     suspicious: bool = False
     failed_attempts: int = 0
     retry_at: float = 0
+    marked_at: float | None = None
     open_writes: int = 0
+    draining: frozenset[str] = frozenset()
+    sampled_at: dict[int, float] = field(default_factory=dict)
+    idle_phase_s: float = 0
     next_round_at: float = 0
     quick_until: float = 0
     poll_requested_at: float = -1
