Carry clock stamps between daemons and record what operators look for

The hybrid logical clock was only advanced locally, so a merged time line could show an effect before its cause on a daemon whose wall clock is behind. Peer messages and membership datagrams now carry the stamp of the sender; the time line uses the same clock. Membership, ownership, configuration in force and bursts of refusals are recorded.

--- a/src/cassiaseam/admin/api.py
+++ b/src/cassiaseam/admin/api.py
@@ -159,7 +159,10 @@
             checked = check_access(principal, role, intent.database)
             if checked.is_err():
                 return Err(checked.unwrap_err())
-            made = await self.backend.plans.create_plan(intent, principal.team, self.clock())
+            primary = await self._ask_primary(request, intent.database)
+            made = await self.backend.plans.create_plan(
+                intent, principal.team, self.clock(), primary
+            )
             return made.map(self._show_plan)
 
         return self._run(request, Role.OPERATOR, handle, HTTP_CREATED)
@@ -249,6 +252,19 @@
         header = request.getHeader('Authorization') or ''
         return await self.asker.ask_daemons(daemons, path, arguments, header)
 
+    async def _ask_primary(self, request: Any, database: str) -> str:
+        """Return the primary that the owner reports, or '' when it is not another daemon."""
+        owner = self.backend.plans.read_cluster(database).owners.get(database, '')
+        address = self.backend.list_daemons().get(owner)
+        if address is None or self.asker is None:
+            return ''
+        header = request.getHeader('Authorization') or ''
+        gathered = await self.asker.ask_daemons(
+            {owner: address}, '/v1/status', {'scope': 'local'}, header
+        )
+        databases = gathered.answers.get(owner, {}).get('databases', {})
+        return databases.get(database, {}).get('primary') or ''
+
     def _authenticate(self, request: Any, role: Role) -> Result[Principal, RequestError]:
         found = self.access.find_principal(request.getHeader('Authorization'))
         return found.and_then(lambda principal: check_access(principal, role))
--- a/src/cassiaseam/admin/cluster.py
+++ b/src/cassiaseam/admin/cluster.py
@@ -19,6 +19,9 @@
     membership = state.membership
     configuration = state.configuration
     config = configuration.databases.get(database) if configuration else None
+    if config is None:
+        # Databases of the settings are in force until the platform holds a configuration.
+        config = state.database_configs.get(database)
     ranked: list[str] = []
     if membership is not None and config is not None:
         ranked = rank_owners(membership, config, node.clock())
--- a/src/cassiaseam/cli/base.py
+++ b/src/cassiaseam/cli/base.py
@@ -25,6 +25,11 @@
     option('ca-file', None, f'PEM file of the authority [{CA_VARIABLE}].', flag=False),
     OUTPUT_OPTION,
 ]
+SCOPES = ('all', 'local')
+SCOPE_OPTIONS = [
+    option('scope', None, 'Daemons to ask: all or local.', flag=False),
+    option('local', None, 'Only the daemon that is asked; same as --scope local.'),
+]
 
 
 class CommandFailed(Exception):
@@ -124,3 +129,17 @@
         if answer.is_err():
             raise CommandFailed(answer.unwrap_err())
         return answer.unwrap()
+
+
+class ScopedCommand(ApiCommand):
+    """Command that asks one daemon or all of them."""
+
+    def read_scope(self) -> str:
+        """Return `all` or `local`."""
+        given = self.option('scope')
+        default = 'local' if self.option('local') else 'all'
+        scope = given or default
+        if scope not in SCOPES or (self.option('local') and scope != 'local'):
+            message = f'--scope is all or local, and not all with --local; found {given!r}'
+            raise CommandFailed(RequestError(ErrorKind.BAD_REQUEST, message))
+        return scope
--- a/src/cassiaseam/cli/view_commands.py
+++ b/src/cassiaseam/cli/view_commands.py
@@ -7,7 +7,14 @@
 
 from cleo.helpers import argument, option
 
-from cassiaseam.cli.base import API_OPTIONS, OUTPUT_OPTION, ApiCommand, BaseCommand, CommandFailed
+from cassiaseam.cli.base import (
+    API_OPTIONS,
+    OUTPUT_OPTION,
+    SCOPE_OPTIONS,
+    BaseCommand,
+    CommandFailed,
+    ScopedCommand,
+)
 from cassiaseam.cli.exit_codes import ExitCode
 from cassiaseam.errors import ErrorKind, RequestError
 from cassiaseam.settings.loader import load_settings
@@ -26,16 +33,16 @@
 FOLLOW_PERIOD_PER_DAEMON_S = 0.2
 
 
-class Status(ApiCommand):
+class Status(ScopedCommand):
     """Shows daemons and databases."""
 
     name = 'status'
     description = 'Show the status of all daemons, or of one with --local.'
-    options = [*API_OPTIONS, option('local', None, 'Only the daemon that is asked.')]
+    options = [*API_OPTIONS, *SCOPE_OPTIONS]
 
     def run_command(self) -> int:
         """Read the status and show it."""
-        scope = 'local' if self.option('local') else 'all'
+        scope = self.read_scope()
         status = self.require(self.open_client().read('/v1/status', scope=scope))
         if self.prints_json:
             self.print_json(status)
@@ -86,7 +93,7 @@
     ]
 
 
-class Timeline(ApiCommand):
+class Timeline(ScopedCommand):
     """Shows decisions of all daemons."""
 
     name = 'timeline'
@@ -95,7 +102,7 @@
         *API_OPTIONS,
         option('since', None, 'Duration back, time or Unix ms.', flag=False),
         option('database', None, 'Only this database.', flag=False),
-        option('local', None, 'Only the daemon that is asked.'),
+        *SCOPE_OPTIONS,
         option('follow', None, 'Go on with new records.'),
         option('for', None, 'Time after which following ends, such as 10m.', flag=False),
         option('html', None, 'Write one HTML page to a file.', flag=False),
@@ -105,12 +112,13 @@
         """Read records until there is nothing to follow."""
         client = self.open_client()
         ends_at = self.find_end()
+        scope = self.read_scope()
         cursor = ''
         while True:
             answer = self.require(
                 client.read(
                     '/v1/timeline',
-                    scope='local' if self.option('local') else 'all',
+                    scope=scope,
                     since=self.option('since') or '',
                     database=self.option('database') or '',
                     cursor=cursor,
@@ -172,7 +180,7 @@
     if record.term:
         words.append(f'term={record.term}')
     words.append(record.cause)
-    words.extend(f'{name}={text}' for name, text in record.fields.items())
+    words.extend(f'{name}={text}' for name, text in record.fields.items() if text)
     return '  '.join(filter(None, words))
 
 
--- a/src/cassiaseam/daemon/runtime.py
+++ b/src/cassiaseam/daemon/runtime.py
@@ -15,6 +15,7 @@
 from cassiaseam.daemon.node import Node
 from cassiaseam.daemon.static_databases import StaticDatabases
 from cassiaseam.daemon.target_service import TargetCredentials, TargetService
+from cassiaseam.daemon.timeline_records import record_refusals
 from cassiaseam.daemon.timers import TickTimer
 from cassiaseam.entry.forwarding import Forwarder
 from cassiaseam.entry.identity import CallerDirectory, CallerLogin
@@ -95,7 +96,11 @@
         self.listener = CallerListener(self.forwarder, self.directory, settings.limits)
         self.node.services[TargetService] = self.targets
         self.node.services[TimelineBuffer] = TimelineBuffer(
-            vm, settings.peers.place, str(self.peers.incarnation), settings.timeline_records
+            vm,
+            settings.peers.place,
+            str(self.peers.incarnation),
+            settings.timeline_records,
+            self.peers.stamps.clock,
         )
         self.admin: AdminService | None = None
         if settings.administration is not None:
@@ -122,6 +127,7 @@
         await self.static.start()
         self.peers.loops.start_task(self.static.retire_when_stored())
         self.targets.run_in_background(self.targets.close_idle_channels())
+        self.peers.loops.start_task(record_refusals(self.node, self.forwarder.refusals))
         if self.admin is not None:
             self.admin_port = await self.admin.start()
         await self.wait_until_members_are_known()
--- a/src/cassiaseam/daemon/settings_file.py
+++ b/src/cassiaseam/daemon/settings_file.py
@@ -16,8 +16,6 @@
     if isinstance(loaded, Err):
         return _describe(loaded.err_value)
     settings = loaded.ok_value
-    if settings.tls.callers is not None:
-        return Err(f'{path}: tls.callers: callers cannot use TLS yet; remove the section')
     secrets = read_secrets(settings)
     if isinstance(secrets, Err):
         return _describe(secrets.err_value)
--- a/src/cassiaseam/daemon/target_executors.py
+++ b/src/cassiaseam/daemon/target_executors.py
@@ -152,6 +152,8 @@
         node.dispatch(TargetStatusFailed(*names, reason=NOT_CONFIGURED))
         return
     status = await channel.run(adapter.read_status, POLL_TIMEOUT_S)
+    error = status.err_value if isinstance(status, Err) else None
+    find_service(node).refusals.note_poll((effect.database, effect.target), error)
     if isinstance(status, Ok):
         node.dispatch(TargetStatusReceived(*names, status=status.ok_value))
     else:
--- a/src/cassiaseam/daemon/target_service.py
+++ b/src/cassiaseam/daemon/target_service.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from cassiaseam.configuration.model import DatabaseConfig, TargetConfig
+from cassiaseam.daemon.poll_refusals import PollRefusals
 from cassiaseam.errors import ErrorKind, RequestError
 from cassiaseam.targets import adapter
 from cassiaseam.targets.connection import TargetConnection
@@ -102,6 +103,7 @@
         opening: Ids of connections that are being opened.
         running: Ids of connections with a statement or a reset under way.
         channels: Control channel per purpose, database and target.
+        refusals: Targets that refuse status polls.
     """
 
     def __init__(self, configs: dict[str, DatabaseConfig], credentials: TargetCredentials):
@@ -111,6 +113,7 @@
         self.opening: set[str] = set()
         self.running: set[str] = set()
         self.channels: dict[tuple[str, TargetKey], ControlChannel] = {}
+        self.refusals = PollRefusals()
         self.tasks: set[asyncio.Task] = set()
 
     def find_target(self, database: str, target: str) -> TargetConfig | None:
@@ -146,6 +149,7 @@
             idle = [key for key, channel in self.channels.items() if channel.used_at < oldest]
             for key in idle:
                 self.channels.pop(key).close()
+                self.refusals.forget_target(key[1])
 
     def run_in_background(self, work: Coroutine[Any, Any, None]) -> asyncio.Task:
         """Run a coroutine as a task that is kept until it ends."""
--- a/src/cassiaseam/entry/forwarding.py
+++ b/src/cassiaseam/entry/forwarding.py
@@ -17,6 +17,7 @@
 )
 from cassiaseam.errors import ErrorKind, RequestError
 from cassiaseam.messages import Answer, Request, RequestKind
+from cassiaseam.timeline.bursts import RefusalBursts
 
 MAX_OWNERS_TRIED = 3
 # The owner gives up earlier than the entry, so that its exact answer arrives by the deadline.
@@ -66,6 +67,8 @@
         local: Owner role of this daemon.
         peers: Transport to other daemons, or None for a single daemon.
         outcomes: Requests by kind and outcome: `replica`, `primary` or the kind of the error.
+        refusals: Refusals that have no time line record yet.
+        retries: Requests sent to a further owner.
     """
 
     def __init__(
@@ -87,6 +90,8 @@
         self.in_flight: Counter[str] = Counter()
         self.total_in_flight = 0
         self.outcomes: Counter[tuple[str, str]] = Counter()
+        self.refusals = RefusalBursts()
+        self.retries = 0
         self.background: set[asyncio.Task] = set()
 
     async def forward_request(self, request: Request, owner: str = '') -> OwnedAnswer:
@@ -101,6 +106,7 @@
         outcome = 'replica' if owned.answer.replica else 'primary'
         if error is not None:
             outcome = error.kind.value
+            self.refusals.note_refusal(error.kind, request.database, self.clock())
         self.outcomes[request.kind.value, outcome] += 1
         return owned
 
@@ -164,6 +170,7 @@
             is_last = position + 1 == len(owners)
             if step is NextStep.RESEND and not is_last and not self.budget.take_retry():
                 break
+            self.retries += not is_last
         if failure is not None:
             answer = replace(answer, error=describe_failure(request, failure, maybe_ran))
         return OwnedAnswer(answer, asked)
--- a/src/cassiaseam/membership/messages.py
+++ b/src/cassiaseam/membership/messages.py
@@ -73,6 +73,7 @@
         subject: VM that was pinged or is to be pinged, or ''.
         digest: Hash of the configuration versions in force at the sender.
         updates: Piggybacked records.
+        stamp: Stamp of the sender's hybrid logical clock; set when it is sent.
     """
 
     kind: DatagramKind
@@ -82,6 +83,7 @@
     subject: str = ''
     digest: int = 0
     updates: tuple[MemberRecord, ...] = ()
+    stamp: tuple[int, int] = (0, 0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiaseam/peers/codec_registry.py
+++ b/src/cassiaseam/peers/codec_registry.py
@@ -10,6 +10,8 @@
     encode_text,
     load_schema,
 )
+from cassiaseam.peers.stamps import NO_STAMP
+from cassiaseam.timeline.clock import Stamp
 
 _Encoder = Callable[[Any, Any, float], None]
 _Decoder = Callable[[Any, float], Any]
@@ -28,10 +30,12 @@
     Attributes:
         wire_id: Id that links a request and its answer; 0 for other messages.
         body: The message.
+        stamp: Stamp of the sender's clock, or (0, 0).
     """
 
     wire_id: int
     body: Any
+    stamp: Stamp = NO_STAMP
 
 
 def encodes(message_type: type) -> Callable[[_Encoder], _Encoder]:
@@ -54,13 +58,15 @@
     return register
 
 
-def encode_message(wire_id: int, body: Any, now: float) -> bytes:
+def encode_message(wire_id: int, body: Any, now: float, stamp: Stamp = NO_STAMP) -> bytes:
     """Return the frame content of a message.
 
     Raises:
         KeyError: The type of `body` is not a message between daemons.
     """
-    message = load_schema().PeerMessage.new_message(requestId=wire_id)
+    message = load_schema().PeerMessage.new_message(
+        requestId=wire_id, stampMs=stamp[0], stampCounter=stamp[1]
+    )
     _ENCODERS[type(body)](message, body, now)
     return message.to_bytes()
 
@@ -76,7 +82,9 @@
         with schema.PeerMessage.from_bytes(
             frame, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
         ) as message:
-            return Envelope(message.requestId, _DECODERS[message.which()](message, now))
+            body = _DECODERS[message.which()](message, now)
+            stamp = (message.stampMs, message.stampCounter)
+            return Envelope(message.requestId, body, stamp)
     except Exception as error:
         raise MalformedMessage(f'{len(frame)} bytes: {error}') from error
 
--- a/src/cassiaseam/peers/datagrams.py
+++ b/src/cassiaseam/peers/datagrams.py
@@ -15,6 +15,8 @@
     MemberStatus,
 )
 from cassiaseam.peers.schema import load_schema
+from cassiaseam.peers.stamps import NO_STAMP, MessageStamps
+from cassiaseam.timeline.clock import Stamp
 
 MAX_DATAGRAM_BYTES = 1200
 _STATUS_NAMES = {status: status.name.lower() for status in MemberStatus}
@@ -25,8 +27,8 @@
     """Bytes that are no valid membership datagram."""
 
 
-def encode_datagram(datagram: Datagram) -> bytes:
-    """Return the packed encoding of a datagram."""
+def encode_datagram(datagram: Datagram, stamp: Stamp = NO_STAMP) -> bytes:
+    """Return the packed encoding of a datagram with the stamp of its sender."""
     message = load_schema().Datagram.new_message(
         kind=datagram.kind.value,
         sender=datagram.sender,
@@ -34,6 +36,8 @@
         sequence=datagram.sequence,
         subject=datagram.subject,
         digest=datagram.digest,
+        stampMs=stamp[0],
+        stampCounter=stamp[1],
     )
     listed = message.init('updates', len(datagram.updates))
     for index, record in enumerate(datagram.updates):
@@ -86,6 +90,7 @@
         subject=source.subject,
         digest=source.digest,
         updates=tuple(_read_record(record) for record in source.updates),
+        stamp=(source.stampMs, source.stampCounter),
     )
 
 
@@ -94,12 +99,18 @@
 
     Attributes:
         on_datagram: Called with `(datagram, address)`.
+        stamps: Stamps sent datagrams and takes over those of received ones.
         counters: `datagrams_sent`, `datagrams_received`, `datagram_bytes_sent`,
             `malformed_datagrams`.
     """
 
-    def __init__(self, on_datagram: Callable[[Datagram, Address], None]):
+    def __init__(
+        self,
+        on_datagram: Callable[[Datagram, Address], None],
+        stamps: MessageStamps | None = None,
+    ):
         self.on_datagram = on_datagram
+        self.stamps = stamps or MessageStamps()
         self.counters: Counter[str] = Counter()
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
@@ -111,11 +122,12 @@
             self.counters['malformed_datagrams'] += 1
             logging.warning('event=malformed_datagram address=%s reason=%r', addr, str(error))
             return
+        self.stamps.observe(decoded.stamp)
         self.on_datagram(decoded, (addr[0], addr[1]))
 
     def send(self, address: Address, datagram: Datagram) -> None:
         """Send a datagram; an unreachable network counts as a lost datagram."""
-        encoded = encode_datagram(datagram)
+        encoded = encode_datagram(datagram, self.stamps.issue())
         self.counters['datagrams_sent'] += 1
         self.counters['datagram_bytes_sent'] += len(encoded)
         if self.transport is None:
--- a/src/cassiaseam/peers/executors.py
+++ b/src/cassiaseam/peers/executors.py
@@ -16,7 +16,9 @@
     OwnershipChanged,
 )
 from cassiaseam.daemon.node import Node, executes
+from cassiaseam.daemon.timeline_records import append_to_timeline
 from cassiaseam.membership.messages import MemberChanged, SendDatagram
+from cassiaseam.messages import TimelineRecord
 from cassiaseam.peers.messages import ConfigDigest, ConfigShards
 from cassiaseam.peers.transport import PeerTransport
 from cassiaseam.platform.terms import claim_term, record_primary
@@ -42,34 +44,46 @@
 
 @executes(MemberChanged)
 def log_member_change(node: Node, effect: MemberChanged) -> None:
-    """Log the new status of a VM."""
+    """Log the new status of a VM and put it on the time line."""
     record = effect.record
+    status = record.status.name.lower()
     logging.info(
         'event=member_changed vm=%s status=%s leaving=%s incarnation=%d cause=%s',
         record.vm,
-        record.status.name.lower(),
+        status,
         record.leaving,
         record.incarnation,
         effect.cause,
     )
+    fields = {'member': record.vm, 'incarnation': str(record.incarnation)}
+    if record.leaving:
+        fields['leaving'] = 'yes'
+    entry = TimelineRecord(f'member_{status}', cause=effect.cause, fields=fields)
+    append_to_timeline(node, entry)
 
 
 @executes(OwnershipChanged)
 def dispatch_ownership(node: Node, effect: OwnershipChanged) -> None:
     """Tell the roles of owned databases that this daemon gained or lost one."""
     logging.info('event=ownership_changed database=%s owns=%s', effect.database, effect.owns)
+    kind = 'ownership_gained' if effect.owns else 'ownership_lost'
+    append_to_timeline(node, TimelineRecord(kind, effect.database))
     node.dispatch(effect)
 
 
 @executes(DatabaseConfigured)
 def dispatch_configured(node: Node, effect: DatabaseConfigured) -> None:
     """Tell every role that a configuration came into force."""
+    fields = {'version': str(effect.config.version)}
+    entry = TimelineRecord('configuration_in_force', effect.config.name, fields=fields)
+    append_to_timeline(node, entry)
     node.dispatch(effect)
 
 
 @executes(DatabaseRemoved)
 def dispatch_removed(node: Node, effect: DatabaseRemoved) -> None:
     """Tell every role that a database is no longer configured."""
+    append_to_timeline(node, TimelineRecord('configuration_removed', effect.database))
     node.dispatch(effect)
 
 
--- a/src/cassiaseam/peers/link.py
+++ b/src/cassiaseam/peers/link.py
@@ -18,6 +18,7 @@
     encode_message,
 )
 from cassiaseam.peers.messages import Goodbye, Hello, Ping
+from cassiaseam.peers.stamps import MessageStamps
 
 _LENGTH = struct.Struct('>I')
 # A heartbeat timer that fires this late shows that this process itself was stalled, so the
@@ -97,6 +98,7 @@
         on_closed: Called once when the link is gone.
         on_ready: Called when the hello of the peer was accepted.
         counters: Counters by name.
+        stamps: Stamps sent messages and takes over those of received ones.
     """
 
     hello: Hello
@@ -106,6 +108,7 @@
     on_closed: Callable[['PeerLink', str], None]
     on_ready: Callable[['PeerLink'], None] = lambda link: None
     counters: Counter[str] = field(default_factory=Counter)
+    stamps: MessageStamps = field(default_factory=MessageStamps)
 
 
 class PeerLink(asyncio.Protocol):
@@ -149,7 +152,9 @@
         """Send the hello and start the timer of the link."""
         self.transport = transport
         self.last_received_at = self.context.clock()
-        self.write_frame(_Frame(encode_message(0, self.context.hello, 0), None))
+        context = self.context
+        hello = encode_message(0, context.hello, 0, context.stamps.issue())
+        self.write_frame(_Frame(hello, None))
         self.schedule_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -197,6 +202,7 @@
             self.context.counters['malformed_frames'] += 1
             self.abort(f'malformed frame: {error}')
             return
+        self.context.stamps.observe(envelope.stamp)
         if isinstance(envelope.body, Hello):
             self.accept_hello(envelope.body)
         elif not self.ready.done():
@@ -240,7 +246,8 @@
         Raises:
             SendRefusal: The queue is full or the message is too large.
         """
-        content = encode_message(wire_id, body, self.context.clock())
+        context = self.context
+        content = encode_message(wire_id, body, context.clock(), context.stamps.issue())
         limits = self.context.limits
         if len(content) > limits.frame_bytes:
             raise SendRefusal(True, f'message of {len(content)} bytes')
--- a/src/cassiaseam/peers/peer.capnp
+++ b/src/cassiaseam/peers/peer.capnp
@@ -136,6 +136,8 @@
 
 struct PeerMessage {
   requestId @0 :UInt64;
+  stampMs @12 :UInt64;       # hybrid logical clock of the sender; 0 from older daemons
+  stampCounter @13 :UInt64;
   union {
     request @1 :Request;
     answer @2 :Answer;
@@ -185,4 +187,6 @@
   subject @4 :Text;
   digest @5 :UInt64;
   updates @6 :List(MemberRecord);
+  stampMs @7 :UInt64;        # hybrid logical clock of the sender; 0 from older daemons
+  stampCounter @8 :UInt64;
 }
--- a/src/cassiaseam/peers/services.py
+++ b/src/cassiaseam/peers/services.py
@@ -30,6 +30,7 @@
 from cassiaseam.peers.link import TransportLimits
 from cassiaseam.peers.link_table import TlsContexts
 from cassiaseam.peers.messages import CancelRequest, ConfigDigest, ConfigShards
+from cassiaseam.peers.stamps import MessageStamps
 from cassiaseam.peers.store_loops import StoreLoops
 from cassiaseam.peers.transport import PeerTransport
 from cassiaseam.platform.client import PlatformClient
@@ -80,6 +81,7 @@
     Attributes:
         transport: Requests and messages between daemons; set by `start`.
         client: Client of the platform.
+        stamps: Hybrid logical clock on messages; the time line uses the same clock.
         message_handlers: Functions `(vm, message)` for further message types, such as
             `TimelineQuery`.
     """
@@ -97,6 +99,7 @@
         )
         # Wall time makes the incarnation higher than in earlier runs, which left no state.
         self.incarnation = int(time.time() * 1000)
+        self.stamps = MessageStamps()
         self.transport = PeerTransport(
             settings.vm,
             self.incarnation,
@@ -104,8 +107,9 @@
             settings.limits,
             settings.tls,
             node.clock,
+            self.stamps,
         )
-        self.protocol = MembershipProtocol(self.accept_datagram)
+        self.protocol = MembershipProtocol(self.accept_datagram, self.stamps)
         self.message_handlers: dict[type, MessageHandler] = {
             CancelRequest: self.accept_cancel,
             SessionClosed: self.accept_session_closed,
--- a/src/cassiaseam/peers/transport.py
+++ b/src/cassiaseam/peers/transport.py
@@ -21,6 +21,7 @@
 )
 from cassiaseam.peers.link_table import LinkTable, PeerUnreachable, Resolver, TlsContexts
 from cassiaseam.peers.messages import CancelRequest, Hello
+from cassiaseam.peers.stamps import MessageStamps
 
 RETRY_AFTER_S = 0.1
 _KINDS_THAT_CHANGE_DATA = frozenset((RequestKind.WRITE, RequestKind.COMMIT))
@@ -70,6 +71,7 @@
         limits: TransportLimits | None = None,
         tls: TlsContexts | None = None,
         clock: Callable[[], float] = time.monotonic,
+        stamps: MessageStamps | None = None,
     ):
         self.vm = vm
         self.limits = limits or TransportLimits()
@@ -78,7 +80,14 @@
         self.on_message: Callable[[str, Any], None] = lambda peer, message: None
         self.on_peer_lost: Callable[[str], None] = lambda peer: None
         hello = Hello(vm, incarnation, PROTOCOL_VERSION)
-        context = LinkContext(hello, self.limits, clock, self.accept_message, self.fail_link)
+        context = LinkContext(
+            hello,
+            self.limits,
+            clock,
+            self.accept_message,
+            self.fail_link,
+            stamps=stamps or MessageStamps(),
+        )
         self.counters = context.counters
         self.table = LinkTable(context, resolve_address, tls)
         self.incoming: dict[tuple[str, str], _IncomingRequest] = {}
--- a/src/cassiaseam/plans/store.py
+++ b/src/cassiaseam/plans/store.py
@@ -117,13 +117,23 @@
         self.record = record
 
     async def create_plan(
-        self, intent: Intent, operator: str, now: float
+        self, intent: Intent, operator: str, now: float, primary: str = ''
     ) -> Result[Plan, RequestError]:
-        """Make the plan for an intent and store it."""
+        """Make the plan for an intent and store it.
+
+        Args:
+            intent: Validated intent.
+            operator: Who asked.
+            now: Seconds since the epoch.
+            primary: Primary that the owner reported, or '' to rely on this daemon's view.
+        """
         shard = await self.read_shard(find_shard(intent.database))
         if shard.is_err():
             return Err(shard.unwrap_err())
-        made = make_plan(intent, PlanView(shard.unwrap(), self.read_cluster(intent.database)), now)
+        cluster = self.read_cluster(intent.database)
+        if primary:
+            cluster = dataclasses.replace(cluster, primaries={intent.database: primary})
+        made = make_plan(intent, PlanView(shard.unwrap(), cluster), now)
         if made.is_err():
             return made
         plan = dataclasses.replace(made.unwrap(), plan_id=make_plan_id(now), operator=operator)
--- a/src/cassiaseam/settings/checks.py
+++ b/src/cassiaseam/settings/checks.py
@@ -20,6 +20,7 @@
         *_check_advertised(settings),
         *_check_ports(settings),
         *_check_deadlines(settings),
+        *_check_caller_tls(settings),
     ]
     return [SettingsProblem(file, *entry) for entry in found]
 
@@ -58,3 +59,8 @@
     if limits.deadline > limits.max_deadline:
         longest = format_duration(limits.max_deadline)
         yield 'limits.deadline', format_duration(limits.deadline), f'at most {longest}'
+
+
+def _check_caller_tls(settings: Settings) -> _Found:
+    if settings.tls.callers is not None:
+        yield 'tls.callers', 'a certificate', 'no section; callers cannot use TLS yet'
--- a/src/cassiaseam/settings/loader.py
+++ b/src/cassiaseam/settings/loader.py
@@ -101,16 +101,18 @@
 
 def build_database_configs(settings: Settings) -> tuple[DatabaseConfig, ...]:
     """Return the static databases; their version 0 is older than any stored one."""
-    return tuple(_build_config(name, static) for name, static in settings.databases.items())
+    default = settings.limits.queue
+    found = settings.databases.items()
+    return tuple(_build_config(name, static, default) for name, static in found)
 
 
-def _build_config(name: str, static: DatabaseSettings) -> DatabaseConfig:
+def _build_config(name: str, static: DatabaseSettings, default_queue: int) -> DatabaseConfig:
     targets = tuple(TargetConfig(**target.model_dump()) for target in static.targets)
     return DatabaseConfig(
         name,
         targets,
         dict(static.max_age),
-        static.queue_limit,
+        default_queue if static.queue_limit is None else static.queue_limit,
         static.drain_limit,
         static.owner or '',
         static.granted,
--- a/src/cassiaseam/settings/model.py
+++ b/src/cassiaseam/settings/model.py
@@ -123,7 +123,7 @@
 
     targets: Annotated[tuple[TargetSettings, ...], Field(min_length=1, max_length=15)]
     max_age: dict[ServiceName, DurationS] = Field(default_factory=dict)
-    queue_limit: Annotated[int, Field(ge=1, le=100_000)] = 256
+    queue_limit: Annotated[int, Field(ge=1, le=100_000)] | None = None
     drain_limit: DurationS = 30.0
     owner: Name | None = None
     granted: tuple[Name, ...] = ()
--- a/src/cassiaseam/timeline/buffer.py
+++ b/src/cassiaseam/timeline/buffer.py
@@ -72,11 +72,13 @@
         overwritten_until: Stamp of the newest overwritten record.
     """
 
-    def __init__(self, vm: str, place: str, run: str, capacity: int):
+    def __init__(
+        self, vm: str, place: str, run: str, capacity: int, clock: HybridClock | None = None
+    ):
         self.vm = vm
         self.place = place
         self.run = run
-        self.clock = HybridClock()
+        self.clock = clock or HybridClock()
         self.latest = 0
         self.overwritten_until = (0, 0)
         self.records: deque[SequencedRecord] = deque(maxlen=capacity)
--- a/src/cassiaseam_standin/demo.py
+++ b/src/cassiaseam_standin/demo.py
@@ -5,9 +5,6 @@
 
 import argparse
 import asyncio
-import json
-import os
-import signal
 import sys
 import time
 from collections.abc import Callable
@@ -25,11 +22,13 @@
     start_cluster,
 )
 from cassiaseam_standin.daemon_process import DaemonProcess
+from cassiaseam_standin.demo_processes import end_processes, save_processes, write_environment
 from cassiaseam_standin.group_control import LOOPBACK
 
 DATABASE = 'orders'
 DEMO_FOLDER = Path('.demo')
 PID_FILE = DEMO_FOLDER / 'processes.json'
+ENVIRONMENT = DEMO_FOLDER / 'environment'
 RETRY_LIMIT_S = 10.0
 RETRY_PAUSE_S = 0.05
 STATEMENT_MS = 2
@@ -182,12 +181,12 @@
     return 1 if report.wrong else 0
 
 
-def list_pids(cluster: Cluster) -> list[int]:
-    """Return the ids of all processes of a cluster."""
-    pids = [daemon.process.pid for daemon in cluster.daemons.values()]
+def list_pids(cluster: Cluster) -> dict[str, int]:
+    """Return the ids of all processes of a cluster by name."""
+    pids = {daemon.vm: daemon.process.pid for daemon in cluster.list_daemons()}
     for group in cluster.groups.values():
-        pids.extend(target.pid for target in group.targets.values())
-    return [*pids, cluster.platform.pid]
+        pids.update((name, target.pid) for name, target in group.targets.items())
+    return {**pids, 'platform': cluster.platform.pid}
 
 
 async def bring_up() -> int:
@@ -195,13 +194,23 @@
     if PID_FILE.exists():
         print(f'{PID_FILE} exists: the demo is up already, or stop it with `make demo-down`')
         return 1
-    cluster = await start_cluster(make_shape(exit_with_parent=False), DEMO_FOLDER.resolve())
-    PID_FILE.write_text(json.dumps(list_pids(cluster)))
+    folder = DEMO_FOLDER.resolve()
+    cluster = await start_cluster(make_shape(exit_with_parent=False), folder)
+    pids = list_pids(cluster)
+    save_processes(PID_FILE, pids)
     for daemon in cluster.list_daemons():
         ports = daemon.ports
-        print(f'{daemon.vm} place={daemon.place} callers={ports.callers} admin={ports.admin}')
+        print(
+            f'{daemon.vm} place={daemon.place} callers={ports.callers} admin={ports.admin} '
+            f'pid={pids[daemon.vm]}'
+        )
+    for group in cluster.groups.values():
+        for name in group.targets:
+            print(f'{name} pid={pids[name]}')
     print(f'login {CALLER_USER} / {CALLER_PASSWORD}, database {DATABASE}')
-    print(f'administration token file {DEMO_FOLDER / "admin.token"}')
+    admin_port = cluster.list_daemons()[0].ports.admin
+    write_environment(ENVIRONMENT, f'http://{LOOPBACK}:{admin_port}', folder / 'admin.token')
+    print(f'address and token of the administration API: `. {ENVIRONMENT}`')
     return 0
 
 
@@ -210,11 +219,8 @@
     if not PID_FILE.exists():
         print('the demo is not up')
         return 1
-    for pid in json.loads(PID_FILE.read_text()):
-        try:
-            os.kill(pid, signal.SIGTERM)
-        except ProcessLookupError:
-            print(f'process {pid} had ended already')
+    for report in end_processes(PID_FILE):
+        print(report)
     PID_FILE.unlink()
     return 0
 
