Reload peer certificates and show roles, refusals and retries as metrics

plan_confirming is recorded before the write of a shard, because daemons had the configuration in force before plan_confirmed was on the time line.

--- a/src/cassiaseam/cli/view_commands.py
+++ b/src/cassiaseam/cli/view_commands.py
@@ -28,6 +28,9 @@
 )
 
 FOLLOW_PERIOD_S = 1.0
+# A target counts as failed after as many polls (group/detection.py).
+UNANSWERED_POLLS = 3
+NO_ANSWER = 'no answer'
 # The asked daemon spends 1 to 1.5 ms of CPU time per daemon and poll; this keeps following below
 # 1% of a core at any number of daemons.
 FOLLOW_PERIOD_PER_DAEMON_S = 0.2
@@ -86,13 +89,18 @@
             name,
             target['place'],
             target['state'],
-            target['role'],
+            target['role'] if answers(target) else NO_ANSWER,
             '' if target.get('age_s') is None else f'{target["age_s"]:g}s',
         )
         for name, target in group['targets'].items()
     ]
 
 
+def answers(target: dict[str, Any]) -> bool:
+    """Return whether the role of a target is current and not the one of its last answer."""
+    return target.get('failures', 0) < UNANSWERED_POLLS
+
+
 class Timeline(ScopedCommand):
     """Shows decisions of all daemons."""
 
--- a/src/cassiaseam/daemon/runtime.py
+++ b/src/cassiaseam/daemon/runtime.py
@@ -17,6 +17,7 @@
 from cassiaseam.daemon.target_service import TargetCredentials, TargetService
 from cassiaseam.daemon.timeline_records import record_refusals
 from cassiaseam.daemon.timers import TickTimer
+from cassiaseam.daemon.tls_contexts import PeerCertificates
 from cassiaseam.entry.forwarding import Forwarder
 from cassiaseam.entry.identity import CallerDirectory, CallerLogin
 from cassiaseam.entry.listener import CallerListener, ListenerLimits
@@ -50,6 +51,7 @@
         limits: Bounds of the listener.
         shutdown_limit_s: Seconds that work in flight may take after a stop was requested.
         timeline_records: Size of the time line buffer.
+        peer_certificates: Certificate files between daemons that are read again, or None.
         administration: Settings of the administration API, or None to run without.
     """
 
@@ -61,6 +63,7 @@
     limits: ListenerLimits = field(default_factory=ListenerLimits)
     shutdown_limit_s: float = SHUTDOWN_LIMIT_S
     timeline_records: int = 10000
+    peer_certificates: PeerCertificates | None = None
     administration: AdministrationSettings | None = None
 
 
@@ -128,6 +131,8 @@
         self.peers.loops.start_task(self.static.retire_when_stored())
         self.targets.run_in_background(self.targets.close_idle_channels())
         self.peers.loops.start_task(record_refusals(self.node, self.forwarder.refusals))
+        if self.settings.peer_certificates is not None:
+            self.peers.loops.start_task(self.settings.peer_certificates.watch_files())
         if self.admin is not None:
             self.admin_port = await self.admin.start()
         await self.wait_until_members_are_known()
--- a/src/cassiaseam/daemon/runtime_settings.py
+++ b/src/cassiaseam/daemon/runtime_settings.py
@@ -3,7 +3,7 @@
 from cassiaseam.daemon.administration import AdministrationSettings
 from cassiaseam.daemon.runtime import RuntimeSettings
 from cassiaseam.daemon.target_service import TargetCredentials
-from cassiaseam.daemon.tls_contexts import build_peer_contexts
+from cassiaseam.daemon.tls_contexts import PeerCertificates
 from cassiaseam.entry.identity import CallerLogin, hash_password
 from cassiaseam.entry.listener import ListenerLimits
 from cassiaseam.entry.statements import DeadlineLimits
@@ -19,6 +19,8 @@
         OSError: A certificate file is not valid.
     """
     login = settings.target_login
+    peer_files = settings.tls.peers
+    certificates = PeerCertificates(peer_files) if peer_files else None
     limits = settings.limits
     listen = settings.listen
     return RuntimeSettings(
@@ -31,7 +33,7 @@
             platform_url=str(settings.platform.url).rstrip('/'),
             admin_port=listen.admin.port,
             platform_token=secrets.platform_token,
-            tls=build_peer_contexts(settings.tls.peers) if settings.tls.peers else None,
+            tls=certificates.contexts if certificates else None,
             seeds=tuple((seed.host, seed.port) for seed in settings.seeds),
         ),
         credentials=TargetCredentials(login.user if login else '', secrets.target_password),
@@ -47,5 +49,6 @@
         ),
         shutdown_limit_s=limits.drain,
         timeline_records=limits.timeline_records,
+        peer_certificates=certificates,
         administration=AdministrationSettings(settings, secrets),
     )
--- a/src/cassiaseam/daemon/tls_contexts.py
+++ b/src/cassiaseam/daemon/tls_contexts.py
@@ -1,10 +1,16 @@
 """TLS contexts from the certificate files of the settings."""
 
+import asyncio
 import ssl
+from pathlib import Path
 
+from cassiaseam.observability.logs import log_event
 from cassiaseam.peers.link_table import TlsContexts
 from cassiaseam.settings.model import PeerCertificateSettings
 
+CHECK_PERIOD_S = 10.0
+FileState = tuple[tuple[int, int], ...]
+
 
 def build_peer_contexts(files: PeerCertificateSettings) -> TlsContexts:
     """Return the contexts for connections between daemons, which check each other.
@@ -21,6 +27,60 @@
     for context in (server, client):
         context.minimum_version = ssl.TLSVersion.TLSv1_2
         context.verify_mode = ssl.CERT_REQUIRED
-        context.load_cert_chain(files.certificate_file, files.key_file)
-        context.load_verify_locations(files.authority_file)
+        load_files(context, files)
     return TlsContexts(server, client)
+
+
+def load_files(context: ssl.SSLContext, files: PeerCertificateSettings) -> None:
+    """Load certificate, key and authority; raises `OSError` when a file is not valid."""
+    context.load_cert_chain(files.certificate_file, files.key_file)
+    context.load_verify_locations(files.authority_file)
+
+
+class PeerCertificates:
+    """Contexts whose new connections use the certificate that is in the files now.
+
+    The listener keeps its context object, so files are loaded into the contexts in use. OpenSSL
+    holds one certificate per key type and never drops an authority: a certificate with another
+    type of key, or the end of trust in an authority, needs a restart.
+
+    Attributes:
+        files: Names of the PEM files.
+        contexts: Contexts of the listener and of dialled connections.
+        file_state: Modification times and sizes of the files that were loaded last.
+    """
+
+    def __init__(self, files: PeerCertificateSettings):
+        self.files = files
+        self.file_state = self.read_file_state()
+        self.contexts = build_peer_contexts(files)
+
+    def reload_if_changed(self) -> bool:
+        """Load changed files; keep the certificate in use when they are incomplete."""
+        file = self.files.certificate_file
+        try:
+            file_state = self.read_file_state()
+            if file_state == self.file_state:
+                return False
+            # A failure while the contexts in use are loaded would leave them inconsistent.
+            build_peer_contexts(self.files)
+            load_files(self.contexts.server, self.files)
+            load_files(self.contexts.client, self.files)
+        except OSError as error:
+            log_event('certificate_kept', level='error', file=file, cause=type(error).__name__)
+            return False
+        self.file_state = file_state
+        log_event('certificate_reloaded', file=file)
+        return True
+
+    def read_file_state(self) -> FileState:
+        """Return what changes when the files are replaced."""
+        names = (self.files.certificate_file, self.files.key_file, self.files.authority_file)
+        stats = [Path(name).stat() for name in names]
+        return tuple((stat.st_mtime_ns, stat.st_size) for stat in stats)
+
+    async def watch_files(self) -> None:
+        """Look for changed files again and again; never returns."""
+        while True:
+            await asyncio.sleep(CHECK_PERIOD_S)
+            self.reload_if_changed()
--- a/src/cassiaseam/group/state.py
+++ b/src/cassiaseam/group/state.py
@@ -121,6 +121,7 @@
         failover: State of a promotion under way, or None.
         last_failover_at: Time in seconds at which the latest promotion ended, or None.
         last_failover_gap_s: Length in seconds of the latest gap without writes, or None.
+        failovers: Changes of primary since this daemon monitors the group.
         known_term: Highest term that any instance, promoter or the platform has shown.
         known_position: Highest `last` position that any instance has reported.
         primary_positions: Recent `last` positions of the primary in charge; bounded.
@@ -152,6 +153,7 @@
     failover: Failover | None = None
     last_failover_at: float | None = None
     last_failover_gap_s: float | None = None
+    failovers: int = 0
     known_term: int = 0
     known_position: LogPosition = ZERO_POSITION
     primary_positions: list[tuple[float, LogPosition]] = field(default_factory=list)
--- a/src/cassiaseam/group/statuses.py
+++ b/src/cassiaseam/group/statuses.py
@@ -110,6 +110,7 @@
     group.failed_attempts = 0
     if replaced and gap_from is not None:
         group.last_failover_gap_s = max(now - gap_from, 0)
+        group.failovers += 1
         group.last_failover_at = now
     group.no_primary_since = None
     gap_ms = '' if gap_from is None or not replaced else f'{(now - gap_from) * 1000:.0f}'
--- a/src/cassiaseam/owner/estimates.py
+++ b/src/cassiaseam/owner/estimates.py
@@ -50,9 +50,11 @@
 
     Attributes:
         tokens: Retries that may be made now.
+        retries: Retries made so far.
     """
 
     tokens: float = RETRY_BURST
+    retries: int = 0
 
     def add_request(self) -> None:
         """Credit the share of one request."""
@@ -64,4 +66,5 @@
         if self.tokens < 1:
             return False
         self.tokens -= 1
+        self.retries += 1
         return True
--- a/src/cassiaseam/plans/store.py
+++ b/src/cassiaseam/plans/store.py
@@ -313,6 +313,8 @@
             )
             if published.is_err():
                 return Err(_refuse_unavailable(published.unwrap_err()))
+        # Daemons may have the plan in force before the answer to this write arrives.
+        self._announce('plan_confirming', plan, plan.decided_by)
         written = await write_settled(
             self.store,
             format_shard_key(plan.shard),
--- a/tests/operations/test_documentation.py
+++ b/tests/operations/test_documentation.py
@@ -35,3 +35,22 @@
     commands = build_application().all()
     for words in re.findall(r'cassiaseam ((?:plan )?[a-z][a-z-]+)', text):
         assert words in commands, words
+
+
+def list_page_commands():
+    """Return every command that a page shows in a code block or between backquotes."""
+    shown = []
+    for page in sorted(PAGES.glob('*.md')):
+        blocks = re.findall(r'^ {4,}(cassiaseam .*)$|`(cassiaseam [^`]+)`', page.read_text(), re.M)
+        shown.extend((page.name, ' '.join((block or inline).split())) for block, inline in blocks)
+    return shown
+
+
+@pytest.mark.parametrize(('page', 'line'), list_page_commands())
+def test_commands_of_the_pages_have_the_options_that_they_show(page, line):
+    commands = build_application().all()
+    words = line.split()[1:]
+    name = ' '.join(words[:2]) if words[0] == 'plan' else words[0]
+    assert name in commands
+    known = {option.name for option in commands[name].definition.options}
+    assert set(re.findall(r'--([a-z-]+)', line)) <= known
--- a/tests/operations/test_settings.py
+++ b/tests/operations/test_settings.py
@@ -36,6 +36,7 @@
     document[last] = value
 
 
+CALLER_TLS = {'certificate_file': 'shop.token', 'key_file': 'shop.token'}
 TARGET = {'name': 't1', 'host': '10.0.0.1', 'port': 3306, 'place': 'a'}
 
 
@@ -47,6 +48,7 @@
         ('limits.deadline', '0s', 'limits.deadline', 'above zero'),
         ('limits.deadline', '90s', 'limits.deadline', 'at most 60s'),
         ('limits.statement_size', '1MB', 'limits.statement_size', 'a size with a unit'),
+        ('tls.callers', CALLER_TLS, 'tls.callers', 'callers cannot use TLS yet'),
         ('limits.queue', 0, 'limits.queue', 'at least 1'),
         ('limits.sessions', 'many', 'limits.sessions', 'a whole number'),
         ('listen.admin', 'localhost:80', 'listen.admin', 'an IP number and a port'),
@@ -136,3 +138,19 @@
 
 def test_size_units():
     assert [parse_size_bytes(text) for text in ('3B', '2KiB', '1MiB')] == [3, 2048, 1 << 20]
+
+
+@pytest.mark.parametrize(
+    ('default', 'own', 'expected'), [(None, None, 256), (7, None, 7), (7, 9, 9), (None, 9, 9)]
+)
+def test_queue_limit_of_the_daemon_counts_for_databases_without_their_own(
+    tmp_path, default, own, expected
+):
+    document = build_minimal_document()
+    document['databases'] = {'orders': {'targets': [TARGET]}}
+    if default is not None:
+        set_key(document, 'limits.queue', default)
+    if own is not None:
+        set_key(document, 'databases.orders.queue_limit', own)
+    settings = load_settings(write_settings(tmp_path, document)).unwrap()
+    assert build_database_configs(settings)[0].queue_limit == expected
--- a/tests/operations/test_timeline.py
+++ b/tests/operations/test_timeline.py
@@ -4,8 +4,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cassiaseam.errors import ErrorKind
 from cassiaseam.messages import TimelineRecord
 from cassiaseam.timeline.buffer import TimelineBuffer, TimelineQuery
+from cassiaseam.timeline.bursts import MAX_BURSTS, RefusalBursts
 from cassiaseam.timeline.clock import MAX_DRIFT_S, HybridClock, issue_stamp, observe_stamp
 from cassiaseam.timeline.merge import GapMark, GapReason, MergedRecord, merge_timeline_pages
 from cassiaseam.timeline.render import (
@@ -115,3 +117,37 @@
     lines = [json.loads(line) for line in render_json_lines(entries).splitlines()]
     assert tuple(decode_timeline_entry(line) for line in lines) == entries
     assert lines[0] == encode_timeline_entry(entries[0])
+
+
+OVERLOADED, NO_PRIMARY = ErrorKind.OVERLOADED, ErrorKind.NO_PRIMARY
+
+
+@pytest.mark.parametrize(
+    ('refusals', 'expected'),
+    [
+        ([(OVERLOADED, 'd', 0)] * 1000, [('d', 'overloaded', '1000')]),
+        (
+            [(OVERLOADED, 'd', 0), (NO_PRIMARY, 'd', 0), (OVERLOADED, 'e', 0)],
+            [('d', 'overloaded', '1'), ('d', 'no_primary', '1'), ('e', 'overloaded', '1')],
+        ),
+        ([(OVERLOADED, 'd', 0.1)], []),
+        ([(ErrorKind.BAD_SQL, 'd', 0), (ErrorKind.STATEMENT_FAILED, 'd', 0)], []),
+    ],
+)
+def test_refusals_make_one_record_per_kind_database_and_burst(refusals, expected):
+    bursts = RefusalBursts()
+    for refusal in refusals:
+        bursts.note_refusal(*refusal)
+    records = bursts.take_records(5)
+    found = [(it.database, it.fields['kind'], it.fields['count']) for it in records]
+    assert found == expected
+    assert not bursts.take_records(5)
+
+
+def test_invented_database_names_do_not_fill_the_time_line():
+    bursts = RefusalBursts()
+    for number in range(10 * MAX_BURSTS):
+        bursts.note_refusal(ErrorKind.NOT_OWNER, f'd{number}', 0)
+    records = bursts.take_records(10)
+    assert len(records) == MAX_BURSTS + 1
+    assert sum(int(it.fields['count']) for it in records) == 10 * MAX_BURSTS
--- /dev/null
+++ b/tests/test_peer_stamps.py
@@ -0,0 +1,133 @@
+import asyncio
+
+import pytest
+
+from cassiaseam.configuration.model import DatabaseConfig, DatabaseConfigured, OwnershipChanged
+from cassiaseam.daemon.node import EXECUTORS
+from cassiaseam.membership.messages import (
+    Datagram,
+    DatagramKind,
+    MemberChanged,
+    MemberRecord,
+    MemberStatus,
+)
+from cassiaseam.messages import TimelineRecord
+from cassiaseam.peers import executors
+from cassiaseam.peers.codec import decode_message, encode_message
+from cassiaseam.peers.datagrams import MembershipProtocol, encode_datagram
+from cassiaseam.peers.messages import CancelRequest, Ping
+from cassiaseam.peers.stamps import MessageStamps
+from cassiaseam.peers.transport import PeerTransport
+from cassiaseam.timeline.buffer import TimelineBuffer, TimelineQuery
+from cassiaseam.timeline.merge import merge_timeline_pages
+
+LOOPBACK = '127.0.0.1'
+WALL_S = 1_800_000_000.0
+QUERY = TimelineQuery()
+ROLES = (executors,)
+
+
+class Daemon:
+    """Time line of one daemon whose wall clock stands still at its own time."""
+
+    def __init__(self, vm, skew_s):
+        self.wall_s = WALL_S + skew_s
+        self.stamps = MessageStamps(wall_clock=lambda: self.wall_s)
+        self.buffer = TimelineBuffer(vm, 'a', 'run', 100, self.stamps.clock)
+        self.vm = vm
+
+    def record(self, kind):
+        self.buffer.append_record(TimelineRecord(kind), self.wall_s)
+
+
+def merge_kinds(*daemons):
+    pages = [daemon.buffer.read_page(QUERY) for daemon in daemons]
+    return [entry.record.kind for entry in merge_timeline_pages(pages, {}, QUERY).entries]
+
+
+async def send_over_tcp(sender, receiver, on_message):
+    addresses = {}
+    one = PeerTransport(sender.vm, 1, addresses.get, stamps=sender.stamps)
+    two = PeerTransport(receiver.vm, 1, addresses.get, stamps=receiver.stamps)
+    arrived = asyncio.Event()
+
+    def accept(vm, message):
+        on_message()
+        arrived.set()
+
+    two.on_message = accept
+    try:
+        addresses[receiver.vm] = (LOOPBACK, await two.start(LOOPBACK, 0))
+        one.send_message(receiver.vm, CancelRequest('orders', 'r1'))
+        await asyncio.wait_for(arrived.wait(), 10)
+    finally:
+        await one.stop()
+        await two.stop()
+
+
+async def send_over_udp(sender, receiver, on_message):
+    protocol = MembershipProtocol(lambda datagram, address: on_message(), receiver.stamps)
+    datagram = Datagram(DatagramKind.PING, sender.vm, 1)
+    encoded = encode_datagram(datagram, sender.stamps.issue())
+    protocol.datagramReceived(encoded, (LOOPBACK, 1))
+
+
+@pytest.mark.parametrize('send', [send_over_tcp, send_over_udp])
+@pytest.mark.parametrize(
+    ('sender_skew_s', 'receiver_skew_s'), [(0, 0), (0, -30), (5, -50), (-30, 30), (0, -0.001)]
+)
+def test_effect_never_precedes_its_cause_on_a_daemon_whose_clock_is_behind(
+    send, sender_skew_s, receiver_skew_s
+):
+    sender, receiver = Daemon('vm-b', sender_skew_s), Daemon('vm-a', receiver_skew_s)
+    sender.record('cause')
+    asyncio.run(send(sender, receiver, lambda: receiver.record('effect')))
+    assert merge_kinds(sender, receiver) == ['cause', 'effect']
+
+
+@pytest.mark.parametrize('stamp', [(0, 0), (int(WALL_S * 1000) + 61_000, 0)])
+def test_stamp_of_an_old_daemon_or_a_broken_clock_changes_nothing(stamp):
+    stamps = MessageStamps(wall_clock=lambda: WALL_S)
+    before = stamps.issue()
+    envelope = decode_message(encode_message(0, Ping(wants_answer=True), 0, stamp), 0)
+    assert envelope.stamp == stamp
+    stamps.observe(envelope.stamp)
+    assert stamps.issue() == (before[0], before[1] + 1)
+    assert stamps.counters['refused_stamps'] == int(stamp[0] > 0)
+
+
+class FakeNode:
+    """Node that ignores the events which effects lead to."""
+
+    def __init__(self):
+        self.services = {TimelineBuffer: TimelineBuffer('vm-1', 'a', 'run', 10)}
+
+    def dispatch(self, event):
+        self.event = event
+
+
+def make_member(status, leaving=False):
+    return MemberChanged(MemberRecord('vm-2', 7, status, 'a', '10.0.0.2', 1, leaving), 'silence')
+
+
+@pytest.mark.parametrize(
+    ('effect', 'kind', 'database'),
+    [
+        (make_member(MemberStatus.ALIVE), 'member_alive', ''),
+        (make_member(MemberStatus.SUSPECT), 'member_suspect', ''),
+        (make_member(MemberStatus.DEAD), 'member_dead', ''),
+        (make_member(MemberStatus.LEFT, leaving=True), 'member_left', ''),
+        (OwnershipChanged('orders', owns=True), 'ownership_gained', 'orders'),
+        (OwnershipChanged('orders', owns=False), 'ownership_lost', 'orders'),
+        (
+            DatabaseConfigured(DatabaseConfig('orders', (), version=4)),
+            'configuration_in_force',
+            'orders',
+        ),
+    ],
+)
+def test_changes_that_operators_look_for_are_on_the_time_line(effect, kind, database):
+    node = FakeNode()
+    EXECUTORS[type(effect)](node, effect)
+    (entry,) = node.services[TimelineBuffer].read_page(QUERY).records
+    assert (entry.record.kind, entry.record.database) == (kind, database)
