Carry the stamp of a confirmation through the platform's store

A daemon learns of a plan from the store and not from the daemon that confirmed it, so a daemon whose clock is behind showed configuration_in_force before plan_confirming. The mark of the plan in the shard now holds the stamp of plan_confirming, and a daemon that applies the shard advances its clock past it. Older daemons ignore the member.

--- a/src/cassiaseam/configuration/document.py
+++ b/src/cassiaseam/configuration/document.py
@@ -10,7 +10,14 @@
 from typing import Annotated, Any
 
 import xxhash
-from pydantic import BaseModel, Field, NonNegativeFloat, PositiveInt, ValidationError
+from pydantic import (
+    BaseModel,
+    Field,
+    NonNegativeFloat,
+    NonNegativeInt,
+    PositiveInt,
+    ValidationError,
+)
 from result import Err, Ok, Result
 
 from cassiaseam.configuration.model import DatabaseConfig, TargetConfig, TargetState
@@ -53,6 +60,18 @@
     databases: dict[Name, DatabaseDocument] = {}
 
 
+class StampDocument(BaseModel):
+    """Mark of the plan that wrote a shard, as far as daemons read it."""
+
+    stamp: tuple[NonNegativeInt, NonNegativeInt] = (0, 0)
+
+
+class ConfirmationDocument(BaseModel):
+    """The part of a shard that is not its databases."""
+
+    confirmed: StampDocument | None = None
+
+
 def find_shard(database: str) -> int:
     """Return the number of the shard that holds a database."""
     return xxhash.xxh64_intdigest(database.encode()) % SHARD_COUNT
@@ -141,3 +160,11 @@
         return Ok(json.loads(encoded))
     except (zlib.error, ValueError) as error:
         return Err(RequestError(ErrorKind.INTERNAL, f'configuration document: {error}'))
+
+
+def read_confirmation_stamp(document: Any) -> tuple[int, int]:
+    """Return the clock stamp with which the plan of a shard was confirmed, or (0, 0)."""
+    try:
+        return ConfirmationDocument.model_validate(document).confirmed.stamp
+    except (ValidationError, AttributeError):
+        return (0, 0)
--- a/src/cassiaseam/peers/services.py
+++ b/src/cassiaseam/peers/services.py
@@ -134,7 +134,7 @@
         self.node.services[PeerServices] = self
         self.node.services[PeerTransport] = self.transport
         self.node.services[PlatformClient] = self.client
-        self.loops = StoreLoops(self.node, self.client, self.describe_vm('live'))
+        self.loops = StoreLoops(self.node, self.client, self.describe_vm('live'), self.stamps)
         self.loops.start_task(self.run_ticks())
         self.loops.start_task(self.loops.refresh_vm_list())
         logging.info('event=peer_services_started vm=%s port=%d', self.settings.vm, self.port)
--- a/src/cassiaseam/peers/store_loops.py
+++ b/src/cassiaseam/peers/store_loops.py
@@ -12,11 +12,13 @@
     decode_shard_document,
     decompress_document,
     parse_shard_key,
+    read_confirmation_stamp,
 )
 from cassiaseam.configuration.messages import ShardReceived, ShardRejected
 from cassiaseam.daemon.node import Node
 from cassiaseam.membership.messages import ListedVm, VmListReceived
 from cassiaseam.peers.messages import EncodedShard
+from cassiaseam.peers.stamps import MessageStamps
 from cassiaseam.platform.client import PlatformClient
 from cassiaseam.platform.model import ObjectBatch, StoredObject, VmDocument
 
@@ -36,15 +38,23 @@
         node: Daemon that gets the events.
         client: Client of the platform.
         own: Entry of this VM in the list.
+        stamps: Clock that is advanced past the confirmations of applied shards.
         listed: Latest list of VMs.
         tasks: Tasks under way.
         watch: Task of the watch, or None.
     """
 
-    def __init__(self, node: Node, client: PlatformClient, own: VmDocument):
+    def __init__(
+        self,
+        node: Node,
+        client: PlatformClient,
+        own: VmDocument,
+        stamps: MessageStamps | None = None,
+    ):
         self.node = node
         self.client = client
         self.own = own
+        self.stamps = stamps or MessageStamps()
         self.listed: tuple[VmDocument, ...] = ()
         self.tasks: set[asyncio.Task[Any]] = set()
         self.watch: asyncio.Task[None] | None = None
@@ -162,6 +172,7 @@
             logging.error('event=shard_rejected source=%s reason=%r', source, reason)
             self.node.dispatch(ShardRejected(shard.number, shard.version, reason))
             return
+        self.stamps.observe(read_confirmation_stamp(document))
         self.node.dispatch(
             ShardReceived(shard.number, shard.version, decoded.unwrap(), shard.document, source)
         )
--- a/src/cassiaseam/plans/model.py
+++ b/src/cassiaseam/plans/model.py
@@ -122,11 +122,13 @@
         plan: Id of the plan.
         operator: Team that confirmed it.
         at: Time in ISO form, UTC.
+        stamp: Clock stamp of the confirmation; daemons advance their clocks past it.
     """
 
     plan: str
     operator: str
     at: str
+    stamp: tuple[int, int] = (0, 0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiaseam/plans/store.py
+++ b/src/cassiaseam/plans/store.py
@@ -42,6 +42,8 @@
     write_settled,
 )
 from cassiaseam.plans.static import group_by_shard, publish_static_databases
+from cassiaseam.timeline.buffer import SequencedRecord
+from cassiaseam.timeline.clock import Stamp
 
 MAX_HISTORY = 32
 LISTED_DAYS = 2
@@ -296,7 +298,10 @@
         self, stored: StoredPlan, shard: ShardState
     ) -> Result[ConfirmedPlan, RequestError]:
         plan = stored.plan
-        confirmed = Confirmed(plan.plan_id, plan.decided_by, format_time(plan.decided_at))
+        # Daemons may have the plan in force before the answer to the write arrives.
+        stamp = self._announce('plan_confirming', plan, plan.decided_by)
+        at = format_time(plan.decided_at)
+        confirmed = Confirmed(plan.plan_id, plan.decided_by, at, stamp)
         databases = dict(shard.databases)
         if plan.after is None:
             databases.pop(plan.database, None)
@@ -313,8 +318,6 @@
             )
             if published.is_err():
                 return Err(_refuse_unavailable(published.unwrap_err()))
-        # Daemons may have the plan in force before the answer to this write arrives.
-        self._announce('plan_confirming', plan, plan.decided_by)
         written = await write_settled(
             self.store,
             format_shard_key(plan.shard),
@@ -364,12 +367,14 @@
         await self.store.write_object(key, encode_plan(plan), stored.version)
         self._announce('plan_refused', plan, plan.decided_by or plan.operator)
 
-    def _announce(self, kind: str, plan: Plan, operator: str) -> None:
-        """Log a step of a plan and put it on the time line."""
+    def _announce(self, kind: str, plan: Plan, operator: str) -> Stamp:
+        """Log a step of a plan, put it on the time line and return its stamp."""
         intent = str(plan.intent.get('kind', ''))
         values = {'plan': plan.plan_id, 'operator': operator, 'intent': intent}
         log_event(kind, database=plan.database, version=plan.shard_version, **values)
-        self.record(TimelineRecord(kind, plan.database, cause=plan.reason, fields=values))
+        record = TimelineRecord(kind, plan.database, cause=plan.reason, fields=values)
+        kept = self.record(record)
+        return kept.record.stamp if isinstance(kept, SequencedRecord) else (0, 0)
 
     async def _write_plan(self, plan: Plan, version: int) -> Result[SettledWrite, RequestError]:
         document = encode_plan(plan)
--- a/tests/test_peer_stamps.py
+++ b/tests/test_peer_stamps.py
@@ -1,8 +1,19 @@
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
-from cassiaseam.configuration.model import DatabaseConfig, DatabaseConfigured, OwnershipChanged
+from cassiaseam.configuration.document import (
+    compress_document,
+    find_shard,
+    read_confirmation_stamp,
+)
+from cassiaseam.configuration.model import (
+    DatabaseConfig,
+    DatabaseConfigured,
+    OwnershipChanged,
+    TargetConfig,
+)
 from cassiaseam.daemon.node import EXECUTORS
 from cassiaseam.membership.messages import (
     Datagram,
@@ -15,9 +26,12 @@
 from cassiaseam.peers import executors
 from cassiaseam.peers.codec import decode_message, encode_message
 from cassiaseam.peers.datagrams import MembershipProtocol, encode_datagram
-from cassiaseam.peers.messages import CancelRequest, Ping
+from cassiaseam.peers.messages import CancelRequest, EncodedShard, Ping
 from cassiaseam.peers.stamps import MessageStamps
+from cassiaseam.peers.store_loops import StoreLoops
 from cassiaseam.peers.transport import PeerTransport
+from cassiaseam.plans.codec import encode_shard
+from cassiaseam.plans.model import Confirmed
 from cassiaseam.timeline.buffer import TimelineBuffer, TimelineQuery
 from cassiaseam.timeline.merge import merge_timeline_pages
 
@@ -96,6 +110,27 @@
     assert stamps.counters['refused_stamps'] == int(stamp[0] > 0)
 
 
+@pytest.mark.parametrize('skew_s', [0, -30, 30])
+def test_configuration_is_in_force_after_its_confirmation_on_any_clock(skew_s):
+    operator, daemon = Daemon('vm-b', 0), Daemon('vm-a', skew_s)
+    operator.record('plan_confirming')
+    stamp = operator.buffer.records[-1].record.stamp
+    config = DatabaseConfig('orders', (TargetConfig('t1', LOOPBACK, 3306, 'a'),))
+    document = encode_shard({'orders': config}, Confirmed('p', 'team', 'at', stamp))
+    node = SimpleNamespace(dispatch=lambda event: daemon.record(type(event).__name__))
+    loops = StoreLoops(node, None, None, daemon.stamps)
+    shard = EncodedShard(find_shard('orders'), 1, compress_document(document))
+    loops.apply_document(shard, document, 'store')
+    assert merge_kinds(operator, daemon) == ['plan_confirming', 'ShardReceived']
+
+
+@pytest.mark.parametrize(
+    'document', [None, {}, {'confirmed': None}, {'confirmed': {'stamp': [-1, 'x']}}]
+)
+def test_shard_without_a_usable_stamp_moves_no_clock(document):
+    assert read_confirmation_stamp(document) == (0, 0)
+
+
 class FakeNode:
     """Node that ignores the events which effects lead to."""
 
