--- a/tests/daemon/test_target_executors.py
+++ b/tests/daemon/test_target_executors.py
@@ -157,3 +157,25 @@
         assert answer.status.fenced_term >= 1
 
     run_with_node(group, scenario)
+
+
+def test_polls_with_a_wrong_login_leave_one_log_line(group, caplog):
+    async def scenario(node):
+        service = node.services[TargetService]
+        service.credentials = TargetCredentials('nobody', 'wrong')
+        for _ in range(3):
+            event = await node.run(io.PollTarget('orders', 'a'))
+            assert isinstance(event, io.TargetStatusFailed)
+        service.credentials = TargetCredentials('proxy', '')
+        service.channels.clear()
+        for _ in range(2):
+            assert isinstance(
+                await node.run(io.PollTarget('orders', 'a')), io.TargetStatusReceived
+            )
+
+    with caplog.at_level('INFO', logger='absl'):
+        run_with_node(group, scenario)
+    messages = [record.getMessage() for record in caplog.records]
+    lines = [line for line in messages if 'target_poll' in line]
+    assert ['target_poll_refused' in line for line in lines] == [True, False]
+    assert 'code=1045' in lines[0]
