--- a/tests/operations/admin_server.py
+++ b/tests/operations/admin_server.py
@@ -109,6 +109,7 @@
     from cassiaseam.admin.api import AdminApi
     from cassiaseam.admin.fanout import DaemonAsker
     from cassiaseam.admin.server import listen_for_administration
+    from cassiaseam.plans.model import ClusterView
     from cassiaseam.plans.store import PlanStore
     from cassiaseam.settings.model import CertificateSettings, Role, TokenSettings
     from cassiaseam.settings.units import Address
@@ -128,6 +129,7 @@
         plans = FailingPlans() if vm == 'vm-failing' else PlanStore(store)
         known = daemons if vm == 'vm-1' else {}
         if vm == 'vm-behind':
+            plans = PlanStore(store, lambda name: ClusterView(owners={name: 'vm-1'}))
             known = {'vm-1': Address('127.0.0.1', ports['vm-1'])}
         api = AdminApi(build_backend(vm, store, known, plans), access, asker)
         listening = listen_for_administration(api, Address('127.0.0.1', 0), reactor)
--- a/tests/operations/test_command_line.py
+++ b/tests/operations/test_command_line.py
@@ -88,6 +88,25 @@
     assert 'last by root-team at' in err
 
 
+@pytest.mark.parametrize(('target', 'gap_is_expected'), [('t1', True), ('t2', False)])
+def test_plan_made_elsewhere_knows_the_primary_of_the_owner(run, target, gap_is_expected):
+    code, out, err = run('plan', 'drain', 'orders', target, vm='vm-behind')
+    assert code == ExitCode.DONE, err
+    assert ('t1 is the primary' in out) is gap_is_expected
+    assert 'not known now' not in out
+
+
+@pytest.mark.parametrize('command', ['status', 'timeline'])
+@pytest.mark.parametrize(
+    ('scope', 'asks_others'),
+    [((), True), (('--scope', 'all'), True), (('--scope', 'local'), False), (('--local',), False)],
+)
+def test_scope_decides_whether_other_daemons_are_asked(run, command, scope, asks_others):
+    code, out, err = run(command, *scope)
+    assert code == ExitCode.DONE, err
+    assert ('vm-gone' in out) is asks_others
+
+
 def test_cancelled_plan_is_listed_and_cannot_be_confirmed(run):
     plan = create_plan(run, 'drain', 'orders', 't3')
     assert run('cancel', plan['plan_id'])[0] == ExitCode.DONE
@@ -102,6 +121,8 @@
         (('unknown',), 'administrator', ExitCode.USAGE),
         (('plan', 'drain', 'orders'), 'administrator', ExitCode.USAGE),
         (('status', '--output', 'xml'), 'administrator', ExitCode.USAGE),
+        (('status', '--scope', 'some'), 'administrator', ExitCode.REFUSED),
+        (('status', '--scope', 'all', '--local'), 'administrator', ExitCode.REFUSED),
         (('status', '--api', 'file:///etc/hostname'), 'administrator', ExitCode.REFUSED),
         (('status', '--api', 'http://127.0.0.1:1'), 'administrator', ExitCode.UNAVAILABLE),
         (('status', '--token-file', '/nonexistent'), 'administrator', ExitCode.REFUSED),
