--- a/src/cassiaseam/cli/view_commands.py
+++ b/src/cassiaseam/cli/view_commands.py
@@ -7,7 +7,14 @@
 
 from cleo.helpers import argument, option
 
-from cassiaseam.cli.base import API_OPTIONS, OUTPUT_OPTION, ApiCommand, BaseCommand, CommandFailed
+from cassiaseam.cli.base import (
+    API_OPTIONS,
+    OUTPUT_OPTION,
+    SCOPE_OPTIONS,
+    BaseCommand,
+    CommandFailed,
+    ScopedCommand,
+)
 from cassiaseam.cli.exit_codes import ExitCode
 from cassiaseam.errors import ErrorKind, RequestError
 from cassiaseam.settings.loader import load_settings
@@ -21,21 +28,24 @@
 )
 
 FOLLOW_PERIOD_S = 1.0
+# A target counts as failed after as many polls (group/detection.py).
+UNANSWERED_POLLS = 3
+NO_ANSWER = 'no answer'
 # The asked daemon spends 1 to 1.5 ms of CPU time per daemon and poll; this keeps following below
 # 1% of a core at any number of daemons.
 FOLLOW_PERIOD_PER_DAEMON_S = 0.2
 
 
-class Status(ApiCommand):
+class Status(ScopedCommand):
     """Shows daemons and databases."""
 
     name = 'status'
     description = 'Show the status of all daemons, or of one with --local.'
-    options = [*API_OPTIONS, option('local', None, 'Only the daemon that is asked.')]
+    options = [*API_OPTIONS, *SCOPE_OPTIONS]
 
     def run_command(self) -> int:
         """Read the status and show it."""
-        scope = 'local' if self.option('local') else 'all'
+        scope = self.read_scope()
         status = self.require(self.open_client().read('/v1/status', scope=scope))
         if self.prints_json:
             self.print_json(status)
@@ -79,14 +89,19 @@
             name,
             target['place'],
             target['state'],
-            target['role'],
+            target['role'] if answers(target) else NO_ANSWER,
             '' if target.get('age_s') is None else f'{target["age_s"]:g}s',
         )
         for name, target in group['targets'].items()
     ]
 
 
-class Timeline(ApiCommand):
+def answers(target: dict[str, Any]) -> bool:
+    """Return whether the role of a target is current and not the one of its last answer."""
+    return target.get('failures', 0) < UNANSWERED_POLLS
+
+
+class Timeline(ScopedCommand):
     """Shows decisions of all daemons."""
 
     name = 'timeline'
@@ -95,7 +110,7 @@
         *API_OPTIONS,
         option('since', None, 'Duration back, time or Unix ms.', flag=False),
         option('database', None, 'Only this database.', flag=False),
-        option('local', None, 'Only the daemon that is asked.'),
+        *SCOPE_OPTIONS,
         option('follow', None, 'Go on with new records.'),
         option('for', None, 'Time after which following ends, such as 10m.', flag=False),
         option('html', None, 'Write one HTML page to a file.', flag=False),
@@ -105,12 +120,13 @@
         """Read records until there is nothing to follow."""
         client = self.open_client()
         ends_at = self.find_end()
+        scope = self.read_scope()
         cursor = ''
         while True:
             answer = self.require(
                 client.read(
                     '/v1/timeline',
-                    scope='local' if self.option('local') else 'all',
+                    scope=scope,
                     since=self.option('since') or '',
                     database=self.option('database') or '',
                     cursor=cursor,
@@ -172,7 +188,7 @@
     if record.term:
         words.append(f'term={record.term}')
     words.append(record.cause)
-    words.extend(f'{name}={text}' for name, text in record.fields.items())
+    words.extend(f'{name}={text}' for name, text in record.fields.items() if text)
     return '  '.join(filter(None, words))
 
 
--- a/src/cassiaseam/daemon/runtime.py
+++ b/src/cassiaseam/daemon/runtime.py
@@ -15,7 +15,9 @@
 from cassiaseam.daemon.node import Node
 from cassiaseam.daemon.static_databases import StaticDatabases
 from cassiaseam.daemon.target_service import TargetCredentials, TargetService
+from cassiaseam.daemon.timeline_records import record_refusals
 from cassiaseam.daemon.timers import TickTimer
+from cassiaseam.daemon.tls_contexts import PeerCertificates
 from cassiaseam.entry.forwarding import Forwarder
 from cassiaseam.entry.identity import CallerDirectory, CallerLogin
 from cassiaseam.entry.listener import CallerListener, ListenerLimits
@@ -49,6 +51,7 @@
         limits: Bounds of the listener.
         shutdown_limit_s: Seconds that work in flight may take after a stop was requested.
         timeline_records: Size of the time line buffer.
+        peer_certificates: Certificate files between daemons that are read again, or None.
         administration: Settings of the administration API, or None to run without.
     """
 
@@ -60,6 +63,7 @@
     limits: ListenerLimits = field(default_factory=ListenerLimits)
     shutdown_limit_s: float = SHUTDOWN_LIMIT_S
     timeline_records: int = 10000
+    peer_certificates: PeerCertificates | None = None
     administration: AdministrationSettings | None = None
 
 
@@ -95,7 +99,11 @@
         self.listener = CallerListener(self.forwarder, self.directory, settings.limits)
         self.node.services[TargetService] = self.targets
         self.node.services[TimelineBuffer] = TimelineBuffer(
-            vm, settings.peers.place, str(self.peers.incarnation), settings.timeline_records
+            vm,
+            settings.peers.place,
+            str(self.peers.incarnation),
+            settings.timeline_records,
+            self.peers.stamps.clock,
         )
         self.admin: AdminService | None = None
         if settings.administration is not None:
@@ -122,6 +130,9 @@
         await self.static.start()
         self.peers.loops.start_task(self.static.retire_when_stored())
         self.targets.run_in_background(self.targets.close_idle_channels())
+        self.peers.loops.start_task(record_refusals(self.node, self.forwarder.refusals))
+        if self.settings.peer_certificates is not None:
+            self.peers.loops.start_task(self.settings.peer_certificates.watch_files())
         if self.admin is not None:
             self.admin_port = await self.admin.start()
         await self.wait_until_members_are_known()
--- a/src/cassiaseam/plans/store.py
+++ b/src/cassiaseam/plans/store.py
@@ -42,6 +42,8 @@
     write_settled,
 )
 from cassiaseam.plans.static import group_by_shard, publish_static_databases
+from cassiaseam.timeline.buffer import SequencedRecord
+from cassiaseam.timeline.clock import Stamp
 
 MAX_HISTORY = 32
 LISTED_DAYS = 2
@@ -117,13 +119,23 @@
         self.record = record
 
     async def create_plan(
-        self, intent: Intent, operator: str, now: float
+        self, intent: Intent, operator: str, now: float, primary: str = ''
     ) -> Result[Plan, RequestError]:
-        """Make the plan for an intent and store it."""
+        """Make the plan for an intent and store it.
+
+        Args:
+            intent: Validated intent.
+            operator: Who asked.
+            now: Seconds since the epoch.
+            primary: Primary that the owner reported, or '' to rely on this daemon's view.
+        """
         shard = await self.read_shard(find_shard(intent.database))
         if shard.is_err():
             return Err(shard.unwrap_err())
-        made = make_plan(intent, PlanView(shard.unwrap(), self.read_cluster(intent.database)), now)
+        cluster = self.read_cluster(intent.database)
+        if primary:
+            cluster = dataclasses.replace(cluster, primaries={intent.database: primary})
+        made = make_plan(intent, PlanView(shard.unwrap(), cluster), now)
         if made.is_err():
             return made
         plan = dataclasses.replace(made.unwrap(), plan_id=make_plan_id(now), operator=operator)
@@ -286,7 +298,10 @@
         self, stored: StoredPlan, shard: ShardState
     ) -> Result[ConfirmedPlan, RequestError]:
         plan = stored.plan
-        confirmed = Confirmed(plan.plan_id, plan.decided_by, format_time(plan.decided_at))
+        # Daemons may have the plan in force before the answer to the write arrives.
+        stamp = self._announce('plan_confirming', plan, plan.decided_by)
+        at = format_time(plan.decided_at)
+        confirmed = Confirmed(plan.plan_id, plan.decided_by, at, stamp)
         databases = dict(shard.databases)
         if plan.after is None:
             databases.pop(plan.database, None)
@@ -352,12 +367,14 @@
         await self.store.write_object(key, encode_plan(plan), stored.version)
         self._announce('plan_refused', plan, plan.decided_by or plan.operator)
 
-    def _announce(self, kind: str, plan: Plan, operator: str) -> None:
-        """Log a step of a plan and put it on the time line."""
+    def _announce(self, kind: str, plan: Plan, operator: str) -> Stamp:
+        """Log a step of a plan, put it on the time line and return its stamp."""
         intent = str(plan.intent.get('kind', ''))
         values = {'plan': plan.plan_id, 'operator': operator, 'intent': intent}
         log_event(kind, database=plan.database, version=plan.shard_version, **values)
-        self.record(TimelineRecord(kind, plan.database, cause=plan.reason, fields=values))
+        record = TimelineRecord(kind, plan.database, cause=plan.reason, fields=values)
+        kept = self.record(record)
+        return kept.record.stamp if isinstance(kept, SequencedRecord) else (0, 0)
 
     async def _write_plan(self, plan: Plan, version: int) -> Result[SettledWrite, RequestError]:
         document = encode_plan(plan)
