--- a/features/acknowledged_writes.feature
+++ b/features/acknowledged_writes.feature
@@ -13,7 +13,7 @@
       | primary killed |
       | primary frozen |
       | primary cut from replicas |
-      | replicas slow + primary killed |
+      | replicas slow then primary killed |
       | platform down + primary killed |
       | owner killed + primary killed |
       | platform answers lost + primary frozen |
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -46,9 +46,10 @@
 @step('the fault "{faults}" comes')
 def inject(context, faults):
     async def run():
-        names = faults.split(' + ')
-        for condition in await inject_faults(context.world, context.load, names):
-            await wait_until(condition, EFFECT_LIMIT_S, f'effect of {faults}')
+        for part in faults.split(' then '):
+            conditions = await inject_faults(context.world, context.load, part.split(' + '))
+            for condition in conditions:
+                await wait_until(condition, EFFECT_LIMIT_S, f'effect of {part}')
 
     context.runner.run(run())
 
