Let the next-ranked owner adopt a database that an entry passed over

Cause: an owner that was frozen, cut off from the targets or out of reach of an entry kept the database until membership noticed, and the next-ranked daemon refused with NOT_OWNER.

Ruled out: refusing parked reads early (they have a limit of their own, and test_read_that_no_target_may_serve_is_refused_before_its_deadline expects it).

--- a/src/cassiaseam/entry/forwarding.py
+++ b/src/cassiaseam/entry/forwarding.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 from typing import Protocol
 
+from cassiaseam.entry.passed_owners import PassedOwners
 from cassiaseam.entry.retries import (
     RETRY_AFTER_S,
     NextStep,
@@ -14,6 +15,7 @@
     choose_reported_error,
     describe_failure,
     describe_timeout,
+    is_passed_over,
 )
 from cassiaseam.errors import ErrorKind, RequestError
 from cassiaseam.messages import Answer, Request, RequestKind
@@ -65,6 +67,7 @@
         rank_owners: Returns the VM names for a database, best first.
         local: Owner role of this daemon.
         peers: Transport to other daemons, or None for a single daemon.
+        passed: Owners that were passed over recently.
         outcomes: Requests by kind and outcome: `replica`, `primary` or the kind of the error.
     """
 
@@ -84,6 +87,7 @@
         self.clock = clock
         self.limits = limits or ForwardingLimits()
         self.budget = RetryBudget()
+        self.passed = PassedOwners()
         self.in_flight: Counter[str] = Counter()
         self.total_in_flight = 0
         self.outcomes: Counter[tuple[str, str]] = Counter()
@@ -114,6 +118,11 @@
             return RequestError(ErrorKind.OVERLOADED, message, RETRY_AFTER_S)
         return None
 
+    def find_first_owner(self, database: str) -> str:
+        """Return the owner that a new request asks first, or ''."""
+        ranked = self.rank_owners(database)[:MAX_OWNERS_TRIED]
+        return next((vm for vm in ranked if not self.passed.holds(database, vm)), '')
+
     def roll_back_in_background(self, request: Request, owner: str) -> None:
         """Send a ROLLBACK whose answer nobody waits for."""
         task = asyncio.get_running_loop().create_task(self._roll_back(request, owner))
@@ -145,17 +154,25 @@
             self._release(request.caller)
 
     async def _ask_owners(self, request: Request, pinned: str) -> OwnedAnswer:
-        owners = [pinned] if pinned else self.rank_owners(request.database)[:MAX_OWNERS_TRIED]
+        if pinned:
+            return await self._try_owners(request, [pinned])
+        ranked = self.rank_owners(request.database)[:MAX_OWNERS_TRIED]
+        skipped = self.passed.skip_owners(request.database, ranked, self.clock())
+        owners = ranked[len(skipped) :]
         if not owners:
             message = f'no live daemon serves database {request.database!r}'
             error = RequestError(ErrorKind.NOT_OWNER, message, RETRY_AFTER_S)
             return OwnedAnswer(Answer(request.request_id, error=error))
+        return await self._try_owners(replace(request, passed_over=tuple(skipped)), owners)
+
+    async def _try_owners(self, request: Request, owners: list[str]) -> OwnedAnswer:
         maybe_ran = False
         asked = ''
         failure: RequestError | None = None
         for position, owner in enumerate(owners):
             asked = owner
             answer = await self._send(owner, request)
+            request = self._note_owner(request, owner, answer.error)
             step = choose_next_step(request, answer.error)
             failure = choose_reported_error(failure, answer.error)
             if answer.error is None or step is NextStep.RETURN:
@@ -168,6 +185,16 @@
             answer = replace(answer, error=describe_failure(request, failure, maybe_ran))
         return OwnedAnswer(answer, asked)
 
+    def _note_owner(self, request: Request, owner: str, error: RequestError | None) -> Request:
+        """Remember whether an owner was passed over and return the request for the next one."""
+        if error is None or not is_passed_over(error):
+            # Statements of an open transaction go to its owner whether it takes new work or not.
+            if request.transaction_id is None:
+                self.passed.forget(request.database, owner)
+            return request
+        self.passed.remember(request.database, owner, self.clock())
+        return replace(request, passed_over=(*request.passed_over, owner))
+
     async def _send(self, owner: str, request: Request) -> Answer:
         now = self.clock()
         margin = min(ANSWER_MARGIN_S, (request.deadline - now) * ANSWER_MARGIN_RATIO)
--- a/src/cassiaseam/entry/retries.py
+++ b/src/cassiaseam/entry/retries.py
@@ -3,14 +3,12 @@
 import enum
 from dataclasses import dataclass, replace
 
-from cassiaseam.errors import ErrorKind, RequestError
+from cassiaseam.errors import OWNER_CUT_OFF, OWNER_LINK_LOST, ErrorKind, RequestError
 from cassiaseam.messages import Request, RequestKind
 
 RETRY_BUDGET_RATIO = 0.1
 RETRY_BUDGET_BURST = 10.0
 RETRY_AFTER_S = 0.2
-# An owner sets `detail['cause']` to this when it alone is separated from the group.
-OWNER_CUT_OFF = 'owner_cut_off'
 
 _NOT_RUN_AT_OWNER = frozenset(
     (ErrorKind.NOT_OWNER, ErrorKind.PEER_UNREACHABLE, ErrorKind.SHUTTING_DOWN)
@@ -35,13 +33,27 @@
         return NextStep.RETURN
     if error.kind in _NOT_RUN_AT_OWNER:
         return NextStep.NEXT_OWNER
-    if error.kind is ErrorKind.NO_PRIMARY and error.detail.get('cause') == OWNER_CUT_OFF:
+    if _is_cut_off(error):
         return NextStep.NEXT_OWNER
     if error.kind is ErrorKind.OUTCOME_UNKNOWN and may_run_twice(request):
         return NextStep.RESEND
     return NextStep.RETURN
 
 
+def is_passed_over(error: RequestError) -> bool:
+    """Return whether the next-ranked owner has to serve in place of the one that answered.
+
+    A failover and a shutdown are no reason: the owner or membership ends them without help.
+    """
+    if error.kind is ErrorKind.PEER_UNREACHABLE or _is_cut_off(error):
+        return True
+    return error.detail.get('cause') == OWNER_LINK_LOST
+
+
+def _is_cut_off(error: RequestError) -> bool:
+    return error.detail.get('cause') == OWNER_CUT_OFF
+
+
 def may_run_twice(request: Request) -> bool:
     """Return whether a second run of a request is harmless and allowed by the caller."""
     if request.kind is RequestKind.READ:
--- a/src/cassiaseam/entry/statements.py
+++ b/src/cassiaseam/entry/statements.py
@@ -200,10 +200,10 @@
 
     def _release_at_ranked_owner(self, request: Request) -> None:
         # A BEGIN that was given up may have opened the transaction a moment later.
-        owners = self.forwarder.rank_owners(request.database)
-        if owners:
+        owner = self.forwarder.find_first_owner(request.database)
+        if owner:
             rollback = build_rollback(request, self.clock() + ROLLBACK_DEADLINE_S)
-            self.forwarder.roll_back_in_background(rollback, owners[0])
+            self.forwarder.roll_back_in_background(rollback, owner)
 
     async def _run_alone(self, sql: str, found: Classification, options: RequestOptions) -> Answer:
         kind = RequestKind.READ if found.kind is StatementKind.READ else RequestKind.WRITE
--- a/src/cassiaseam/errors.py
+++ b/src/cassiaseam/errors.py
@@ -3,6 +3,11 @@
 import enum
 from dataclasses import dataclass, field
 
+# Values of `RequestError.detail['cause']` that let the entry pass over an owner: the owner does
+# not reach a majority of its targets, or the link to it broke after a request was sent.
+OWNER_CUT_OFF = 'owner_cut_off'
+OWNER_LINK_LOST = 'owner_link_lost'
+
 
 class RunState(enum.Enum):
     """Whether a failed request ran on a target."""
--- a/src/cassiaseam/group/view.py
+++ b/src/cassiaseam/group/view.py
@@ -14,6 +14,8 @@
 # Bound on the age of the poll that confirms a primary for a read without an accepted age. Four
 # rounds at the short interval, so that a lost answer does not make reads wait.
 CONFIRMATION_AGE_S = 0.2
+# An owner whose polls of a majority have been without an answer for this long is cut off.
+CUT_OFF_LIMIT_S = 1.0
 
 
 def find_write_primary(group: GroupState, now: float) -> str | None:
@@ -23,6 +25,19 @@
     return group.primary if is_reachable(group.targets[group.primary], now) else None
 
 
+def is_owner_cut_off(group: GroupState, now: float) -> bool:
+    """Return whether no majority of the targets has answered polls for `CUT_OFF_LIMIT_S`.
+
+    A target that is not being polled counts as reached: an idle group is polled only every
+    second.
+    """
+    reached = sum(
+        view.unanswered_since is None or now - view.unanswered_since < CUT_OFF_LIMIT_S
+        for view in group.targets.values()
+    )
+    return reached < count_majority(group)
+
+
 def is_committed(group: GroupState, position: LogPosition, term: int) -> bool:
     """Return whether a majority holds a write of the primary of `term`.
 
--- a/src/cassiaseam/messages.py
+++ b/src/cassiaseam/messages.py
@@ -37,6 +37,8 @@
         idempotency_key: Key of a request that must run at most once over all submissions.
         repeatable: Whether the caller allows the statement to be run again.
         transaction_id: Set for BEGIN and for every statement of that transaction.
+        passed_over: Better-ranked owners that the entry did not reach or that are cut off from
+            the targets; the next-ranked owner serves the request in their place.
     """
 
     request_id: str
@@ -53,6 +55,7 @@
     idempotency_key: str | None = None
     repeatable: bool = True
     transaction_id: str | None = None
+    passed_over: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiaseam/owner/arrival.py
+++ b/src/cassiaseam/owner/arrival.py
@@ -3,6 +3,7 @@
 from cassiaseam.errors import ErrorKind, RequestError
 from cassiaseam.messages import Request, RequestKind
 from cassiaseam.owner.answers import build_refusal, refuse_request, register_work
+from cassiaseam.owner.cut_off import find_cut_off_error
 from cassiaseam.owner.dispatch import refuse_hopeless_writes
 from cassiaseam.owner.pool import find_transaction_limit, find_write_limit, has_write_slot
 from cassiaseam.owner.routing import (
@@ -71,6 +72,9 @@
     if continues:
         return None
     error = check_kind(turn, request)
+    if error is None:
+        work = Work(request, turn.now, max_age_s=find_accepted_age(turn, request))
+        error = find_cut_off_error(turn, work)
     if error is not None:
         return error
     if request.kind in WRITE_KINDS:
--- a/src/cassiaseam/owner/expiry.py
+++ b/src/cassiaseam/owner/expiry.py
@@ -7,6 +7,7 @@
 from cassiaseam.errors import ErrorKind
 from cassiaseam.messages import RequestKind
 from cassiaseam.owner.acknowledgement import answer_unknown
+from cassiaseam.owner.adoption import expire_adoption
 from cassiaseam.owner.answers import answer_error, answer_kind
 from cassiaseam.owner.dispatch import dispatch_work, refuse_all_writes
 from cassiaseam.owner.drain import (
@@ -28,6 +29,7 @@
 from cassiaseam.owner.state import (
     Connection,
     ConnectionPhase,
+    DatabaseState,
     OwnerState,
     TargetPool,
     TimerKind,
@@ -200,3 +202,9 @@
 def expire_poll_gap(turn: Turn, _subject: None) -> None:
     """Let the dispatch that follows every due time ask for the next polls."""
     turn.database.poll_timer_due = False
+
+
+@expires(TimerKind.ADOPTION)
+def expire_adopted_database(turn: Turn, adopted: DatabaseState) -> None:
+    """Give up an adopted database that no entry has asked for in time."""
+    expire_adoption(turn, adopted)
--- a/src/cassiaseam/owner/handlers.py
+++ b/src/cassiaseam/owner/handlers.py
@@ -14,8 +14,12 @@
 from cassiaseam.group import handlers as _group_handlers  # noqa: F401
 from cassiaseam.messages import RequestKind
 from cassiaseam.owner.acknowledgement import check_commits
+
+# Its handler adopts a database before the handler below accepts the request.
+from cassiaseam.owner.adoption import confirm_ownership, end_adoption, take_ownership
 from cassiaseam.owner.answers import build_refusal, forget_work, refuse_request
 from cassiaseam.owner.arrival import accept_request
+from cassiaseam.owner.cut_off import refuse_held_writes
 from cassiaseam.owner.dispatch import dispatch_work, retry_parked_reads
 from cassiaseam.owner.drain import (
     apply_configuration,
@@ -35,7 +39,6 @@
 from cassiaseam.owner.state import (
     Connection,
     ConnectionPhase,
-    DatabaseState,
     TimerKind,
     Turn,
     Work,
@@ -279,6 +282,7 @@
 def use_group_change(turn: Turn) -> Effects:
     """Answer and start what a change of the group makes possible."""
     database = turn.database
+    refuse_held_writes(turn)
     if database.committing:
         check_commits(turn, list(database.committing.values()))
     if database.parked:
@@ -304,17 +308,14 @@
     """Create the state of a database, or let it finish its work."""
     effects: Effects = []
     turn = begin_turn(node, event.database, now, effects)
-    group = node.groups.get(event.database)
-    if event.owns and turn is None and group is not None:
-        database = DatabaseState(event.database, group.config, group, term=group.term)
-        node.databases[event.database] = database
-        turn = start_turn(node, database, now, effects)
+    if event.owns:
+        turn = take_ownership(node, event.database, now, effects)
     if turn is None:
         return effects
     if event.owns:
-        turn.database.owns = True
-        apply_configuration(turn, turn.group.config)
+        confirm_ownership(turn)
     else:
+        end_adoption(turn, 'membership ranks another daemon first')
         release_ownership(turn)
     return end_turn(turn)
 
@@ -326,6 +327,7 @@
     turn = begin_turn(node, event.database, now, effects)
     if turn is None:
         return effects
+    end_adoption(turn, 'the database is no longer configured')
     release_ownership(turn)
     return end_turn(turn)
 
--- a/src/cassiaseam/owner/state.py
+++ b/src/cassiaseam/owner/state.py
@@ -52,6 +52,7 @@
     DRAIN = 'drain'
     OWNERSHIP = 'ownership'
     POLL = 'poll'
+    ADOPTION = 'adoption'
 
 
 @dataclass(slots=True, eq=False)
@@ -227,6 +228,8 @@
         poll_timer_due: Whether the next request for polls is scheduled.
         replica_reads_served: Reads that a replica answered.
         reads_served: Reads that any target answered.
+        adopted_until: Time in seconds until which this daemon serves the database in place of
+            owners that an entry passed over, or None when membership made it the owner.
     """
 
     name: str
@@ -253,6 +256,7 @@
     poll_timer_due: bool = False
     replica_reads_served: int = 0
     reads_served: int = 0
+    adopted_until: float | None = None
 
 
 @dataclass(slots=True)
--- a/src/cassiaseam/owner/statements.py
+++ b/src/cassiaseam/owner/statements.py
@@ -1,9 +1,16 @@
 """Autocommit statements: start, end, retry and loss."""
 
-from cassiaseam.errors import ErrorKind, RequestError
+from cassiaseam.errors import OWNER_CUT_OFF, ErrorKind, RequestError
+from cassiaseam.group.view import is_owner_cut_off
 from cassiaseam.messages import RequestKind
 from cassiaseam.owner.acknowledgement import answer_unknown, await_majority, expect_poll_soon
-from cassiaseam.owner.answers import answer_error, answer_kind, answer_result, forget_work
+from cassiaseam.owner.answers import (
+    answer_error,
+    answer_kind,
+    answer_result,
+    build_refusal,
+    forget_work,
+)
 from cassiaseam.owner.breaker import record_success
 from cassiaseam.owner.pool import (
     close_connection,
@@ -87,12 +94,14 @@
 
 def refuse_unserved_read(turn: Turn, work: Work) -> None:
     """Answer a read that no target could serve in time."""
+    kind, message = ErrorKind.NO_TARGET, 'no target can serve reads'
     if is_any_target_reachable(turn):
+        kind = ErrorKind.TOO_OLD
         message = f'no target covers floor {work.request.floor} at age {work.max_age_s}'
-        answer_kind(turn, work, ErrorKind.TOO_OLD, message, READ_RETRY_AFTER_S)
-    else:
-        message = 'no target can serve reads'
-        answer_kind(turn, work, ErrorKind.NO_TARGET, message, READ_RETRY_AFTER_S)
+    error = build_refusal(kind, message, READ_RETRY_AFTER_S)
+    if is_owner_cut_off(turn.group, turn.now):
+        error.detail['cause'] = OWNER_CUT_OFF
+    answer_error(turn, work, error)
 
 
 def start_write(turn: Turn, connection: Connection, work: Work) -> None:
--- a/src/cassiaseam/peers/peer.capnp
+++ b/src/cassiaseam/peers/peer.capnp
@@ -46,6 +46,7 @@
   repeatable @15 :Bool;
   hasTransaction @16 :Bool;
   transactionId @17 :Text;
+  passedOver @18 :List(Text);
 }
 
 struct ResultSet {
--- a/src/cassiaseam/peers/statement_codec.py
+++ b/src/cassiaseam/peers/statement_codec.py
@@ -56,6 +56,8 @@
     if request.transaction_id is not None:
         target.hasTransaction = True
         target.transactionId = request.transaction_id
+    if request.passed_over:
+        target.passedOver = list(request.passed_over)
 
 
 @decodes('request')
@@ -76,6 +78,7 @@
         idempotency_key=decode_text(source.idempotencyKey) if source.hasKey else None,
         repeatable=source.repeatable,
         transaction_id=source.transactionId if source.hasTransaction else None,
+        passed_over=tuple(source.passedOver),
     )
 
 
--- a/src/cassiaseam/peers/transport.py
+++ b/src/cassiaseam/peers/transport.py
@@ -9,7 +9,7 @@
 
 from absl import logging
 
-from cassiaseam.errors import ANSWERS, ErrorKind, RequestError
+from cassiaseam.errors import ANSWERS, OWNER_LINK_LOST, ErrorKind, RequestError
 from cassiaseam.messages import Answer, Request, RequestKind
 from cassiaseam.peers.codec import PROTOCOL_VERSION, Envelope
 from cassiaseam.peers.link import (
@@ -282,7 +282,9 @@
             if not pending.outcome.done():
                 message = f'link to vm {link.vm} lost: {reason}'
                 kind = find_loss_kind(pending)
-                pending.outcome.set_result(make_error_answer(pending.request, kind, message))
+                answer = make_error_answer(pending.request, kind, message)
+                answer.error.detail['cause'] = OWNER_LINK_LOST
+                pending.outcome.set_result(answer)
         lost = [key for key, found in self.incoming.items() if found.link is link]
         for key in lost:
             self.incoming.pop(key)
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -6,10 +6,11 @@
 
 from cassiaseam.entry.classification import classify_statement
 from cassiaseam.entry.forwarding import Forwarder, ForwardingLimits
-from cassiaseam.entry.retries import OWNER_CUT_OFF, RetryBudget
+from cassiaseam.entry.passed_owners import MAX_PASSED_OWNERS, PASSED_OVER_S, PassedOwners
+from cassiaseam.entry.retries import RetryBudget
 from cassiaseam.entry.session_state import SessionState, raise_floor
 from cassiaseam.entry.statements import StatementRunner
-from cassiaseam.errors import ErrorKind, RequestError
+from cassiaseam.errors import OWNER_CUT_OFF, OWNER_LINK_LOST, ErrorKind, RequestError
 from cassiaseam.messages import Answer, Request, RequestKind, ResultSet
 from cassiaseam.positions import LogPosition
 
@@ -20,9 +21,11 @@
     def __init__(self, **errors):
         self.errors = errors
         self.asked = []
+        self.passed_over = []
 
     async def send_request(self, vm, request, now):
         self.asked.append((vm, request.kind.value))
+        self.passed_over.append(request.passed_over)
         error = self.errors[vm]
         if error == 'never':
             await asyncio.Event().wait()
@@ -81,6 +84,73 @@
     assert len(owners.asked) == asked
 
 
+no_target = RequestError(ErrorKind.NO_TARGET, detail={'cause': OWNER_CUT_OFF})
+link_lost = RequestError(UNKNOWN, detail={'cause': OWNER_LINK_LOST})
+
+
+@pytest.mark.parametrize(
+    ('kind', 'changes', 'first', 'passed_over'),
+    [
+        ('write', {}, ErrorKind.PEER_UNREACHABLE, [(), ('vm1',)]),
+        ('begin', {'transaction_id': 't'}, 'never', [()]),
+        ('write', {}, cut_off, [(), ('vm1',)]),
+        ('read', {}, no_target, [(), ('vm1',)]),
+        ('read', {}, link_lost, [(), ('vm1',)]),
+        ('write', KEYED, link_lost, [(), ('vm1',)]),
+        ('write', {}, link_lost, [()]),
+        ('read', {}, UNKNOWN, [(), ()]),
+        ('write', {}, ErrorKind.NO_PRIMARY, [()]),
+        ('write', {}, ErrorKind.SHUTTING_DOWN, [(), ()]),
+        ('write', {}, ErrorKind.NOT_OWNER, [(), ()]),
+    ],
+)
+def test_next_owner_is_told_only_of_owners_that_cannot_serve(kind, changes, first, passed_over):
+    owners = Owners(vm1=first, vm2=None)
+    deadline = time.monotonic() + (0.05 if first == 'never' else 5)
+    request = build_request(kind, deadline=deadline, **changes)
+    asyncio.run(build_forwarder(owners).forward_request(request))
+    assert owners.passed_over == passed_over
+
+
+def test_passed_over_owner_is_not_asked_by_each_request_and_is_tried_again():
+    owners = Owners(vm1=ErrorKind.PEER_UNREACHABLE, vm2=None)
+    forwarder = build_forwarder(owners)
+    now = time.monotonic()
+    forwarder.clock = lambda: now
+
+    def ask():
+        owners.asked.clear()
+        owners.passed_over.clear()
+        asyncio.run(forwarder.forward_request(build_request('write')))
+        return [vm for vm, _ in owners.asked], owners.passed_over[-1]
+
+    assert ask() == (['vm1', 'vm2'], ('vm1',))
+    assert ask() == (['vm2'], ('vm1',))
+    assert forwarder.find_first_owner('orders') == 'vm2'
+    now += PASSED_OVER_S
+    assert ask() == (['vm1', 'vm2'], ('vm1',))
+    assert ask() == (['vm2'], ('vm1',))
+    owners.errors['vm1'] = None
+    now += PASSED_OVER_S
+    assert ask() == (['vm1'], ())
+    assert ask() == (['vm1'], ())
+
+
+def test_all_owners_are_tried_when_all_were_passed_over():
+    passed = PassedOwners()
+    for vm in ('vm1', 'vm2'):
+        passed.remember('orders', vm, 0)
+    assert passed.skip_owners('orders', ['vm1', 'vm2', 'vm3'], 1) == ['vm1', 'vm2']
+    assert passed.skip_owners('orders', ['vm1', 'vm2'], 1) == []
+
+
+def test_memory_of_passed_over_owners_is_bounded():
+    passed = PassedOwners()
+    for number in range(MAX_PASSED_OWNERS + 10):
+        passed.remember(f'd{number}', 'vm1', 0)
+    assert len(passed.retry_at) == MAX_PASSED_OWNERS
+
+
 @pytest.mark.parametrize(
     ('kind', 'changes', 'expected'),
     [
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -90,6 +90,7 @@
     st.none() | texts,
     st.booleans(),
     st.none() | names,
+    st.lists(names, max_size=3).map(tuple),
 )
 
 
