Ask passed-over owners last instead of not at all

Cause: when no other daemon adopted, such as during a shutdown of the next one, requests were refused for 5 s although the passed-over owner was back.

--- a/src/cassiaseam/entry/forwarding.py
+++ b/src/cassiaseam/entry/forwarding.py
@@ -158,7 +158,8 @@
             return await self._try_owners(request, [pinned])
         ranked = self.rank_owners(request.database)[:MAX_OWNERS_TRIED]
         skipped = self.passed.skip_owners(request.database, ranked, self.clock())
-        owners = ranked[len(skipped) :]
+        # The passed-over owners come last: one may be back, and the others may not adopt.
+        owners = ranked[len(skipped) :] + skipped
         if not owners:
             message = f'no live daemon serves database {request.database!r}'
             error = RequestError(ErrorKind.NOT_OWNER, message, RETRY_AFTER_S)
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -136,6 +136,17 @@
     assert ask() == (['vm1'], ())
 
 
+def test_passed_over_owner_that_is_back_serves_when_no_other_daemon_adopts():
+    owners = Owners(vm1=ErrorKind.PEER_UNREACHABLE, vm2=None)
+    forwarder = build_forwarder(owners)
+    asyncio.run(forwarder.forward_request(build_request('write')))
+    owners.errors.update(vm1=None, vm2=ErrorKind.NOT_OWNER)
+    for _ in range(2):
+        owned = asyncio.run(forwarder.forward_request(build_request('write')))
+        assert owned.answer.error is None
+    assert [vm for vm, _ in owners.asked] == ['vm1', 'vm2', 'vm2', 'vm1', 'vm1']
+
+
 def test_all_owners_are_tried_when_all_were_passed_over():
     passed = PassedOwners()
     for vm in ('vm1', 'vm2'):
