--- a/src/cassiaseam/owner/arrival.py
+++ b/src/cassiaseam/owner/arrival.py
@@ -1,6 +1,7 @@
 """Acceptance or immediate refusal of requests."""
 
 from cassiaseam.errors import ErrorKind, RequestError
+from cassiaseam.group.view import is_owner_cut_off
 from cassiaseam.messages import Request, RequestKind
 from cassiaseam.owner.answers import build_refusal, refuse_request, register_work
 from cassiaseam.owner.cut_off import find_cut_off_error
@@ -72,7 +73,7 @@
     if continues:
         return None
     error = check_kind(turn, request)
-    if error is None:
+    if error is None and is_owner_cut_off(turn.group, turn.now):
         work = Work(request, turn.now, max_age_s=find_accepted_age(turn, request))
         error = find_cut_off_error(turn, work)
     if error is not None:
--- a/src/cassiaseam/owner/cut_off.py
+++ b/src/cassiaseam/owner/cut_off.py
@@ -12,12 +12,10 @@
 
 
 def find_cut_off_error(turn: Turn, work: Work) -> RequestError | None:
-    """Return the error of a new request that a cut off owner would have to hold, or None.
+    """Return the error of a new request at a cut off owner that has to hold it, or None.
 
     A read that accepts the age of a target within reach is still served.
     """
-    if not group_view.is_owner_cut_off(turn.group, turn.now):
-        return None
     if work.request.kind is RequestKind.READ and list_read_pools(turn, work):
         return None
     return build_cut_off_error(turn, work.request)
