Measure drain, configuration, decisions and two baselines

Change: plans over the administration API (drain_s, config_in_force_s), the reducer benchmarks as decision_us, fixed connection shares per daemon as settings of the daemons, and a first-come queue as a queue discipline of the owner role, chosen in the settings file by queue_discipline. Not measured: idle_control_bytes_s, because /proc/<pid>/io does not count send and recv, and a baseline without a retry budget.

--- a/src/cassiaseam/configuration/model.py
+++ b/src/cassiaseam/configuration/model.py
@@ -47,6 +47,7 @@
         owner: VM that operators chose as owner, or '' for the ranked one.
         granted: Login names that may use the database; empty means all.
         version: Version of the shard that this comes from.
+        queue_discipline: Order in which waiting requests start; only the settings file sets it.
     """
 
     name: str
@@ -57,6 +58,7 @@
     owner: str = ''
     granted: tuple[str, ...] = ()
     version: int = 0
+    queue_discipline: str = 'separate'
 
     def find_accepted_age(self, caller: str) -> float | None:
         """Return the accepted age in seconds that operators set for a service, or None."""
--- a/src/cassiaseam/owner/dispatch.py
+++ b/src/cassiaseam/owner/dispatch.py
@@ -1,5 +1,8 @@
 """Assignment of waiting work to free slots and connections."""
 
+from collections.abc import Callable
+from typing import TypeVar
+
 from cassiaseam.errors import ErrorKind
 from cassiaseam.owner.acknowledgement import keep_polling
 from cassiaseam.owner.answers import answer_kind
@@ -27,6 +30,20 @@
 # A statement that reaches its deadline while it runs wastes its slot and costs its connection.
 START_MARGIN = 1.25
 
+Discipline = Callable[[Turn], None]
+DisciplineT = TypeVar('DisciplineT', bound=Discipline)
+DISCIPLINES: dict[str, Discipline] = {}
+
+
+def starts_work(name: str) -> Callable[[DisciplineT], DisciplineT]:
+    """Register a function that starts the waiting work of a database in some order."""
+
+    def register(discipline: DisciplineT) -> DisciplineT:
+        DISCIPLINES[name] = discipline
+        return discipline
+
+    return register
+
 
 def dispatch_work(turn: Turn) -> None:
     """Start what can run now and keep polls going for what cannot."""
@@ -34,11 +51,68 @@
     for pool in database.targets.values():
         if pool.ready:
             run_ready_statements(turn, pool)
+    DISCIPLINES[database.config.queue_discipline](turn)
+    keep_polling(turn)
+
+
+@starts_work('separate')
+def dispatch_separately(turn: Turn) -> None:
+    """Start reads and writes from queues of their own."""
+    database = turn.database
     if database.writes.size or database.begins.size:
         dispatch_with_writes(turn)
     elif database.primary_reads.size or database.replica_reads.size:
         dispatch_reads(turn, None)
-    keep_polling(turn)
+
+
+@starts_work('first_come')
+def dispatch_first_come(turn: Turn) -> None:
+    """Start reads and writes in their order of arrival, with no slot set apart for either.
+
+    The baseline of the bench: the oldest request holds up all others until it can start.
+    """
+    gate = turn.gate or find_write_gate(turn)
+    if note_write_gate(turn, gate):
+        refuse_hopeless_writes(turn, gate)
+    if gate.pool is not None:
+        dispatch_begins(turn, gate)
+    waiting = list_waiting_queues(turn)
+    while waiting:
+        queue = min(waiting, key=lambda candidate: candidate.peek_work().arrived_at)
+        if not start_oldest(turn, queue, gate):
+            return
+        waiting = list_waiting_queues(turn)
+
+
+def list_waiting_queues(turn: Turn) -> list[FairQueue]:
+    """Return the queues of reads and autocommit writes that hold work."""
+    database = turn.database
+    queues = (database.primary_reads, database.replica_reads, database.writes)
+    return [queue for queue in queues if queue.size]
+
+
+def start_oldest(turn: Turn, queue: FairQueue, gate: WriteGate) -> bool:
+    """Start the next request of a queue or refuse it; return whether it left the queue."""
+    work = queue.peek_work()
+    database = turn.database
+    if queue is not database.writes:
+        if refuse_late_start(turn, work, database.read_time.estimate_s(turn.now)):
+            return True
+        return start_read(turn, work, None)
+    pool = gate.pool
+    if pool is None or not has_free_slot(pool):
+        return False
+    service_s = database.write_time.estimate_s(turn.now)
+    if refuse_late_commit(turn, work, gate):
+        return True
+    if refuse_late_start(turn, work, service_s + gate.delay_s):
+        return True
+    connection = take_idle_connection(pool, None)
+    if connection is None:
+        request_connections(turn, pool, queue.size)
+        return False
+    start_write(turn, connection, work)
+    return True
 
 
 def dispatch_with_writes(turn: Turn) -> None:
--- a/src/cassiaseam/settings/loader.py
+++ b/src/cassiaseam/settings/loader.py
@@ -114,6 +114,7 @@
         static.drain_limit,
         static.owner or '',
         static.granted,
+        queue_discipline=static.queue_discipline,
     )
 
 
--- a/src/cassiaseam/settings/model.py
+++ b/src/cassiaseam/settings/model.py
@@ -125,6 +125,7 @@
     max_age: dict[ServiceName, DurationS] = Field(default_factory=dict)
     queue_limit: Annotated[int, Field(ge=1, le=100_000)] = 256
     drain_limit: DurationS = 30.0
+    queue_discipline: Literal['separate', 'first_come'] = 'separate'
     owner: Name | None = None
     granted: tuple[Name, ...] = ()
 
--- a/src/cassiaseam_load/bench.py
+++ b/src/cassiaseam_load/bench.py
@@ -8,7 +8,14 @@
 
 import pymysql
 
-from cassiaseam_load import direct_measures, failover_measures, idle_measures, load_measures
+from cassiaseam_load import (
+    baseline_measures,
+    control_measures,
+    direct_measures,
+    failover_measures,
+    idle_measures,
+    load_measures,
+)
 from cassiaseam_load.figures import Figure, format_figure
 from cassiaseam_load.goals import find_missed_goal
 from cassiaseam_load.installation import Installation, InstallationError, start_installation
@@ -18,7 +25,14 @@
 from cassiaseam_standin.group_control import GroupError
 
 # Importing these modules registers the measurements.
-REGISTERED = (idle_measures, load_measures, direct_measures, failover_measures)
+REGISTERED = (
+    baseline_measures,
+    idle_measures,
+    load_measures,
+    direct_measures,
+    control_measures,
+    failover_measures,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,18 +83,21 @@
         turn.done.set()
         return 0
     installation = await start_installation(workload)
+    run = MeasureRun(installation, is_quick)
     failed: list[int] = []
     try:
         await turn.start.wait()
         for registered in chosen:
             if registered.stage is Stage.FAULTS:
                 turn.done.set()
-            failed.append(await run_measure(registered, MeasureRun(installation, is_quick)))
+            failed.append(await run_measure(registered, run))
         await installation.wait_until_healthy()
         await installation.check_answers()
     finally:
         turn.done.set()
         installation.stop()
+    for found in run.extra_violations:
+        installation.context.violations.add(found)
     return sum(failed) + report_violations(installation)
 
 
--- a/src/cassiaseam_load/checker.py
+++ b/src/cassiaseam_load/checker.py
@@ -60,6 +60,13 @@
         """Return the number of violations of all kinds."""
         return sum(getattr(self, kind) for kind in KINDS)
 
+    def add(self, other: 'Violations') -> None:
+        """Add the counts and examples of another run."""
+        for kind in KINDS:
+            setattr(self, kind, getattr(self, kind) + getattr(other, kind))
+        for example in other.examples:
+            self.note(example)
+
     def note(self, example: str) -> None:
         """Keep an example for the report."""
         if len(self.examples) < MAX_EXAMPLES:
--- a/src/cassiaseam_load/installation.py
+++ b/src/cassiaseam_load/installation.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from urllib.error import HTTPError
 from urllib.request import Request, urlopen
 
 from cassiaseam.messages import TargetRole, TargetStatus
@@ -85,12 +86,16 @@
     def __init__(self, workload: Workload, cluster: Cluster):
         self.workload = workload
         self.cluster = cluster
-        endpoints = [
+        self.context = RunContext([], max_age_ms=workload.max_age_ms)
+        self.pools: dict[str, SessionPool] = {}
+        self.use_endpoints()
+
+    def use_endpoints(self) -> None:
+        """Let new connections go to the daemons that have been started."""
+        self.context.endpoints = [
             Endpoint(LOOPBACK, daemon.ports.callers, CALLER_USER, CALLER_PASSWORD)
-            for daemon in cluster.list_daemons()
+            for daemon in self.cluster.list_daemons()
         ]
-        self.context = RunContext(endpoints, max_age_ms=workload.max_age_ms)
-        self.pools: dict[str, SessionPool] = {}
 
     @property
     def database(self) -> str:
@@ -114,6 +119,12 @@
             await self.repeat_until_answered(session, INDEX_SQL)
             session.disconnect()
 
+    async def wait_until_writable(self) -> None:
+        """Wait until a write is acknowledged; raises `InstallationError` when none is."""
+        session = CallerSession(self.context, self.database, 'setup', 0)
+        await self.repeat_until_answered(session, f"DELETE FROM {TABLE} WHERE row_id = ''")
+        session.disconnect()
+
     async def repeat_until_answered(self, session: CallerSession, sql: str) -> None:
         """Run one statement until it is acknowledged; an object that exists counts as well."""
         loop = asyncio.get_running_loop()
@@ -230,18 +241,16 @@
     if token:
         headers['Authorization'] = f'Bearer {token}'
     request = Request(url, encoded, headers, method=method)
-    with urlopen(request, timeout=HTTP_TIMEOUT_S) as answer:
-        return json.loads(answer.read() or b'{}')
+    try:
+        with urlopen(request, timeout=HTTP_TIMEOUT_S) as answer:
+            return json.loads(answer.read() or b'{}')
+    except HTTPError as error:
+        raise OSError(f'{method} {url} gave {error.code}: {error.read()[:400]!r}') from error
 
 
-async def start_installation(workload: Workload, databases: int = 1) -> Installation:
-    """Start the processes of a workload and create its tables.
-
-    Raises:
-        InstallationError: The installation takes no writes.
-        GroupError: A stand-in did not start.
-    """
-    shape = ClusterShape(
+def build_shape(workload: Workload, databases: int) -> ClusterShape:
+    """Return the processes of a workload."""
+    return ClusterShape(
         places=workload.places,
         databases=workload.databases[:databases],
         daemons=len(workload.places),
@@ -253,7 +262,16 @@
         ),
         log_level='warning',
     )
-    installation = Installation(workload, await start_cluster(shape))
+
+
+async def start_installation(workload: Workload, databases: int = 1) -> Installation:
+    """Start the processes of a workload and create its tables.
+
+    Raises:
+        InstallationError: The installation takes no writes.
+        GroupError: A stand-in did not start.
+    """
+    installation = Installation(workload, await start_cluster(build_shape(workload, databases)))
     try:
         await installation.create_tables()
     except BaseException:
--- a/src/cassiaseam_load/measures.py
+++ b/src/cassiaseam_load/measures.py
@@ -2,8 +2,9 @@
 
 import enum
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from cassiaseam_load.checker import Violations
 from cassiaseam_load.figures import Figure
 from cassiaseam_load.installation import Installation
 
@@ -18,10 +19,12 @@
     Attributes:
         installation: Running cluster.
         is_quick: Whether the phases are short.
+        extra_violations: Wrong answers in further installations that a measurement started.
     """
 
     installation: Installation
     is_quick: bool
+    extra_violations: list[Violations] = field(default_factory=list)
 
     def choose_duration_s(self, quick_s: float, full_s: float) -> float:
         """Return the length of a phase in seconds."""
@@ -43,6 +46,7 @@
     IDLE = 0
     LOAD = 1
     FAULTS = 2
+    LAST = 3
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_owner_overload.py
+++ b/tests/test_owner_overload.py
@@ -50,3 +50,15 @@
     assert len(world.statements) == 4
     world.advance(deadline_s)
     assert world.state.targets['a'].breaker.closed == closed
+
+
+@pytest.mark.parametrize(('discipline', 'starts'), [('separate', True), ('first_come', False)])
+def test_reads_of_replicas_wait_for_older_writes_only_in_a_common_queue(discipline, starts):
+    world = OwnerWorld(make_config(slots=1, queue_discipline=discipline))
+    world.request(RequestKind.WRITE, deadline=world.now + 5)
+    world.now += 0.001
+    world.request(RequestKind.WRITE, deadline=world.now + 5)
+    world.now += 0.001
+    request_id = world.request(max_age_s=5, floor=ZERO_POSITION)
+    running = {run.request_id for run in world.statements}
+    assert (request_id in running) == starts
