--- a/src/cassiaseam_load/load_measures.py
+++ b/src/cassiaseam_load/load_measures.py
@@ -60,15 +60,16 @@
     return [
         *describe_low_load(run, low.recorder, writes.recorder),
         *describe_overload(run, capacity, beyond),
-        build_replica_share(run, low.recorder, capacity.recorder),
+        build_replica_share(run, 'replica_read_share', low.recorder, capacity.recorder),
+        build_replica_share(run, 'replica_read_share_low_load', low.recorder),
     ]
 
 
-def build_replica_share(run: MeasureRun, *recorders: Recorder) -> Figure:
+def build_replica_share(run: MeasureRun, name: str, *recorders: Recorder) -> Figure:
     """Return the share of reads that accept an age and were served by replicas."""
     placed = sum(recorder.placed_reads for recorder in recorders)
     replicas = sum(recorder.replica_reads for recorder in recorders)
-    return run.build_figure('replica_read_share', replicas / max(1, placed), '1')
+    return run.build_figure(name, replicas / max(1, placed), '1')
 
 
 def describe_low_load(run: MeasureRun, low: Recorder, writes: Recorder) -> list[Figure]:
