--- a/tests/test_owner_requests.py
+++ b/tests/test_owner_requests.py
@@ -1,4 +1,4 @@
-from owner_world import OwnerWorld
+from owner_world import OwnerWorld, make_config
 
 from cassiaseam.errors import ErrorKind
 from cassiaseam.messages import RequestKind
@@ -84,3 +84,17 @@
     world.now += 0.01
     world.poll()
     assert world.answers[request_id].error is None
+
+
+def test_commit_runs_although_writes_that_wait_for_its_locks_occupy_all_slots():
+    world = OwnerWorld(config=make_config(slots=2))
+    fields = {'transaction_id': 't1'}
+    world.request(BEGIN, **fields)
+    world.finish()
+    world.request(WRITE, **fields)
+    world.finish()
+    world.request(WRITE)
+    assert [run.mode for run in world.statements] == [ExecutionMode.WRITE]
+    world.request(COMMIT, **fields)
+    modes = [run.mode for run in world.statements]
+    assert modes == [ExecutionMode.WRITE, ExecutionMode.COMMIT]
