--- a/src/cassiaseam/settings/loader.py
+++ b/src/cassiaseam/settings/loader.py
@@ -116,6 +116,7 @@
         static.drain_limit,
         static.owner or '',
         static.granted,
+        queue_discipline=static.queue_discipline,
     )
 
 
