End the daemons of a test cluster together with its launcher

Cause: a behave run that was killed left 128 daemons behind; they went on calling ports that stand-ins of other runs had taken over (stand-ins logged packets with sequence number 32, the blank of an HTTP request) and the load average rose to 160. Ruled out: process groups, which a SIGKILL of the launcher does not reach. Change: clusters start daemons through a module that watches standard input; the demo that is left running starts them as before.

--- a/src/cassiaseam_standin/cluster.py
+++ b/src/cassiaseam_standin/cluster.py
@@ -133,7 +133,13 @@
             place = self.shape.places[number % len(self.shape.places)]
             vm = f'vm-{number + 1}'
             chosen = DaemonPorts(next(ports), next(ports), next(ports))
-            self.daemons[vm] = DaemonProcess(vm, place, chosen, self.folder / f'{vm}.yaml')
+            self.daemons[vm] = DaemonProcess(
+                vm,
+                place,
+                chosen,
+                self.folder / f'{vm}.yaml',
+                exit_with_parent=self.shape.exit_with_parent,
+            )
         for prepared in self.daemons.values():
             prepared.write_settings(self.build_settings(prepared))
 
--- a/src/cassiaseam_standin/daemon_process.py
+++ b/src/cassiaseam_standin/daemon_process.py
@@ -15,6 +15,7 @@
 from cassiaseam_standin.group_control import LOOPBACK
 
 DAEMON_MODULE = 'cassiaseam.daemon.main'
+WATCHED_DAEMON_MODULE = 'cassiaseam_standin.watched_daemon'
 # Below the range that the kernel gives to outgoing connections, so that a port stays free
 # between the check and its use.
 FIRST_PORT = 12_000
@@ -67,6 +68,7 @@
         ports: Ports that it listens on.
         settings_file: Its settings.
         process: Process at work, or None.
+        exit_with_parent: Whether the process ends when this one ends in any way.
     """
 
     vm: str
@@ -74,6 +76,7 @@
     ports: DaemonPorts
     settings_file: Path
     process: subprocess.Popen[bytes] | None = None
+    exit_with_parent: bool = True
 
     @property
     def log_file(self) -> Path:
@@ -86,11 +89,11 @@
 
     def start(self) -> None:
         """Start the process; its log is appended to `log_file`."""
-        command = [sys.executable, '-m', DAEMON_MODULE, '--settings', str(self.settings_file)]
+        module = WATCHED_DAEMON_MODULE if self.exit_with_parent else DAEMON_MODULE
+        command = [sys.executable, '-m', module, '--settings', str(self.settings_file)]
+        source = subprocess.PIPE if self.exit_with_parent else subprocess.DEVNULL
         with self.log_file.open('ab') as log:
-            self.process = subprocess.Popen(
-                command, stdin=subprocess.DEVNULL, stdout=log, stderr=log
-            )
+            self.process = subprocess.Popen(command, stdin=source, stdout=log, stderr=log)
 
     async def wait_until_listening(self) -> None:
         """Wait until the daemon accepts callers.
@@ -127,7 +130,7 @@
         if self.process is not None:
             self.process.kill()
             self.process.wait(STOP_TIMEOUT_S)
-            self.process = None
+            self.forget_process()
 
     def freeze(self) -> None:
         """Stop the process without closing its connections."""
@@ -141,5 +144,11 @@
         """Shut down gracefully and return the exit code."""
         self.send_signal(signal.SIGTERM)
         code = await asyncio.to_thread(self.process.wait, STOP_TIMEOUT_S)
-        self.process = None
+        self.forget_process()
         return code
+
+    def forget_process(self) -> None:
+        """Close what belongs to a process that has ended."""
+        if self.process.stdin is not None:
+            self.process.stdin.close()
+        self.process = None
