--- a/src/cassiaseam_load/slope_output.py
+++ b/src/cassiaseam_load/slope_output.py
@@ -69,7 +69,9 @@
 
     grouped = group_points(points)
     rows = math.ceil(len(grouped) / COLUMNS)
-    with mpl.rc_context({'svg.hashsalt': HASH_SALT, 'font.size': FONT_POINTS}):
+    # Text as outlines would make the file several times larger.
+    style = {'svg.hashsalt': HASH_SALT, 'svg.fonttype': 'none', 'font.size': FONT_POINTS}
+    with mpl.rc_context(style):
         figure = Figure((COLUMNS * PANEL_WIDTH_IN, rows * PANEL_HEIGHT_IN), layout='tight')
         for number, found in enumerate(grouped.values(), start=1):
             _draw_panel(figure.add_subplot(rows, COLUMNS, number), found)
