Let an adopting owner end the locks of the owner it replaces

Ruled out: waiting for membership, which takes seconds that adoption was built to save. Change: adoption marks the group as inherited; unused groups keep their 2.5 s round; the watch reads the file descriptor.

--- a/src/cassiaseam/group/monitoring.py
+++ b/src/cassiaseam/group/monitoring.py
@@ -81,8 +81,8 @@
 
 def hasten_rounds(group: GroupState, now: float) -> None:
     """Bring the next round of polls forward when the group needs a short interval."""
-    interval_s = _choose_interval_s(group, now)
-    if now + interval_s < group.next_round_at:
+    interval_s = _choose_short_interval_s(group, now)
+    if interval_s is not None and now + interval_s < group.next_round_at:
         group.next_round_at = now + interval_s
 
 
@@ -119,6 +119,8 @@
 
 
 def _find_idle_round(group: GroupState, now: float) -> float:
+    if _is_unused(group, now):
+        return now + UNUSED_POLL_S
     wait_s = IDLE_POLL_S - (now - group.idle_phase_s) % IDLE_POLL_S
     # A round that is almost due was started a little early and is not repeated.
     if wait_s < QUICK_POLL_S:
@@ -136,15 +138,15 @@
     return view.last_poll_at + spacing_s
 
 
-def _choose_interval_s(group: GroupState, now: float) -> float:
+def _choose_short_interval_s(group: GroupState, now: float) -> float | None:
+    # None for a healthy group: its rounds keep the phase that spreads the groups of a daemon.
     if group.failover is not None or now < group.quick_until:
         return QUICK_POLL_S
     if group.no_primary_since is None:
-        return QUICK_POLL_S if group.suspicious else _choose_calm_interval_s(group, now)
+        return QUICK_POLL_S if group.suspicious else None
     lasting = now - group.no_primary_since >= SLOW_POLL_AFTER_S
     return SLOW_POLL_S if lasting else QUICK_POLL_S
 
 
-def _choose_calm_interval_s(group: GroupState, now: float) -> float:
-    is_unused = now - group.poll_requested_at >= UNUSED_AFTER_S
-    return UNUSED_POLL_S if is_unused else IDLE_POLL_S
+def _is_unused(group: GroupState, now: float) -> bool:
+    return now - group.poll_requested_at >= UNUSED_AFTER_S
--- a/src/cassiaseam/owner/adoption.py
+++ b/src/cassiaseam/owner/adoption.py
@@ -48,6 +48,9 @@
     turn = take_ownership(node, name, now, effects)
     adopted = turn.database
     adopted.adopted_until = now + ADOPTION_S
+    # Membership need not suspect the passed-over owner yet, which may be frozen with open
+    # transactions whose locks stop the writes of this daemon.
+    turn.group.inherited_at = now
     schedule_timer(turn, adopted.adopted_until, TimerKind.ADOPTION, adopted)
     cause = f'entry {request.entry} passed over {", ".join(request.passed_over)}'
     effects.append(record_decision(node, turn.group, 'database_adopted', cause))
--- a/src/cassiaseam_standin/parent_watch.py
+++ b/src/cassiaseam_standin/parent_watch.py
@@ -5,6 +5,8 @@
 import sys
 import threading
 
+READ_BYTES = 4096
+
 
 def add_parent_option(parser: argparse.ArgumentParser) -> None:
     """Add the option that the launcher uses."""
@@ -17,7 +19,10 @@
 
 def wait_for_end_of_input() -> None:
     """End the process when standard input is closed."""
-    sys.stdin.buffer.read()
+    # A buffered read would hold a lock that the interpreter needs for an orderly exit.
+    received = b' '
+    while received:
+        received = os.read(sys.stdin.fileno(), READ_BYTES)
     os._exit(0)  # noqa: WPS437
 
 
