End the locks of an owner that fails again during an adoption

Cause: a daemon that still held an adopted database did not expect locks again when its former owner came back and froze once more (features/complete_answers, owner frozen after the previous scenario); the records show one promotion for the first freeze only. Ruled out: a failed fence (the first promotion was confirmed within 0.3 s). Change: ownership by membership during an adoption, and renewals more than 5 s after the latest promotion, expect inherited locks again.

--- a/src/cassiaseam/group/handlers.py
+++ b/src/cassiaseam/group/handlers.py
@@ -86,7 +86,11 @@
         _drop_group(node_state, event.database)
         return []
     config = node_state.database_configs.get(event.database)
-    if config is None or event.database in node_state.groups:
+    monitored = node_state.groups.get(event.database)
+    if monitored is not None and has_failed_member(node_state.membership):
+        # An adopted database: its owner has failed by now, maybe with new open transactions.
+        monitored.inherited_at = now
+    if config is None or monitored is not None:
         return []
     group = GroupState(config, due_heap=node_state.group_due, next_round_at=now)
     group.idle_phase_s = node_state.rng.uniform(0, IDLE_POLL_S)
--- a/src/cassiaseam/owner/adoption.py
+++ b/src/cassiaseam/owner/adoption.py
@@ -30,6 +30,7 @@
 ADOPTION_S = 10.0
 # A promotion under way is not abandoned: its fences may already stop the primary.
 PROMOTION_WAIT_S = 1.0
+INHERITED_PAUSE_S = 5.0
 
 
 @handles(RequestArrived)
@@ -41,8 +42,7 @@
     name = request.database
     database = node.databases.get(name)
     if database is not None and database.owns:
-        if database.adopted_until is not None:
-            database.adopted_until = now + ADOPTION_S
+        renew_adoption(database, now)
         return []
     effects = list(change_ownership(node, OwnershipChanged(name, owns=True), now))
     turn = take_ownership(node, name, now, effects)
@@ -57,6 +57,21 @@
     return effects
 
 
+def renew_adoption(database: DatabaseState, now: float) -> None:
+    """Keep an adopted database for a while longer.
+
+    The passed-over owner may have come back and failed again since its locks were ended, so they
+    may be ended again, but not more often than every `INHERITED_PAUSE_S`.
+    """
+    if database.adopted_until is None:
+        return
+    database.adopted_until = now + ADOPTION_S
+    group = database.group
+    ended_at = group.last_failover_at
+    if group.inherited_at is None and (ended_at is None or now - ended_at >= INHERITED_PAUSE_S):
+        group.inherited_at = now
+
+
 def may_adopt(node: NodeState, request: Request, now: float) -> bool:
     """Return whether this daemon owns the database when the passed-over owners are left out.
 
--- a/tests/test_owner_adoption.py
+++ b/tests/test_owner_adoption.py
@@ -221,3 +221,16 @@
         view.unanswered_since = world.now - 2
     world.send(TargetStatusFailed('db', 'a', world.now, 'timeout'))
     assert world.answers[request_id].error.detail == {'cause': OWNER_CUT_OFF}
+
+
+@pytest.mark.parametrize(('since_promotion_s', 'inherits'), [(1, False), (6, True)])
+def test_owner_that_fails_again_during_an_adoption_leaves_its_locks_behind(
+    since_promotion_s, inherits
+):
+    daemon = Daemon(1)
+    daemon.request(daemon.ranked[:1], READ)
+    group = daemon.state.groups['db']
+    group.inherited_at = None
+    group.last_failover_at = daemon.now - since_promotion_s
+    daemon.request(daemon.ranked[:1], READ)
+    assert (group.inherited_at is not None) is inherits
