Ask the daemons who owns the database before a scenario stops the owner

Cause: the scenarios of configuration move the database to another owner. Later ones killed or froze the daemon that is ranked first, which no longer was the owner, while the transaction that the caller held went on at the living owner and kept the one write lock of the stand-in for its idle time; no write was possible, as has to be expected. Ruled out: locks of the killed daemon (records show no takeover at all). Change: the owner is read from the administration API after each recovery. Conclusion: the expectation of the scenarios is unchanged; they stop the real owner.

--- a/features/support/world.py
+++ b/features/support/world.py
@@ -55,6 +55,7 @@
         frozen: Daemons that are stopped by SIGSTOP.
         scenario: Number of the scenario at work; part of every row.
         leaving: Target that the latest fault announced as leaving.
+        owners: VMs that owned the database after the latest recovery.
     """
 
     def __init__(self):
@@ -62,6 +63,7 @@
         self.frozen: set[str] = set()
         self.scenario = 0
         self.leaving = ''
+        self.owners: set[str] = set()
 
     async def start(self) -> None:
         arguments = (f'--statement-ms={STATEMENT_MS}',)
@@ -79,13 +81,25 @@
         return [d for d in daemons if d.process is not None and d.vm not in self.frozen]
 
     def find_owner(self) -> DaemonProcess:
+        """Return the owner; a confirmed plan may have moved the database from the ranked one."""
         live = self.list_live_daemons()
-        return max(live, key=lambda daemon: compute_score(DATABASE, daemon.vm))
+        owning = [daemon for daemon in live if daemon.vm in self.owners]
+        return max(owning or live, key=lambda daemon: compute_score(DATABASE, daemon.vm))
 
     def find_other_daemon(self) -> DaemonProcess:
         """Return a daemon that does not own the database."""
-        live = self.list_live_daemons()
-        return min(live, key=lambda daemon: compute_score(DATABASE, daemon.vm))
+        owner = self.find_owner()
+        others = [daemon for daemon in self.list_live_daemons() if daemon is not owner]
+        return min(others or [owner], key=lambda daemon: compute_score(DATABASE, daemon.vm))
+
+    async def read_owners(self) -> set[str]:
+        """Return the VMs whose daemons own the database now."""
+        owners = set()
+        for daemon in self.list_live_daemons():
+            _, status = await self.call_admin(daemon, '/v1/status?scope=local')
+            if DATABASE in status['databases']:
+                owners.add(daemon.vm)
+        return owners
 
     async def connect(self, daemon: DaemonProcess) -> aiomysql.Connection:
         """Open a caller's connection.
@@ -184,6 +198,7 @@
                 daemon.start()
                 await daemon.wait_until_listening()
         await wait_until(self.is_whole, HEAL_LIMIT_S, 'the installation is whole again')
+        self.owners = await self.read_owners()
 
     async def _clear_faults(self, name: str) -> None:
         connection = await self.group.connect(name)
