--- a/src/cassiaseam/admin/cluster.py
+++ b/src/cassiaseam/admin/cluster.py
@@ -7,8 +7,8 @@
 from cassiaseam.daemon.node import Node
 from cassiaseam.membership.messages import MemberStatus
 from cassiaseam.membership.ranking import rank_owners
+from cassiaseam.objectstore.model import VmDocument
 from cassiaseam.plans.model import ClusterView
-from cassiaseam.platform.model import VmDocument
 from cassiaseam.settings.model import LatencySettings
 from cassiaseam.settings.units import Address
 
--- a/src/cassiaseam/admin/service.py
+++ b/src/cassiaseam/admin/service.py
@@ -13,11 +13,11 @@
 from cassiaseam.admin.fanout import DaemonAsker
 from cassiaseam.admin.server import listen_for_administration
 from cassiaseam.daemon.node import Node
+from cassiaseam.objectstore.model import VmDocument
 from cassiaseam.observability.metrics import MetricsRegistry
 from cassiaseam.observability.node_metrics import collect_node_metrics, define_node_metrics
 from cassiaseam.plans.settlement import ObjectStore
 from cassiaseam.plans.store import PlanStore
-from cassiaseam.platform.model import VmDocument
 from cassiaseam.settings.loader import Secrets, build_database_configs
 from cassiaseam.settings.model import Settings
 from cassiaseam.timeline.buffer import TimelineBuffer
--- a/src/cassiaseam/configuration/document.py
+++ b/src/cassiaseam/configuration/document.py
@@ -22,7 +22,7 @@
 
 from cassiaseam.configuration.model import DatabaseConfig, TargetConfig, TargetState
 from cassiaseam.errors import ErrorKind, RequestError
-from cassiaseam.platform.model import Name, NumericHost, Port
+from cassiaseam.objectstore.model import Name, NumericHost, Port
 
 SHARD_COUNT = 64
 SHARD_PREFIX = 'config/'
--- a/src/cassiaseam/daemon/main.py
+++ b/src/cassiaseam/daemon/main.py
@@ -15,12 +15,20 @@
     """Return the command line arguments."""
     parser = argparse.ArgumentParser(prog='cassiaseamd', description='Database proxy daemon.')
     parser.add_argument('--settings', required=True, metavar='FILE', help='YAML settings file')
+    parser.add_argument(
+        '--role',
+        choices=('owner', 'pooler'),
+        default='owner',
+        help='owner: daemons share the databases; pooler: each daemon reaches all targets',
+    )
     return parser.parse_args(arguments)
 
 
 def main(arguments: list[str] | None = None) -> int:
     """Run the daemon until SIGTERM and return the exit code."""
     parsed = parse_arguments(arguments)
+    if parsed.role == 'pooler':
+        return run_pooler_role(parsed.settings)
     from cassiaseam.daemon.settings_file import read_settings_file  # noqa: PLC0415
 
     read = read_settings_file(parsed.settings)
@@ -30,6 +38,19 @@
     return run_daemon(*read.ok_value)
 
 
+def run_pooler_role(path: str) -> int:
+    """Run a daemon that routes callers straight to the targets; see docs/platform.md."""
+    from cassiaseam.pooler.runtime import run_pooler  # noqa: PLC0415
+    from cassiaseam.pooler.settings import load_pooler_settings  # noqa: PLC0415
+
+    loaded = load_pooler_settings(path)
+    if isinstance(loaded, Err):
+        sys.stderr.write(f'{loaded.err_value}\n')
+        return EXIT_BAD_SETTINGS
+    start_logging(loaded.ok_value.log_level)
+    return run_pooler(loaded.ok_value, path)
+
+
 def run_daemon(settings: Any, secrets: Any) -> int:
     """Run a daemon on the asyncio reactor of Twisted.
 
--- a/src/cassiaseam/daemon/static_databases.py
+++ b/src/cassiaseam/daemon/static_databases.py
@@ -18,7 +18,7 @@
 
     Attributes:
         node: Daemon that gets the events.
-        client: `cassiaseam.platform.client.PlatformClient`.
+        client: `cassiaseam.objectstore.client.PlatformClient`.
         configs: Databases of the settings file.
     """
 
--- a/src/cassiaseam/errors.py
+++ b/src/cassiaseam/errors.py
@@ -34,6 +34,7 @@
     REPLICAS_BEHIND = 'replicas_behind'
     TOO_OLD = 'too_old'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
+    STATEMENT_TIMEOUT = 'statement_timeout'
     NOT_OWNER = 'not_owner'
     PEER_UNREACHABLE = 'peer_unreachable'
     SHUTTING_DOWN = 'shutting_down'
@@ -83,6 +84,7 @@
     ErrorKind.REPLICAS_BEHIND: AnswerRow(1290, 'HY000', 503, _NO, True),
     ErrorKind.TOO_OLD: AnswerRow(1290, 'HY000', 503, _NO, True),
     ErrorKind.DEADLINE_EXCEEDED: AnswerRow(3024, 'HY000', 504, _NO, True),
+    ErrorKind.STATEMENT_TIMEOUT: AnswerRow(3024, 'HY000', 504, _UNKNOWN, False),
     ErrorKind.NOT_OWNER: AnswerRow(1290, 'HY000', 503, _NO, True),
     ErrorKind.PEER_UNREACHABLE: AnswerRow(1290, 'HY000', 503, _NO, True),
     ErrorKind.SHUTTING_DOWN: AnswerRow(1053, '08S01', 503, _NO, True),
--- /dev/null
+++ b/src/cassiaseam/objectstore/__init__.py
@@ -0,0 +1,1 @@
+"""Package `cassiaseam.objectstore`; see docs/design.md."""
--- a/src/cassiaseam/platform/client.py
+++ b/src/cassiaseam/objectstore/client.py
@@ -14,9 +14,9 @@
 from result import Err, Ok, Result
 
 from cassiaseam.errors import ErrorKind, RequestError
-from cassiaseam.platform.breaker import BackoffSettings
-from cassiaseam.platform.http import CallFailed, HttpCall, HttpCaller, HttpReply
-from cassiaseam.platform.model import (
+from cassiaseam.objectstore.breaker import BackoffSettings
+from cassiaseam.objectstore.http import CallFailed, HttpCall, HttpCaller, HttpReply
+from cassiaseam.objectstore.model import (
     WRITE_IDS_FIELD,
     BatchDocument,
     ConflictDocument,
--- a/src/cassiaseam/platform/http.py
+++ b/src/cassiaseam/objectstore/http.py
@@ -21,7 +21,7 @@
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
-from cassiaseam.platform.breaker import BackoffSettings, CircuitBreaker
+from cassiaseam.objectstore.breaker import BackoffSettings, CircuitBreaker
 
 _SERVER_ERROR = 500
 _TOO_MANY_REQUESTS = 429
--- a/src/cassiaseam/platform/terms.py
+++ b/src/cassiaseam/objectstore/terms.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from cassiaseam.errors import ErrorKind, RequestError
-from cassiaseam.platform.client import PlatformClient
+from cassiaseam.objectstore.client import PlatformClient
 from cassiaseam.reducer.target_io import (
     ClaimTerm,
     RecordPrimary,
--- a/src/cassiaseam/peers/executors.py
+++ b/src/cassiaseam/peers/executors.py
@@ -19,9 +19,9 @@
 from cassiaseam.daemon.timeline_records import append_to_timeline
 from cassiaseam.membership.messages import MemberChanged, SendDatagram
 from cassiaseam.messages import TimelineRecord
+from cassiaseam.objectstore.terms import claim_term, record_primary
 from cassiaseam.peers.messages import ConfigDigest, ConfigShards
 from cassiaseam.peers.transport import PeerTransport
-from cassiaseam.platform.terms import claim_term, record_primary
 from cassiaseam.reducer.common import AnswerRequest
 from cassiaseam.reducer.target_io import ClaimTerm, RecordPrimary
 
--- a/src/cassiaseam/peers/services.py
+++ b/src/cassiaseam/peers/services.py
@@ -25,6 +25,8 @@
 )
 from cassiaseam.membership.state import create_membership
 from cassiaseam.messages import Request
+from cassiaseam.objectstore.client import PlatformClient
+from cassiaseam.objectstore.model import VmDocument
 from cassiaseam.peers import executors
 from cassiaseam.peers.datagrams import MembershipProtocol
 from cassiaseam.peers.link import TransportLimits
@@ -33,8 +35,6 @@
 from cassiaseam.peers.stamps import MessageStamps
 from cassiaseam.peers.store_loops import StoreLoops
 from cassiaseam.peers.transport import PeerTransport
-from cassiaseam.platform.client import PlatformClient
-from cassiaseam.platform.model import VmDocument
 from cassiaseam.reducer.common import EntryLost, RequestArrived, RequestCancelled, SessionClosed
 
 ROLES = (*handlers.HANDLER_MODULES, executors)
--- a/src/cassiaseam/peers/store_loops.py
+++ b/src/cassiaseam/peers/store_loops.py
@@ -17,10 +17,10 @@
 from cassiaseam.configuration.messages import ShardReceived, ShardRejected
 from cassiaseam.daemon.node import Node
 from cassiaseam.membership.messages import ListedVm, VmListReceived
+from cassiaseam.objectstore.client import PlatformClient
+from cassiaseam.objectstore.model import ObjectBatch, StoredObject, VmDocument
 from cassiaseam.peers.messages import EncodedShard
 from cassiaseam.peers.stamps import MessageStamps
-from cassiaseam.platform.client import PlatformClient
-from cassiaseam.platform.model import ObjectBatch, StoredObject, VmDocument
 
 # The list has about 120 bytes per VM; a period that grows with it keeps the traffic of each
 # daemon at about 530 bytes/s, because the pauses are three quarters of the period on average.
--- a/src/cassiaseam/platform/__init__.py
+++ b/src/cassiaseam/platform/__init__.py
@@ -1,1 +1,4 @@
-"""Package `cassiaseam.platform`; see docs/design.md."""
+"""Adapter to the users' platform: names, formats and calls, and nothing that decides.
+
+Everything that the platform spells is decoded here into types of `cassiaseam.pooler`.
+"""
--- /dev/null
+++ b/src/cassiaseam/platform/records.py
@@ -0,0 +1,172 @@
+"""What the operators and the targets write into the store, decoded once."""
+
+from typing import Annotated, Any
+
+from pydantic import BaseModel, BeforeValidator, Field, StrictBool, ValidationError
+from result import Err, Ok, Result
+
+from cassiaseam.pooler.events import DutyRecord
+from cassiaseam.pooler.model import (
+    Consistency,
+    GroupLimits,
+    Route,
+    RoutingConfig,
+    TargetRecord,
+)
+
+CONFIG_KIND = 'config'
+CONFIG_NAME = 'main'
+TARGETS_KIND = 'servers'
+DUTY_KIND = 'cassiaseam-duties'
+DUTY_NAME = 'promotion'
+
+_CONSISTENCY = {
+    'primary': Consistency.PRIMARY,
+    'bounded_staleness': Consistency.BOUNDED_AGE,
+    'read_your_writes': Consistency.READ_YOUR_WRITES,
+}
+_STATES = ('ready', 'draining')
+_ROLES = ('primary', 'replica')
+
+
+def _refuse_bool(given: Any) -> Any:
+    if isinstance(given, bool) or not isinstance(given, int | float):
+        raise ValueError(f'{given!r} is not a number')
+    return given
+
+
+Number = Annotated[float, BeforeValidator(_refuse_bool)]
+Whole = Annotated[int, BeforeValidator(_refuse_bool)]
+Text = Annotated[str, Field(strict=True, min_length=1)]
+
+
+class RouteDocument(BaseModel):
+    """One route as the operators write it."""
+
+    name: str = ''
+    host: Text  # The database that callers name, not a machine.
+    service: Text
+    kind: str = Field(alias='routeKind')
+    timeout_ms: Number = Field(alias='timeoutMs', default=1000)
+    objective_ms: Number = Field(alias='targetLatencyMs', default=1000)
+    max_age_ms: Number = Field(alias='maxStalenessMs', default=0)
+    priority: Whole = 0
+
+
+class ServiceDocument(BaseModel):
+    """One database group as the operators write it."""
+
+    name: Text
+    max_connections: Whole = Field(alias='maxConnections')
+    sync_replicas: Whole = Field(alias='syncReplicas', default=0)
+
+
+class LimitsDocument(BaseModel):
+    """Limits for callers as the operators write them."""
+
+    transaction_idle_ms: Number = Field(alias='transactionIdleMs', default=3000)
+    body_bytes: Whole = Field(alias='maxBodyBytes', default=262144)
+
+
+class ConfigDocument(BaseModel):
+    """The configuration as the operators write it."""
+
+    version: Whole
+    routes: list[RouteDocument]
+    services: list[ServiceDocument]
+    limits: LimitsDocument = Field(default_factory=LimitsDocument)
+
+
+class TargetDocument(BaseModel):
+    """What a target says of itself."""
+
+    service: Text
+    address: Text
+    zone: Text
+    slots: Whole = 1
+    state: Text
+    cold_ms: Number = Field(alias='coldRemainingMs', default=0)
+    role: Text = Field(alias='databaseRole')
+    # Unix milliseconds at which it started.
+    born: Whole = 0
+
+
+class DutyDocument(BaseModel):
+    """Which VM holds the duty to promote; an object of our own kind."""
+
+    holder: str
+    nonce: str
+    released: StrictBool
+
+
+def decode_config(spec: Any) -> Result[RoutingConfig, str]:
+    """Return the configuration, or why it cannot be read."""
+    try:
+        document = ConfigDocument.model_validate(spec)
+    except ValidationError as error:
+        return Err(f'configuration: {error.errors()[0]}')
+    routes: dict[str, Route] = {}
+    for route in document.routes:
+        if route.kind in _CONSISTENCY:
+            routes.setdefault(route.host, _build_route(route))
+    groups = {
+        service.name: GroupLimits(service.max_connections, service.sync_replicas)
+        for service in document.services
+    }
+    limits = document.limits
+    idle_s = limits.transaction_idle_ms / 1000
+    return Ok(RoutingConfig(document.version, routes, groups, idle_s, limits.body_bytes))
+
+
+def _build_route(route: RouteDocument) -> Route:
+    return Route(
+        name=route.name,
+        database=route.host,
+        group=route.service,
+        consistency=_CONSISTENCY[route.kind],
+        statement_timeout_s=route.timeout_ms / 1000,
+        latency_objective_s=route.objective_ms / 1000,
+        max_age_s=route.max_age_ms / 1000,
+        priority=route.priority,
+    )
+
+
+def decode_target(name: str, spec: Any) -> Result[TargetRecord, str]:
+    """Return the record of a target, or why the entry describes none."""
+    try:
+        document = TargetDocument.model_validate(spec)
+    except ValidationError as error:
+        return Err(f'target {name!r}: {error.errors()[0]["loc"]} is not valid')
+    host, _, port = document.address.rpartition(':')
+    if not host or not port.isdecimal():
+        return Err(f'target {name!r}: address {document.address!r}')
+    if document.state not in _STATES or document.role not in _ROLES:
+        return Err(f'target {name!r}: state {document.state!r}, role {document.role!r}')
+    return Ok(
+        TargetRecord(
+            name=name,
+            group=document.service,
+            host=host,
+            port=int(port),
+            place=document.zone,
+            slots=document.slots,
+            leaving=document.state == 'draining',
+            is_primary=document.role == 'primary',
+            incarnation=str(document.born),
+            warming_s=document.cold_ms / 1000,
+        )
+    )
+
+
+def decode_duty(spec: Any) -> DutyRecord | None:
+    """Return the duty record, or None for an object that holds none."""
+    try:
+        document = DutyDocument.model_validate(spec)
+    except ValidationError:
+        return None
+    return DutyRecord(document.holder, document.nonce, document.released)
+
+
+def encode_duty(record: DutyRecord) -> dict[str, Any]:
+    """Return the stored form of a duty record."""
+    return {'holder': record.holder, 'nonce': record.nonce, 'released': record.released}
--- /dev/null
+++ b/src/cassiaseam/platform/store.py
@@ -0,0 +1,202 @@
+"""Calls to the platform's store and to its promotion API."""
+
+import json
+from typing import Any
+from urllib.parse import quote
+
+from result import Err, Ok, Result
+
+from cassiaseam.httpio import HttpAnswer, HttpCallFailed, HttpClient
+from cassiaseam.platform import records
+from cassiaseam.pooler.events import DutyRecord, WriteOutcome
+from cassiaseam.pooler.storeport import (
+    Change,
+    DutySnapshot,
+    HistoryGone,
+    Listing,
+    StoreError,
+    WriteResult,
+)
+
+READ_LIMIT_S = 2.0
+WRITE_LIMIT_S = 1.5
+PROMOTION_LIMIT_S = 1.5
+# Seconds beyond its waiting time that a watch may take.
+WATCH_MARGIN_S = 2.0
+_OK = 200
+_CREATED = 201
+_NOT_FOUND = 404
+_CONFLICT = 409
+_GONE = 410
+_UNAVAILABLE = 503
+_TOO_MANY = 429
+
+
+class PlatformStore:
+    """Objects of one kind, or of our own, in the platform's store."""
+
+    def __init__(self, reactor: Any, host: str, port: int):
+        self.watches = {
+            kind: HttpClient(reactor, host, port)
+            for kind in (records.CONFIG_KIND, records.TARGETS_KIND)
+        }
+        self.reactor = reactor
+        self.address = (host, port)
+
+    async def list_objects(self, kind: str) -> Result[Listing, StoreError]:
+        """Return all objects of a kind and the revision at which they were read."""
+        changes: list[Change] = []
+        after = ''
+        while True:
+            query = f'?after={quote(after)}' if after else ''
+            reply = await self._call(self.watches[kind], 'GET', f'/objects/{kind}{query}')
+            if isinstance(reply, Err):
+                return reply
+            content = reply.ok_value
+            items = content.get('items')
+            if not isinstance(items, list) or not isinstance(content.get('at'), int):
+                return Err(StoreError('the list has no items or no revision'))
+            changes += _decode_objects(items)
+            if not content.get('hasMore') or not changes or changes[-1].name <= after:
+                return Ok(Listing(tuple(changes), content['at']))
+            after = changes[-1].name
+
+    async def watch_objects(
+        self, kind: str, revision: int, wait_s: float
+    ) -> Result[Listing | HistoryGone, StoreError]:
+        """Return what has changed after a revision, as soon as something has."""
+        path = f'/objects/{kind}?watch={revision}&waitMs={int(wait_s * 1000)}'
+        client = self.watches[kind]
+        try:
+            answer = await client.run_call('GET', path, wait_s + WATCH_MARGIN_S)
+        except HttpCallFailed as failure:
+            return Err(StoreError(str(failure)))
+        if answer.status == _GONE:
+            return Ok(HistoryGone())
+        content = _decode_body(answer)
+        if answer.status != _OK or not isinstance(content, dict):
+            return Err(StoreError(f'status {answer.status}'))
+        events = content.get('events')
+        if not isinstance(events, list) or not isinstance(content.get('at'), int):
+            return Err(StoreError('the events have no revision'))
+        return Ok(Listing(tuple(_decode_events(events)), content['at']))
+
+    async def read_duty(self) -> Result[DutySnapshot, StoreError]:
+        """Return the duty record and its revision, 0 when there is none."""
+        path = f'/objects/{records.DUTY_KIND}/{records.DUTY_NAME}'
+        try:
+            answer = await self._call_once('GET', path, READ_LIMIT_S)
+        except HttpCallFailed as failure:
+            return Err(StoreError(str(failure)))
+        if answer.status == _NOT_FOUND:
+            return Ok(DutySnapshot(0, None))
+        content = _decode_body(answer)
+        if answer.status != _OK or not isinstance(content, dict):
+            return Err(StoreError(f'status {answer.status}'))
+        return Ok(DutySnapshot(_read_revision(content), records.decode_duty(content.get('spec'))))
+
+    async def write_duty(self, record: DutyRecord, revision: int) -> WriteResult:
+        """Write the duty record if it still has a revision; 0 creates it."""
+        meta: dict[str, Any] = {'name': records.DUTY_NAME}
+        path = f'/objects/{records.DUTY_KIND}'
+        method = 'POST'
+        if revision:
+            meta['revision'] = revision
+            path = f'{path}/{records.DUTY_NAME}'
+            method = 'PUT'
+        body = _encode({'meta': meta, 'spec': records.encode_duty(record)})
+        try:
+            answer = await self._call_once(method, path, WRITE_LIMIT_S, body)
+        except HttpCallFailed as failure:
+            unknown = failure.may_have_arrived
+            return WriteResult(WriteOutcome.UNKNOWN if unknown else WriteOutcome.CONFLICT)
+        if answer.status in {_OK, _CREATED}:
+            content = _decode_body(answer)
+            return WriteResult(WriteOutcome.WRITTEN, _read_revision(content))
+        if answer.status in {_CONFLICT, _NOT_FOUND, _UNAVAILABLE, _TOO_MANY}:
+            return WriteResult(WriteOutcome.CONFLICT)
+        return WriteResult(WriteOutcome.UNKNOWN)
+
+    async def _call_once(
+        self, method: str, path: str, limit_s: float, body: bytes = b''
+    ) -> HttpAnswer:
+        client = HttpClient(self.reactor, *self.address)
+        try:
+            return await client.run_call(method, path, limit_s, body)
+        finally:
+            client.close()
+
+    async def _call(self, client: HttpClient, method: str, path: str):
+        try:
+            answer = await client.run_call(method, path, READ_LIMIT_S)
+        except HttpCallFailed as failure:
+            return Err(StoreError(str(failure)))
+        content = _decode_body(answer)
+        if answer.status != _OK or not isinstance(content, dict):
+            return Err(StoreError(f'status {answer.status}'))
+        return Ok(content)
+
+
+class PromotionCaller:
+    """The platform's API that makes a target the primary of its group."""
+
+    def __init__(self, reactor: Any, host: str, port: int):
+        self.reactor = reactor
+        self.address = (host, port)
+
+    async def promote(
+        self, group: str, target: str, holder: str, fencing_token: int
+    ) -> Result[None, str]:
+        """Promote a target; the error says why the platform did not accept."""
+        client = HttpClient(self.reactor, *self.address)
+        headers = (('Duty-Holder', holder), ('Fencing-Token', str(fencing_token)))
+        body = _encode({'service': group, 'id': target})
+        try:
+            answer = await client.run_call('POST', '/promotion', PROMOTION_LIMIT_S, body, headers)
+        except HttpCallFailed as failure:
+            return Err(str(failure))
+        finally:
+            client.close()
+        if answer.status // 100 == 2:
+            return Ok(None)
+        return Err(f'status {answer.status}')
+
+
+def _encode(document: dict[str, Any]) -> bytes:
+    return json.dumps(document, separators=(',', ':')).encode()
+
+
+def _decode_body(answer: HttpAnswer) -> Any:
+    try:
+        return json.loads(answer.body.decode('utf-8', 'replace'))
+    except ValueError:
+        return None
+
+
+def _read_revision(content: Any) -> int:
+    meta = content.get('meta') if isinstance(content, dict) else None
+    revision = meta.get('revision') if isinstance(meta, dict) else None
+    return revision if isinstance(revision, int) else 0
+
+
+def _decode_objects(items: list[Any]) -> list[Change]:
+    changes = [_decode_object(entry, deleted=False) for entry in items]
+    return [change for change in changes if change is not None]
+
+
+def _decode_object(entry: Any, deleted: bool) -> Change | None:
+    meta = entry.get('meta') if isinstance(entry, dict) else None
+    name = meta.get('name') if isinstance(meta, dict) else None
+    if not isinstance(name, str):
+        return None
+    return Change(name, entry.get('spec'), deleted)
+
+
+def _decode_events(events: list[Any]) -> list[Change]:
+    changes = []
+    for event in events:
+        if isinstance(event, dict):
+            change = _decode_object(event.get('object'), bool(event.get('deleted')))
+            if change is not None:
+                changes.append(change)
+    return changes
--- /dev/null
+++ b/src/cassiaseam/pooler/catalogue.py
@@ -0,0 +1,187 @@
+"""Configuration and target records from the store."""
+
+from cassiaseam.pooler import connections, evidence, operations, sessions, targets
+from cassiaseam.pooler.events import (
+    ConfigurationRead,
+    StoreContact,
+    TargetChanged,
+    TargetRemoved,
+    TargetsListed,
+    WriteLog,
+)
+from cassiaseam.pooler.model import TargetRecord
+from cassiaseam.pooler.state import GroupView, PoolerState, TargetState
+from cassiaseam.reducer.registry import handles
+
+# Time in seconds after which a target whose record is missing is not known any longer.
+FORGET_LIMIT_S = 5.0
+
+
+@handles(ConfigurationRead)
+def apply_configuration(state: PoolerState, event: ConfigurationRead, now: float) -> list:
+    """Put a configuration in force unless a newer one is."""
+    if state.config is not None and event.config.version <= state.config.version:
+        return []
+    state.config = event.config
+    log = WriteLog(
+        'configuration_applied',
+        {'version': event.config.version, 'routes': len(event.config.routes)},
+    )
+    return [log, *sessions.refuse_late_sessions(state, now)]
+
+
+@handles(TargetsListed)
+def apply_target_list(state: PoolerState, event: TargetsListed, now: float) -> list:
+    """Take over all records; targets without one are missing from now on."""
+    effects: list = []
+    names = {record.name for record in event.records}
+    for record in event.records:
+        effects += apply_record(state, record, now)
+    for name in list(state.target_groups):
+        if name not in names:
+            effects += mark_missing(state, name, now)
+    state.targets_known = True
+    return effects + sessions.refuse_late_sessions(state, now)
+
+
+@handles(TargetChanged)
+def apply_target_change(state: PoolerState, event: TargetChanged, now: float) -> list:
+    """Take over one record."""
+    return apply_record(state, event.record, now)
+
+
+@handles(TargetRemoved)
+def apply_target_removal(state: PoolerState, event: TargetRemoved, now: float) -> list:
+    """Treat a target without a record as missing."""
+    return mark_missing(state, event.name, now)
+
+
+@handles(StoreContact)
+def note_store_contact(state: PoolerState, event: StoreContact, now: float) -> list:
+    """Remember whether the store answers."""
+    if state.store_reachable == event.reachable:
+        return []
+    state.store_reachable = event.reachable
+    return [WriteLog('store_regained' if event.reachable else 'store_lost', {})]
+
+
+def apply_record(state: PoolerState, record: TargetRecord, now: float) -> list:
+    """Add a target or bring it up to date."""
+    group = state.groups.get(record.group)
+    if group is None:
+        group = GroupView(record.group, evidence.build_monitor(record.group))
+        state.groups[record.group] = group
+    former_group = state.target_groups.get(record.name)
+    effects: list = []
+    if former_group not in {None, record.group}:
+        effects += forget_target(state, record.name, now)
+    target = group.targets.get(record.name)
+    if target is None:
+        return effects + add_target(state, group, record, now)
+    known = target.record
+    target.record = record
+    target.missing_since = None
+    if (record.incarnation, record.host, record.port) != (
+        known.incarnation,
+        known.host,
+        known.port,
+    ):
+        effects += restart_target(state, group, target, now)
+    if record.leaving and not known.leaving:
+        effects.append(describe_target('target_leaving', record))
+    if record.is_primary != known.is_primary or record.leaving != known.leaving:
+        effects += connections.submit_status_poll(state, group, record.name, now)
+    return effects
+
+
+def add_target(state: PoolerState, group: GroupView, record: TargetRecord, now: float) -> list:
+    """Begin to use a target."""
+    group.targets[record.name] = TargetState(record)
+    state.target_groups[record.name] = group.name
+    evidence.refresh_members(group, now)
+    return [
+        describe_target('target_added', record),
+        *connections.submit_status_poll(state, group, record.name, now),
+    ]
+
+
+def restart_target(state: PoolerState, group: GroupView, target: TargetState, now: float) -> list:
+    """Drop what belongs to an earlier start of a target."""
+    name = target.record.name
+    effects = [describe_target('target_restarted', target.record)]
+    effects += close_connections(state, group, target, 'target restarted', now)
+    fresh = TargetState(target.record)
+    group.targets[name] = fresh
+    evidence.forget_status(group, name)
+    return effects + connections.submit_status_poll(state, group, name, now)
+
+
+def mark_missing(state: PoolerState, name: str, now: float) -> list:
+    """Note that a target has no record; it may come back when the store was away."""
+    group = state.groups.get(state.target_groups.get(name, ''))
+    target = group.targets.get(name) if group else None
+    if target is None or target.missing_since is not None:
+        return []
+    target.missing_since = now
+    return [describe_target('target_missing', target.record)]
+
+
+def forget_missing_targets(state: PoolerState, group: GroupView, now: float) -> list:
+    """Drop targets whose records have been missing for long."""
+    effects: list = []
+    for name, target in list(group.targets.items()):
+        missing = target.missing_since
+        if missing is not None and now - missing > FORGET_LIMIT_S and state.store_reachable:
+            effects += forget_target(state, name, now)
+    evidence.refresh_members(group, now)
+    return effects
+
+
+def forget_target(state: PoolerState, name: str, now: float) -> list:
+    """Close the connections to a target and drop it."""
+    group = state.groups[state.target_groups.pop(name)]
+    target = group.targets[name]
+    effects = [describe_target('target_removed', target.record)]
+    effects += close_connections(state, group, target, 'target removed', now)
+    del group.targets[name]
+    if group.monitor.primary == name:
+        group.monitor.primary = ''
+    evidence.refresh_members(group, now)
+    return effects
+
+
+def close_connections(
+    state: PoolerState, group: GroupView, target: TargetState, reason: str, now: float
+) -> list:
+    """Close all connections to a target and fail their jobs."""
+    effects: list = []
+    jobs = []
+    for connection in list(target.connections.values()):
+        effects += connections.close_connection(state, target, connection)
+        if connection.job is not None:
+            jobs.append(connection.job)
+    # Nothing may queue at the target again while its jobs are taken away.
+    target.failing_since = now
+    target.refused_until = now + connections.RECONNECT_PAUSE_S
+    effects += targets.fail_queue(state, group, target, reason, now)
+    for job in jobs:
+        effects += targets.fail_job(state, group, job, reason, now)
+    return effects
+
+
+def describe_target(kind: str, record: TargetRecord) -> WriteLog:
+    """Return the log line of a change of a target."""
+    return WriteLog(
+        kind,
+        {
+            'target': record.name,
+            'group': record.group,
+            'address': f'{record.host}:{record.port}',
+            'place': record.place,
+            'primary': record.is_primary,
+            'leaving': record.leaving,
+        },
+    )
+
+
+REGISTERED = (operations,)
--- /dev/null
+++ b/src/cassiaseam/pooler/commands.py
@@ -0,0 +1,212 @@
+"""Statements of callers, commands to targets and the replies of targets."""
+
+import enum
+from dataclasses import dataclass
+
+from cassiaseam.positions import LogPosition
+
+
+class StatementKind(enum.Enum):
+    """What a statement of a caller does."""
+
+    BEGIN = 'begin'
+    COMMIT = 'commit'
+    ROLLBACK = 'rollback'
+    READ = 'read'
+    WRITE = 'write'
+    SET = 'set'
+    PREPARE = 'prepare'
+    EXECUTE = 'execute'
+    DEALLOCATE = 'deallocate'
+
+
+@dataclass(frozen=True, slots=True)
+class Statement:
+    """One statement of a caller.
+
+    Attributes:
+        request_id: Id that the caller gave it.
+        kind: What it does.
+        text: Text as the caller sent it.
+        name: Variable or prepared name, or ''.
+        argument: Value of SET, shape of PREPARE, arguments of EXECUTE, or ''.
+        writes: For PREPARE, whether the prepared statement writes.
+        read_only: For BEGIN, whether the transaction only reads.
+    """
+
+    request_id: str
+    kind: StatementKind
+    text: str
+    name: str = ''
+    argument: str = ''
+    writes: bool = False
+    read_only: bool = False
+
+
+class SessionState(enum.Enum):
+    """State of a session as its reply shows it."""
+
+    IDLE = 'idle'
+    IN_TRANSACTION = 'in_transaction'
+    FAILED_TRANSACTION = 'failed_transaction'
+
+
+@dataclass(frozen=True, slots=True)
+class Forward:
+    """Run a statement of a caller, unchanged but for its prepared name.
+
+    Attributes:
+        statement: The statement.
+        floor: Position that the log of the target has to hold, or None.
+        prepared_name: Name under which the shape is prepared on the connection, or ''.
+    """
+
+    statement: Statement
+    floor: LogPosition | None = None
+    prepared_name: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Begin:
+    """Begin a transaction on a connection."""
+
+    read_only: bool
+    floor: LogPosition | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Rollback:
+    """Roll the transaction of a connection back."""
+
+
+@dataclass(frozen=True, slots=True)
+class SetVariable:
+    """Set a session variable on a connection."""
+
+    name: str
+    setting: str
+
+
+@dataclass(frozen=True, slots=True)
+class Prepare:
+    """Prepare a shape on a connection."""
+
+    name: str
+    shape: str
+    writes: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ClearSession:
+    """Drop the session variables and prepared names of a connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadStatus:
+    """Read the status of a target."""
+
+
+@dataclass(frozen=True, slots=True)
+class Fence:
+    """Stop a replica from receiving log entries of terms below `term`."""
+
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class LiftFence:
+    """Let a replica receive log entries again."""
+
+
+@dataclass(frozen=True, slots=True)
+class Demote:
+    """Make a primary of a term below `term` a replica."""
+
+    term: int
+
+
+Command = (
+    Forward
+    | Begin
+    | Rollback
+    | SetVariable
+    | Prepare
+    | ClearSession
+    | ReadStatus
+    | Fence
+    | LiftFence
+    | Demote
+)
+CONTROL_COMMANDS = (ReadStatus, Fence, LiftFence, Demote)
+
+
+class TargetFailure(enum.Enum):
+    """Why a target did not carry a command out."""
+
+    BUSY = 'busy'
+    BEHIND = 'behind'
+    READ_ONLY = 'read_only'
+    WRONG_TARGET = 'wrong_target'
+    TOO_MANY_CONNECTIONS = 'too_many_connections'
+    UNKNOWN_NAME = 'unknown_name'
+    FAILED = 'failed'
+    TIMED_OUT = 'timed_out'
+    REJECTED = 'rejected'
+
+
+# Failures after which nothing of the command has run.
+NOT_RUN = frozenset(
+    (
+        TargetFailure.BUSY,
+        TargetFailure.BEHIND,
+        TargetFailure.READ_ONLY,
+        TargetFailure.WRONG_TARGET,
+        TargetFailure.UNKNOWN_NAME,
+    )
+)
+
+
+@dataclass(frozen=True, slots=True)
+class ReportedStatus:
+    """Status that a target reports.
+
+    Attributes:
+        is_primary: Whether it leads `term`.
+        term: Term that it follows or leads.
+        last: Last log entry that it has received.
+        fenced_term: Term of its fence, or 0.
+        lag_s: Seconds by which its applied data is behind.
+        running: Statements that run on it.
+        connections: Connections that are open to it.
+    """
+
+    is_primary: bool
+    term: int
+    last: LogPosition
+    fenced_term: int
+    lag_s: float
+    running: int
+    connections: int
+
+
+@dataclass(frozen=True, slots=True)
+class TargetReply:
+    """Reply of a target to one command.
+
+    Attributes:
+        rows: Rows as the target sent them.
+        signature: Proof that the target ran the command, or ''.
+        failure: Why it was not carried out, or None.
+        message: Text of the failure.
+        session_state: State of the connection after the command.
+        position: Last entry of the log that the target has applied, or None.
+        status: Decoded status for commands that return one.
+    """
+
+    rows: tuple[str, ...] = ()
+    signature: str = ''
+    failure: TargetFailure | None = None
+    message: str = ''
+    session_state: SessionState = SessionState.IDLE
+    position: LogPosition | None = None
+    status: ReportedStatus | None = None
--- /dev/null
+++ b/src/cassiaseam/pooler/connections.py
@@ -0,0 +1,255 @@
+"""Connections to targets: opening, choosing one for a job, preparing it, closing.
+
+Every VM holds a few connections to each target. A job takes an idle one, or waits while another
+is opened. A target reports how many connections it has from all VMs; near its limit a VM keeps
+to its guaranteed number.
+"""
+
+from cassiaseam.pooler.commands import (
+    ClearSession,
+    Command,
+    Forward,
+    Prepare,
+    ReadStatus,
+    SetVariable,
+    StatementKind,
+)
+from cassiaseam.pooler.events import CloseTarget, OpenTarget, SendCommands
+from cassiaseam.pooler.state import (
+    CallerSession,
+    Connection,
+    GroupView,
+    Job,
+    PoolerState,
+    Purpose,
+    TargetState,
+)
+
+# Connections to one target that a VM may open however many the other VMs have.
+GUARANTEED_CONNECTIONS = 2
+# Connections to one target that a VM never exceeds.
+MAX_CONNECTIONS_PER_TARGET = 10
+# Share of a target's connection limit above which a VM keeps to its guaranteed number; the rest
+# is for VMs that start.
+CONNECTION_SHARE = 0.75
+# Pause in seconds after a target refused a connection because it has too many.
+TOO_MANY_PAUSE_S = 0.5
+# Pause in seconds between attempts to reach a target that cannot be connected to.
+RECONNECT_PAUSE_S = 0.2
+# Time in seconds after which an idle connection beyond the first is closed.
+IDLE_LIMIT_S = 20.0
+
+
+def submit_job(state: PoolerState, group: GroupView, job: Job, now: float) -> list:
+    """Queue a job for its target and start it when a connection is free."""
+    target = group.targets[job.target]
+    if job.purpose is Purpose.CONTROL:
+        target.queue.appendleft(job)
+    else:
+        target.queue.append(job)
+    return start_jobs(state, target, now)
+
+
+def start_jobs(state: PoolerState, target: TargetState, now: float) -> list:
+    """Start waiting jobs on idle connections and open connections for the rest."""
+    effects: list = []
+    while target.queue:
+        job = target.queue[0]
+        if job.cancelled:
+            target.queue.popleft()
+            continue
+        connection = find_idle_connection(state, target, job)
+        if connection is None:
+            break
+        target.queue.popleft()
+        effects += start_job(state, target, connection, job, now)
+    opening = sum(not connection.ready for connection in target.connections.values())
+    for _ in range(len(target.queue) - opening):
+        if not may_open_connection(state, target, now):
+            break
+        effects += open_connection(state, target, now)
+    return effects
+
+
+def may_open_connection(state: PoolerState, target: TargetState, now: float) -> bool:
+    """Return whether this VM may open another connection to a target."""
+    count = len(target.connections)
+    if now < target.refused_until or count >= MAX_CONNECTIONS_PER_TARGET:
+        return False
+    if count < GUARANTEED_CONNECTIONS:
+        return True
+    limits = state.config.groups.get(target.record.group) if state.config else None
+    if limits is None:
+        return False
+    return target.reported_connections < limits.max_connections * CONNECTION_SHARE
+
+
+def open_connection(state: PoolerState, target: TargetState, now: float) -> list:
+    """Ask for one more connection to a target."""
+    connection = Connection(state.next_connection_id, target.record.name, now)
+    state.next_connection_id += 1
+    state.connections[connection.connection_id] = connection
+    target.connections[connection.connection_id] = connection
+    target.reported_connections += 1
+    return [OpenTarget(connection.connection_id, target.record)]
+
+
+def find_idle_connection(state: PoolerState, target: TargetState, job: Job) -> Connection | None:
+    """Return an idle connection, best one whose session variables fit the job."""
+    idle = [
+        connection
+        for connection in target.connections.values()
+        if connection.ready
+        and connection.job is None
+        and not connection.pinned_to
+        and not connection.closing
+    ]
+    if not idle:
+        return None
+    session = find_job_session(state, job)
+    if session is None:
+        return idle[0]
+    return min(idle, key=lambda connection: rate_variables(connection, session))
+
+
+def rate_variables(connection: Connection, session: CallerSession) -> int:
+    """Return 0 for equal variables, 1 when some have to be set, 2 when some have to go."""
+    if connection.variables == session.variables:
+        return 0
+    return 1 if connection.variables.keys() <= session.variables.keys() else 2
+
+
+def find_job_session(state: PoolerState, job: Job) -> CallerSession | None:
+    """Return the session that a job works for, or None."""
+    return state.sessions.get(job.operation.session_id) if job.operation else None
+
+
+def start_job(
+    state: PoolerState, target: TargetState, connection: Connection, job: Job, now: float
+) -> list:
+    """Run a job on an idle connection, after the commands that prepare the connection."""
+    connection.job = job
+    job.connection_id = connection.connection_id
+    setup = plan_setup(state, connection, job)
+    if setup:
+        connection.setup.extend(setup)
+        note_sent(target, now)
+        return [SendCommands(connection.connection_id, tuple(setup))]
+    return send_command(state, target, connection, now)
+
+
+def send_command(
+    state: PoolerState, target: TargetState, connection: Connection, now: float
+) -> list:
+    """Send the command of the job that a connection runs."""
+    job = connection.job
+    job.sent_at = now
+    note_sent(target, now)
+    command = job.command
+    if isinstance(command, Forward):
+        command = Forward(command.statement, command.floor, find_prepared_name(state, job))
+        if job.operation.sent_at is None:
+            job.operation.sent_at = now
+        job.operation.attempts += 1
+    return [SendCommands(connection.connection_id, (command,))]
+
+
+def plan_setup(state: PoolerState, connection: Connection, job: Job) -> list[Command]:
+    """Return the commands that give a connection the session of the caller."""
+    session = find_job_session(state, job)
+    if session is None:
+        return []
+    commands: list[Command] = []
+    if connection.variables.keys() - session.variables.keys():
+        commands.append(ClearSession())
+        connection.variables = {}
+        connection.prepared = set()
+    for name, setting in session.variables.items():
+        if connection.variables.get(name) != setting:
+            commands.append(SetVariable(name, setting))
+            connection.variables[name] = setting
+    name = find_prepared_name(state, job)
+    if name and name not in connection.prepared:
+        prepared = session.prepared[job.operation.statement.name]
+        commands.append(Prepare(name, prepared.argument, prepared.writes))
+        connection.prepared.add(name)
+    return commands
+
+
+def find_prepared_name(state: PoolerState, job: Job) -> str:
+    """Return the name on the targets of the statement that a job executes, or ''."""
+    statement = job.operation.statement if job.operation else None
+    if statement is None or statement.kind is not StatementKind.EXECUTE:
+        return ''
+    if not isinstance(job.command, Forward):
+        return ''
+    prepared = state.sessions[job.operation.session_id].prepared[statement.name]
+    return name_shape(state, prepared.argument, prepared.writes)
+
+
+def name_shape(state: PoolerState, shape: str, writes: bool) -> str:
+    """Return the name under which a shape is prepared on all connections."""
+    return state.prepared_names.setdefault((shape, writes), f'p{len(state.prepared_names) + 1}')
+
+
+def note_sent(target: TargetState, now: float) -> None:
+    """Remember since when a target owes a reply."""
+    if target.silent_since is None:
+        target.silent_since = now
+
+
+def note_heard(target: TargetState, now: float) -> None:
+    """Remember that a target replied."""
+    target.heard_at = now
+    target.failing_since = None
+    busy = any(
+        connection.job is not None or connection.setup
+        for connection in target.connections.values()
+    )
+    target.silent_since = now if busy else None
+
+
+def release_connection(
+    state: PoolerState, target: TargetState, connection: Connection, now: float
+) -> list:
+    """Make a connection available to waiting jobs."""
+    connection.job = None
+    connection.pinned_to = 0
+    connection.idle_since = now
+    if connection.closing:
+        return close_connection(state, target, connection)
+    return start_jobs(state, target, now)
+
+
+def close_connection(state: PoolerState, target: TargetState, connection: Connection) -> list:
+    """Close a connection; a target rolls its transaction back."""
+    drop_connection(state, target, connection)
+    return [CloseTarget(connection.connection_id)]
+
+
+def drop_connection(state: PoolerState, target: TargetState, connection: Connection) -> None:
+    """Forget a connection that has ended."""
+    state.connections.pop(connection.connection_id, None)
+    target.connections.pop(connection.connection_id, None)
+    target.reported_connections = max(target.reported_connections - 1, 0)
+
+
+def close_idle_connections(state: PoolerState, target: TargetState, now: float) -> list:
+    """Close connections that were idle for long; the first one is kept."""
+    effects: list = []
+    for connection in list(target.connections.values())[1:]:
+        idle = connection.ready and connection.job is None and not connection.pinned_to
+        if idle and now - connection.idle_since > IDLE_LIMIT_S:
+            effects += close_connection(state, target, connection)
+    return effects
+
+
+def submit_status_poll(state: PoolerState, group: GroupView, name: str, now: float) -> list:
+    """Poll the status of a target unless a poll is waiting to be sent."""
+    target = group.targets[name]
+    if target.status_job is not None:
+        target.poll_again = target.status_job.sent_at is not None
+        return []
+    job = Job(name, ReadStatus(), Purpose.CONTROL, now)
+    target.status_job = job
+    return submit_job(state, group, job, now)
--- /dev/null
+++ b/src/cassiaseam/pooler/evidence.py
@@ -0,0 +1,170 @@
+"""What replies and statuses of targets prove about a group.
+
+The statuses feed the monitoring state of `cassiaseam.group`, whose functions decide on
+acknowledgement and floors. A majority counts over the largest number of targets that was known
+for `SHRINK_DELAY_S`, so that records that lapse while the store is away prove nothing.
+"""
+
+from cassiaseam.configuration.model import DatabaseConfig, TargetConfig
+from cassiaseam.group.evidence import count_majority, is_in_charge
+from cassiaseam.group.samples import add_quorum_samples
+from cassiaseam.group.state import GroupState, TargetView
+from cassiaseam.group.view import find_quorum_floor, is_committed
+from cassiaseam.messages import TargetRole, TargetStatus
+from cassiaseam.pooler.commands import ReportedStatus
+from cassiaseam.pooler.state import GroupView, Operation, TargetState
+from cassiaseam.positions import ZERO_POSITION, LogPosition
+
+# Records of live targets are back two seconds after the store is; a multiple of that.
+SHRINK_DELAY_S = 10.0
+# Time in seconds after which a target whose record stays missing counts as gone.
+RETURN_LIMIT_S = 2.5
+# Time that a restarted replica does not vouch for a primary: a fence ends with a restart, and a
+# promotion that counted on the fence is over by then.
+RESTART_DISTRUST_S = 3.0
+
+
+def build_monitor(name: str) -> GroupState:
+    """Return the monitoring state of a group without targets."""
+    return GroupState(DatabaseConfig(name, ()))
+
+
+def refresh_members(group: GroupView, now: float) -> None:
+    """Bring the monitored targets and the size of the group up to date."""
+    monitor = group.monitor
+    for gone in set(monitor.targets) - set(group.targets):
+        del monitor.targets[gone]
+    for name in group.targets:
+        monitor.targets.setdefault(name, TargetView())
+    count = len(group.targets)
+    if count >= group.size:
+        group.size = count
+        group.shrunk_at = None
+    elif group.shrunk_at is None:
+        group.shrunk_at = now
+    elif now - group.shrunk_at > SHRINK_DELAY_S:
+        group.size = max(count, 1)
+        group.shrunk_at = None
+    if len(monitor.config.targets) != group.size:
+        slots = tuple(TargetConfig(f'{slot}', '', 0, '') for slot in range(group.size))
+        monitor.config = DatabaseConfig(group.name, slots)
+
+
+def note_status(
+    group: GroupView, name: str, started_at: float, reported: ReportedStatus, now: float
+) -> None:
+    """Take over a status that a target reported for a poll sent at `started_at`."""
+    view = group.monitor.targets.get(name)
+    target = group.targets.get(name)
+    if view is None or target is None:
+        return
+    target.reported_connections = reported.connections
+    status = TargetStatus(
+        instance=name,
+        incarnation=target.record.incarnation,
+        term=reported.term,
+        fenced_term=reported.fenced_term,
+        last=reported.last,
+        applied=ZERO_POSITION,
+        role=TargetRole.PRIMARY if reported.is_primary else TargetRole.REPLICA,
+        primary_contact_age_s=reported.lag_s,
+        leaving=target.record.leaving,
+    )
+    if view.status is not None and started_at < view.status_started_at:
+        return
+    view.status = status
+    view.status_started_at = started_at
+    view.answered_at = now
+    group.monitor.known_term = max(group.monitor.known_term, reported.term)
+    if reported.is_primary:
+        adopt_primary(group, name, reported.term)
+    elif name == group.monitor.primary and reported.term >= group.monitor.term:
+        group.monitor.primary = ''
+    add_quorum_samples(group.monitor)
+
+
+def adopt_primary(group: GroupView, name: str, term: int) -> None:
+    """Take a target as the primary in charge when no newer term is known."""
+    monitor = group.monitor
+    if term < monitor.term or (term == monitor.term and name == monitor.primary):
+        return
+    if monitor.primary and monitor.primary != name:
+        group.former_primary = monitor.primary
+    monitor.primary = name
+    monitor.term = term
+    group.without_primary_since = None
+
+
+def note_primary_position(
+    group: GroupView, name: str, started_at: float, position: LogPosition, now: float
+) -> None:
+    """Take the position in a reply of the primary as its status.
+
+    The reply belongs to a command that was sent at `started_at`.
+    """
+    monitor = group.monitor
+    view = monitor.targets.get(name)
+    if name != monitor.primary or view is None or view.status is None:
+        return
+    known = view.status
+    if known.role is not TargetRole.PRIMARY or started_at < view.status_started_at:
+        return
+    view.status = TargetStatus(
+        instance=name,
+        incarnation=known.incarnation,
+        term=known.term,
+        fenced_term=known.fenced_term,
+        last=max(position, known.last),
+        applied=position,
+        role=TargetRole.PRIMARY,
+        leaving=known.leaving,
+    )
+    view.status_started_at = started_at
+    view.answered_at = now
+    add_quorum_samples(monitor)
+
+
+def forget_status(group: GroupView, name: str) -> None:
+    """Drop what a target said before it restarted."""
+    if name in group.monitor.targets:
+        group.monitor.targets[name] = TargetView()
+    if group.monitor.primary == name:
+        group.monitor.primary = ''
+
+
+def is_primary_confirmed(group: GroupView, since: float) -> bool:
+    """Return whether a majority saw the primary in charge at or after `since`.
+
+    A promotion fences a majority first. A commit that a newer primary acknowledged before `since`
+    would therefore show in one of the statuses.
+    """
+    return is_in_charge(group.monitor, polled_after=since)
+
+
+def is_commit_held(group: GroupView, position: LogPosition) -> bool:
+    """Return whether a majority holds a commit that the primary reported."""
+    return is_committed(group.monitor, position, position.term)
+
+
+def find_floor(group: GroupView, operation: Operation, session_commit: LogPosition | None):
+    """Return the position that a read has to cover, or None while it is unknown.
+
+    Returns:
+        Highest of the session's own latest commit and a sample that covers every commit
+        acknowledged more than the accepted age before the operation.
+    """
+    since = operation.started_at - operation.route.max_age_s
+    floor = find_quorum_floor(group.monitor, since)
+    if floor is None:
+        return None
+    return max(floor, session_commit) if session_commit is not None else floor
+
+
+def count_needed_grants(group: GroupView) -> int:
+    """Return how many fences a promotion needs to meet every majority."""
+    return group.size - count_majority(group.monitor) + 1
+
+
+def find_supporters(group: GroupView) -> list[TargetState]:
+    """Return the targets beside the primary."""
+    return [target for name, target in group.targets.items() if name != group.monitor.primary]
--- /dev/null
+++ b/src/cassiaseam/pooler/failover.py
@@ -0,0 +1,550 @@
+"""Promotion of another target when the primary leaves, fails or is cut off.
+
+One VM at a time holds the duty to promote, by a conditional write of a record in the store. The
+revision of that write is the fencing token. A holder acts for `CLAIM_VALID_S` after it sent the
+claim; others take the duty over when the record has not changed for `CLAIM_LIFETIME_S`.
+
+A primary that answers is demoted first, and the promoted target has to hold its whole log. In
+place of a primary that does not answer, enough replicas are fenced that no majority can
+acknowledge its commits any longer, and the replica that holds the most is promoted.
+"""
+
+from cassiaseam.pooler import connections, evidence, routing
+from cassiaseam.pooler.commands import Command, Demote, Fence, LiftFence, TargetReply
+from cassiaseam.pooler.events import (
+    CallPromotion,
+    DutyRead,
+    DutyReadFailed,
+    DutyRecord,
+    DutyWritten,
+    PromotionAnswered,
+    ReadDuty,
+    WriteDuty,
+    WriteLog,
+    WriteOutcome,
+)
+from cassiaseam.pooler.state import (
+    GroupView,
+    Job,
+    PoolerState,
+    Promotion,
+    PromotionStage,
+    Purpose,
+    TargetState,
+)
+from cassiaseam.reducer.registry import handles
+
+# Seconds after which an unchanged claim of another VM counts as abandoned.
+CLAIM_LIFETIME_S = 3.0
+# Seconds after sending its claim for which a holder calls the platform.
+CLAIM_VALID_S = 2.0
+# Seconds without a reply, or of refused connections, after which a primary counts as failed.
+SILENCE_LIMIT_S = 1.0
+REFUSED_LIMIT_S = 0.35
+# Seconds without a primary after which one is promoted.
+NO_PRIMARY_LIMIT_S = 0.9
+# Seconds that a replica may be fenced above the term in charge before the fence is lifted.
+ABANDONED_FENCE_S = 2.5
+# Longest random pause in seconds by which the VMs spread their claims.
+CLAIM_SPREAD_S = 0.15
+# Pause in seconds after a failed attempt.
+RETRY_PAUSE_S = 0.4
+# Longest duration in seconds of the steps.
+DEMOTE_LIMIT_S = 0.5
+CATCH_UP_LIMIT_S = 1.0
+FENCE_LIMIT_S = 2.5
+AWAIT_LIMIT_S = 2.0
+ATTEMPT_LIMIT_S = 6.0
+# Pause in seconds before a message of a step is sent again.
+RESEND_S = 0.3
+# Pause in seconds between status polls while a step waits for a position or a role.
+POLL_S = 0.03
+# Seconds for which a former primary is told to step down, and the pause between two tries.
+DEMOTE_FORMER_S = 6.0
+DEMOTE_FORMER_PAUSE_S = 0.5
+# Pause in seconds between polls of all targets while the primary is not known.
+SURVEY_PAUSE_S = 0.15
+
+
+def check_primary(state: PoolerState, group: GroupView, now: float) -> list:
+    """Start a promotion when the primary has to be replaced."""
+    effects = survey_targets(state, group, now)
+    if group.promotion is not None:
+        return effects + advance_promotion(state, group, now)
+    effects += demote_former_primary(state, group, now)
+    cause, planned = find_cause(group, now)
+    if not cause:
+        group.cause_since = None
+        return effects
+    if group.cause_since is None:
+        group.cause_since = now + state.rng.random() * CLAIM_SPREAD_S
+    may_start = state.store_reachable and state.stopping_since is None
+    if not may_start or now < max(group.cause_since, group.retry_promotion_at):
+        return effects
+    return effects + start_promotion(state, group, cause, planned, now)
+
+
+def survey_targets(state: PoolerState, group: GroupView, now: float) -> list:
+    """Poll all targets while the primary is unknown or a newer term shows."""
+    monitor = group.monitor
+    known = monitor.primary in group.targets and monitor.known_term <= monitor.term
+    note_fences(group, now)
+    if known:
+        group.without_primary_since = None
+        if group.fenced_since is None:
+            return []
+    elif group.without_primary_since is None and monitor.primary not in group.targets:
+        group.without_primary_since = now
+    if now - group.survey_at < SURVEY_PAUSE_S:
+        return []
+    group.survey_at = now
+    effects: list = []
+    for name in group.targets:
+        effects += connections.submit_status_poll(state, group, name, now)
+    return effects
+
+
+def note_fences(group: GroupView, now: float) -> None:
+    """Remember since when some target is fenced above the term in charge."""
+    monitor = group.monitor
+    fenced = any(
+        view.status is not None and view.status.fenced_term > monitor.term
+        for view in monitor.targets.values()
+    )
+    if not fenced:
+        group.fenced_since = None
+    elif group.fenced_since is None:
+        group.fenced_since = now
+
+
+def find_cause(group: GroupView, now: float) -> tuple[str, bool]:
+    """Return why the primary has to be replaced, or '', and whether it can hand over."""
+    primary = group.targets.get(group.monitor.primary)
+    if primary is None:
+        since = group.without_primary_since
+        waited = since is not None and now - since > NO_PRIMARY_LIMIT_S
+        return ('no_primary', False) if waited and group.targets else ('', False)
+    if has_failed(primary, now):
+        return 'primary_failed', False
+    if primary.record.leaving or primary.missing_since is not None:
+        gone_s = now - primary.missing_since if primary.missing_since is not None else 0
+        if primary.record.leaving or gone_s > evidence.RETURN_LIMIT_S:
+            return 'primary_leaving', True
+    if group.fenced_since is not None and now - group.fenced_since > ABANDONED_FENCE_S:
+        return 'abandoned_fence', True
+    return '', False
+
+
+def has_failed(target: TargetState, now: float) -> bool:
+    """Return whether a target is out of reach for so long that it counts as failed."""
+    if target.failing_since is not None and now - target.failing_since > REFUSED_LIMIT_S:
+        return True
+    return target.silent_since is not None and now - target.silent_since > SILENCE_LIMIT_S
+
+
+def start_promotion(
+    state: PoolerState, group: GroupView, cause: str, planned: bool, now: float
+) -> list:
+    """Read the duty record, the first step of a promotion."""
+    group.promotion = Promotion(
+        cause, now, planned, PromotionStage.READ_DUTY, now, old_primary=group.monitor.primary
+    )
+    log = WriteLog(
+        'promotion_considered',
+        {
+            'group': group.name,
+            'cause': cause,
+            'primary': group.monitor.primary,
+            'term': group.monitor.term,
+            'targets': len(group.targets),
+        },
+    )
+    return [log, ReadDuty()]
+
+
+def find_promotions(state: PoolerState, stage: PromotionStage) -> list[GroupView]:
+    """Return the groups whose promotion is at a stage."""
+    groups = state.groups.values()
+    return [g for g in groups if g.promotion is not None and g.promotion.stage is stage]
+
+
+@handles(DutyRead)
+def claim_duty(state: PoolerState, event: DutyRead, now: float) -> list:
+    """Claim the duty when it is free."""
+    duty = state.duty
+    if event.revision != duty.revision:
+        duty.revision = event.revision
+        duty.seen_at = now
+    duty.record = event.record
+    effects: list = []
+    for group in find_promotions(state, PromotionStage.CLAIM_DUTY):
+        effects += resolve_claim(state, group, event, now)
+    waiting = find_promotions(state, PromotionStage.READ_DUTY)
+    for group in waiting:
+        if is_duty_free(state, now) and not effects:
+            nonce = f'{state.rng.getrandbits(64):016x}'
+            record = DutyRecord(state.vm, nonce, released=False)
+            enter_stage(group.promotion, PromotionStage.CLAIM_DUTY, now)
+            group.promotion.claimed_at = now
+            group.promotion.nonce = nonce
+            effects.append(WriteDuty(record, event.revision))
+        else:
+            effects += give_up(state, group, 'another VM holds the duty', now)
+    return effects
+
+
+def resolve_claim(state: PoolerState, group: GroupView, event: DutyRead, now: float) -> list:
+    """Decide by the record read whether a claim without an answer has been written."""
+    record = event.record
+    promotion = group.promotion
+    if promotion.token:
+        return []
+    if record is not None and record.nonce == promotion.nonce:
+        return use_claim(state, group, event.revision, now)
+    return give_up(state, group, 'the claim was not written', now)
+
+
+def is_duty_free(state: PoolerState, now: float) -> bool:
+    """Return whether this VM may claim the duty."""
+    record = state.duty.record
+    if record is None or record.released or record.holder == state.vm:
+        return True
+    return now - state.duty.seen_at > CLAIM_LIFETIME_S
+
+
+@handles(DutyReadFailed)
+def give_up_without_duty(state: PoolerState, event: DutyReadFailed, now: float) -> list:
+    """Try again later when the duty record cannot be read."""
+    effects: list = []
+    for stage in (PromotionStage.READ_DUTY, PromotionStage.CLAIM_DUTY):
+        for group in find_promotions(state, stage):
+            effects += give_up(state, group, 'the duty record cannot be read', now)
+    return effects
+
+
+@handles(DutyWritten)
+def handle_claim_result(state: PoolerState, event: DutyWritten, now: float) -> list:
+    """Use a claim that was written, or find out what became of it."""
+    if event.outcome is WriteOutcome.WRITTEN:
+        state.duty.revision = event.revision
+        state.duty.record = event.record
+        state.duty.seen_at = now
+    effects: list = []
+    for group in find_promotions(state, PromotionStage.CLAIM_DUTY):
+        promotion = group.promotion
+        if promotion.nonce != event.record.nonce or promotion.token:
+            continue
+        if event.outcome is WriteOutcome.WRITTEN:
+            effects += use_claim(state, group, event.revision, now)
+        elif event.outcome is WriteOutcome.CONFLICT:
+            effects += give_up(state, group, 'another VM claimed the duty', now)
+        else:
+            effects.append(ReadDuty())
+    return effects
+
+
+def use_claim(state: PoolerState, group: GroupView, token: int, now: float) -> list:
+    """Begin with the targets once the duty is held."""
+    promotion = group.promotion
+    promotion.token = token
+    monitor = group.monitor
+    if is_obsolete(group, now):
+        return give_up(state, group, 'the primary is in charge again', now)
+    terms = [monitor.term, monitor.known_term]
+    for view in monitor.targets.values():
+        if view.status is not None:
+            terms += [view.status.term, view.status.fenced_term]
+    promotion.term = max(terms) + 1
+    log = WriteLog(
+        'promotion_started',
+        {
+            'group': group.name,
+            'cause': promotion.cause,
+            'term': promotion.term,
+            'token': token,
+            'planned': promotion.planned,
+            'primary': promotion.old_primary,
+        },
+    )
+    if promotion.cause == 'abandoned_fence':
+        return [log, *lift_fences(state, group, now), *end_promotion(state, group, now)]
+    stage = PromotionStage.DEMOTE if promotion.planned else PromotionStage.FENCE
+    enter_stage(promotion, stage, now)
+    return [log, *advance_promotion(state, group, now)]
+
+
+def is_obsolete(group: GroupView, now: float) -> bool:
+    """Return whether the reason for a promotion is gone."""
+    return not find_cause(group, now)[0]
+
+
+def enter_stage(promotion: Promotion, stage: PromotionStage, now: float) -> None:
+    """Go on to the next step."""
+    promotion.stage = stage
+    promotion.stage_at = now
+    promotion.sent_at = -1
+
+
+def advance_promotion(state: PoolerState, group: GroupView, now: float) -> list:
+    """Send what the current step needs, and end steps that take too long."""
+    promotion = group.promotion
+    if now - promotion.started_at > ATTEMPT_LIMIT_S:
+        return give_up(state, group, f'timed out at {promotion.stage.value}', now)
+    step = STEPS.get(promotion.stage)
+    return step(state, group, promotion, now) if step else []
+
+
+def run_demote_step(
+    state: PoolerState, group: GroupView, promotion: Promotion, now: float
+) -> list:
+    """Ask the primary to step down, so that its log is complete."""
+    if now - promotion.stage_at > DEMOTE_LIMIT_S or promotion.old_primary not in group.targets:
+        enter_stage(promotion, PromotionStage.FENCE, now)
+        return run_fence_step(state, group, promotion, now)
+    if promotion.sent_at >= 0:
+        return []
+    promotion.sent_at = now
+    effects = lift_fences(state, group, now)
+    command = Demote(promotion.term)
+    return effects + send_control(state, group, promotion.old_primary, command, now)
+
+
+def run_catch_up_step(
+    state: PoolerState, group: GroupView, promotion: Promotion, now: float
+) -> list:
+    """Wait until a replica holds the whole log of the demoted primary."""
+    for name in list_candidates(state, group, now):
+        status = group.monitor.targets[name].status
+        if status is not None and status.last >= promotion.final:
+            return promote(state, group, name, now)
+    if now - promotion.stage_at > CATCH_UP_LIMIT_S:
+        enter_stage(promotion, PromotionStage.FENCE, now)
+        return []
+    if now - promotion.sent_at < POLL_S:
+        return []
+    promotion.sent_at = now
+    effects: list = []
+    for name in list_candidates(state, group, now):
+        effects += connections.submit_status_poll(state, group, name, now)
+    return effects
+
+
+def run_fence_step(state: PoolerState, group: GroupView, promotion: Promotion, now: float) -> list:
+    """Fence the replicas and tell the former primary to step down."""
+    if len(promotion.grants) >= evidence.count_needed_grants(group):
+        chosen = choose_most_complete(state, group, promotion, now)
+        if chosen:
+            return promote(state, group, chosen, now)
+    if now - promotion.stage_at > FENCE_LIMIT_S:
+        return [
+            *lift_fences(state, group, now),
+            *give_up(state, group, f'only {len(promotion.grants)} targets were fenced', now),
+        ]
+    if promotion.sent_at >= 0 and now - promotion.sent_at < RESEND_S:
+        return []
+    promotion.sent_at = now
+    effects: list = []
+    for name in group.targets:
+        if name not in promotion.grants:
+            is_old = name == promotion.old_primary
+            command = Demote(promotion.term) if is_old else Fence(promotion.term)
+            effects += send_control(state, group, name, command, now)
+    return effects
+
+
+def run_promote_step(
+    state: PoolerState, group: GroupView, promotion: Promotion, now: float
+) -> list:
+    """Call the platform, again after a pause when it did not accept."""
+    if promotion.sent_at >= 0 and now - promotion.sent_at < RESEND_S:
+        return []
+    return call_platform(state, group, now)
+
+
+def run_await_step(state: PoolerState, group: GroupView, promotion: Promotion, now: float) -> list:
+    """Wait until the promoted target leads."""
+    if group.monitor.primary == promotion.chosen:
+        return end_promotion(state, group, now)
+    if now - promotion.stage_at > AWAIT_LIMIT_S:
+        return give_up(state, group, 'the promoted target does not lead', now)
+    if now - promotion.sent_at < POLL_S:
+        return []
+    promotion.sent_at = now
+    return (
+        connections.submit_status_poll(state, group, promotion.chosen, now)
+        if (promotion.chosen in group.targets)
+        else give_up(state, group, 'the promoted target is gone', now)
+    )
+
+
+STEPS = {
+    PromotionStage.DEMOTE: run_demote_step,
+    PromotionStage.CATCH_UP: run_catch_up_step,
+    PromotionStage.FENCE: run_fence_step,
+    PromotionStage.PROMOTE: run_promote_step,
+    PromotionStage.AWAIT: run_await_step,
+}
+
+
+def list_candidates(state: PoolerState, group: GroupView, now: float) -> list[str]:
+    """Return the targets that may become the primary, near ones first."""
+    promotion = group.promotion
+    return [
+        name
+        for name in routing.list_by_distance(state, group, now)
+        if name != promotion.old_primary and may_lead(group.targets[name])
+    ]
+
+
+def may_lead(target: TargetState) -> bool:
+    """Return whether a target stays long enough to be promoted."""
+    return not target.record.leaving and target.failing_since is None
+
+
+def choose_most_complete(
+    state: PoolerState, group: GroupView, promotion: Promotion, now: float
+) -> str:
+    """Return the fenced target that holds the most, or ''."""
+    granted = [
+        name
+        for name in promotion.grants
+        if name in group.targets and may_lead(group.targets[name])
+    ]
+    if not granted:
+        return ''
+    return max(granted, key=lambda name: (promotion.grants[name], name != promotion.old_primary))
+
+
+def promote(state: PoolerState, group: GroupView, name: str, now: float) -> list:
+    """Make the platform promote a target."""
+    promotion = group.promotion
+    promotion.chosen = name
+    enter_stage(promotion, PromotionStage.PROMOTE, now)
+    return call_platform(state, group, now)
+
+
+def call_platform(state: PoolerState, group: GroupView, now: float) -> list:
+    """Call the platform while the claim is valid, and claim again otherwise."""
+    promotion = group.promotion
+    if now - promotion.claimed_at > CLAIM_VALID_S:
+        promotion.token = 0
+        enter_stage(promotion, PromotionStage.READ_DUTY, now)
+        return [ReadDuty()]
+    promotion.sent_at = now
+    return [CallPromotion(group.name, promotion.chosen, state.vm, promotion.token)]
+
+
+@handles(PromotionAnswered)
+def handle_platform_answer(state: PoolerState, event: PromotionAnswered, now: float) -> list:
+    """Wait for the promoted target, or try again."""
+    group = state.groups.get(event.group)
+    promotion = group.promotion if group else None
+    if promotion is None or promotion.chosen != event.target:
+        return []
+    log = WriteLog(
+        'promotion_answered',
+        {
+            'group': event.group,
+            'target': event.target,
+            'accepted': event.accepted,
+            'cause': event.reason,
+        },
+    )
+    if event.accepted and promotion.stage is PromotionStage.PROMOTE:
+        enter_stage(promotion, PromotionStage.AWAIT, now)
+    elif not event.accepted:
+        promotion.grants.pop(event.target, None)
+        enter_stage(promotion, PromotionStage.FENCE, now)
+    return [log]
+
+
+def handle_control_reply(
+    state: PoolerState, group: GroupView, name: str, job: Job, reply: TargetReply, now: float
+) -> list:
+    """Take the reply to a fence or a demotion."""
+    promotion = group.promotion
+    if promotion is None or reply.status is None or not promotion.token:
+        return []
+    command = job.command
+    if isinstance(command, Demote) and command.term == promotion.term:
+        if not reply.status.is_primary:
+            promotion.demoted = True
+            promotion.grants[name] = reply.status.last
+            if promotion.stage is PromotionStage.DEMOTE:
+                promotion.final = reply.status.last
+                enter_stage(promotion, PromotionStage.CATCH_UP, now)
+    elif isinstance(command, Fence) and reply.status.fenced_term >= promotion.term:
+        promotion.grants[name] = reply.status.last
+    return advance_promotion(state, group, now)
+
+
+def send_control(
+    state: PoolerState, group: GroupView, name: str, command: Command, now: float
+) -> list:
+    """Send a command of our own to a target."""
+    return connections.submit_job(state, group, Job(name, command, Purpose.CONTROL, now), now)
+
+
+def lift_fences(state: PoolerState, group: GroupView, now: float) -> list:
+    """Let all fenced replicas receive again."""
+    effects: list = []
+    for name, view in group.monitor.targets.items():
+        if name in group.targets and view.status is not None and view.status.fenced_term:
+            effects += send_control(state, group, name, LiftFence(), now)
+    return effects
+
+
+def give_up(state: PoolerState, group: GroupView, reason: str, now: float) -> list:
+    """End an attempt that did not succeed."""
+    log = WriteLog(
+        'promotion_ended',
+        {'group': group.name, 'outcome': 'given_up', 'cause': reason},
+    )
+    group.retry_promotion_at = now + RETRY_PAUSE_S * (1 + state.rng.random())
+    return [log, *leave_promotion(state, group)]
+
+
+def end_promotion(state: PoolerState, group: GroupView, now: float) -> list:
+    """End an attempt after which a primary is in charge."""
+    promotion = group.promotion
+    log = WriteLog(
+        'promotion_ended',
+        {
+            'group': group.name,
+            'outcome': 'done',
+            'target': promotion.chosen,
+            'term': group.monitor.term,
+            'took_ms': round((now - promotion.started_at) * 1000),
+        },
+    )
+    group.demote_until = now + DEMOTE_FORMER_S
+    group.cause_since = None
+    return [log, *leave_promotion(state, group)]
+
+
+def leave_promotion(state: PoolerState, group: GroupView) -> list:
+    """Forget an attempt and release the duty when this VM holds it for nothing else."""
+    held = group.promotion.token
+    group.promotion = None
+    others = any(
+        other.promotion is not None and other.promotion.nonce for other in state.groups.values()
+    )
+    record = state.duty.record
+    if not held or others or record is None or record.holder != state.vm:
+        return []
+    return [WriteDuty(DutyRecord(state.vm, record.nonce, released=True), state.duty.revision)]
+
+
+def demote_former_primary(state: PoolerState, group: GroupView, now: float) -> list:
+    """Tell a former primary that comes back into reach to step down."""
+    former = group.former_primary
+    if now > group.demote_until or former not in group.targets or not group.monitor.primary:
+        return []
+    view = group.monitor.targets.get(former)
+    stepped_down = (
+        view is not None and view.status is not None and view.status.term >= group.monitor.term
+    )
+    if stepped_down or now - group.demote_sent_at < DEMOTE_FORMER_PAUSE_S:
+        return []
+    group.demote_sent_at = now
+    return send_control(state, group, former, Demote(group.monitor.term), now)
--- /dev/null
+++ b/src/cassiaseam/pooler/routing.py
@@ -0,0 +1,99 @@
+"""Which target serves a statement."""
+
+from cassiaseam.group.state import GroupState
+from cassiaseam.pooler.state import GroupView, Operation, PoolerState, TargetState
+from cassiaseam.positions import LogPosition
+
+# Seconds without a reply to anything after which no statement is sent to a target if others can
+# serve it.
+SILENCE_LIMIT_S = 0.4
+# Seconds of expected wait that distance stands for: another place, another region.
+OTHER_PLACE_COST_S = 0.01
+OTHER_REGION_COST_S = 0.03
+# Expected wait in seconds that a share of failing statements of 1 stands for.
+FAILURE_COST_S = 2.0
+
+
+def find_write_target(group: GroupView, now: float) -> str:
+    """Return the primary in charge, or '' while there is none that answers."""
+    name = group.monitor.primary
+    target = group.targets.get(name)
+    if target is None or group.promotion is not None and group.promotion.token:
+        return ''
+    if target.failing_since is not None:
+        return ''
+    return name
+
+
+def is_responsive(target: TargetState, now: float) -> bool:
+    """Return whether a target may be expected to answer."""
+    if target.failing_since is not None:
+        return False
+    return target.silent_since is None or now - target.silent_since < SILENCE_LIMIT_S
+
+
+def find_read_target(
+    state: PoolerState,
+    group: GroupView,
+    operation: Operation,
+    floor: LogPosition | None,
+    now: float,
+) -> str:
+    """Return the target with the least expected wait that may serve a read, or ''."""
+    candidates = [
+        target
+        for name, target in group.targets.items()
+        if name not in operation.tried
+        and may_serve_read(group, target, floor, now)
+        and is_responsive(target, now)
+    ]
+    if not candidates:
+        return ''
+    best = min(candidates, key=lambda target: estimate_wait_s(state, target))
+    return best.record.name
+
+
+def may_serve_read(
+    group: GroupView, target: TargetState, floor: LogPosition | None, now: float
+) -> bool:
+    """Return whether a target takes reads and may hold the floor."""
+    if target.record.leaving or target.missing_since is not None:
+        return False
+    if floor is None or now >= target.lagging_until or target.lag_floor is None:
+        return True
+    return floor < target.lag_floor
+
+
+def estimate_wait_s(state: PoolerState, target: TargetState) -> float:
+    """Return the expected time in seconds until a target answers, with a cost of distance."""
+    waiting = len(target.queue)
+    running = sum(connection.job is not None for connection in target.connections.values())
+    load = (waiting + running) * target.service_time_s
+    return load + find_distance_cost_s(state, target) + target.failure_rate * FAILURE_COST_S
+
+
+def find_distance_cost_s(state: PoolerState, target: TargetState) -> float:
+    """Return the cost in seconds of the way to a target."""
+    place = target.record.place
+    if place == state.place:
+        return 0
+    if state.regions.get(place) == state.regions.get(state.place):
+        return OTHER_PLACE_COST_S
+    return OTHER_REGION_COST_S
+
+
+def list_by_distance(state: PoolerState, group: GroupView, now: float) -> list[str]:
+    """Return the targets beside the primary, responsive and near ones first."""
+    names = [name for name in group.targets if name != group.monitor.primary]
+    return sorted(
+        names,
+        key=lambda name: (
+            not is_responsive(group.targets[name], now),
+            find_distance_cost_s(state, group.targets[name]),
+        ),
+    )
+
+
+def is_primary_known(monitor: GroupState) -> bool:
+    """Return whether some target leads the newest known term."""
+    return bool(monitor.primary)
--- /dev/null
+++ b/src/cassiaseam/pooler/runtime.py
@@ -0,0 +1,283 @@
+"""Runs a daemon in the pooler role: sockets and timers become events, effects become calls."""
+
+import random
+import signal
+import time
+from pathlib import Path
+from typing import Any
+
+from result import Err
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import LoopingCall
+
+from cassiaseam.daemon.node import Node, executes
+from cassiaseam.httpio import HttpServerFactory
+from cassiaseam.observability.bounded_output import BoundedOutput
+from cassiaseam.observability.logs import format_log_event
+from cassiaseam.pooler import catalogue, failover, operations, sessions, targets, ticks
+from cassiaseam.pooler.environments import Environment, find_environment
+from cassiaseam.pooler.events import (
+    AcceptCaller,
+    AnswerCaller,
+    CallPromotion,
+    CloseCaller,
+    CloseTarget,
+    DutyRead,
+    DutyReadFailed,
+    DutyWritten,
+    OpenTarget,
+    PoolerStopping,
+    PoolerTick,
+    PromotionAnswered,
+    ReadDuty,
+    RefuseCaller,
+    SendCommands,
+    WriteDuty,
+    WriteLog,
+)
+from cassiaseam.pooler.metrics import render_metrics
+from cassiaseam.pooler.settings import PoolerSettings, load_pooler_settings
+from cassiaseam.pooler.state import PoolerState
+from cassiaseam.pooler.storewatch import StoreWatcher
+
+# Importing these modules registers the handlers.
+REGISTERED = (catalogue, failover, operations, sessions, targets, ticks)
+# Seconds between ticks; they expire, retry and poll, so they bound how late these are.
+TICK_S = 0.02
+# Connections that the kernel keeps while the daemon is busy.
+BACKLOG = 512
+# Seconds of the stop limit kept for the end of the process itself.
+STOP_MARGIN_S = 0.4
+METRICS_PATH = '/metrics'
+METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+
+
+def read_clock() -> float:
+    """Return seconds that go on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class PoolerRuntime:
+    """One daemon in the pooler role.
+
+    Attributes:
+        settings: Settings in force.
+        node: State, clock and services.
+        environment: Connections to callers, targets and the store.
+        output: Log lines.
+    """
+
+    def __init__(self, settings: PoolerSettings, path: str, reactor: Any):
+        self.settings = settings
+        self.path = path
+        self.reactor = reactor
+        self.output = BoundedOutput(read_clock, prefix=f'vm={settings.vm} ')
+        rng = random.Random()
+        state = PoolerState(settings.vm, settings.place, rng, dict(settings.regions))
+        self.node = Node(state, read_clock)
+        builder = find_environment(settings.environment)
+        if builder is None:
+            raise LookupError(f'no environment {settings.environment!r}')
+        self.environment = builder(settings, reactor, self.node.dispatch)
+        self.node.services[PoolerRuntime] = self
+        self.node.services[Environment] = self.environment
+        self.watcher = StoreWatcher(reactor, self.environment, self.node.dispatch, self.log, rng)
+        self.ticker = LoopingCall(self.tick)
+        self.last_tick_at = read_clock()
+        self.stop_pending = False
+        self.reload_pending = False
+
+    def log(self, kind: str, **fields: Any) -> None:
+        """Write one log line."""
+        self.output.write_line(format_log_event(kind, fields))
+
+    def start(self) -> None:
+        """Open the sockets and begin to follow the store."""
+        signal.signal(signal.SIGTERM, self.note_signal)
+        signal.signal(signal.SIGINT, self.note_signal)
+        signal.signal(signal.SIGHUP, self.note_signal)
+        listen = self.settings.listen
+        self.listen(listen.callers, self.environment.callers)
+        server = HttpServerFactory(self.respond)
+        self.listen(listen.readiness, server)
+        if listen.metrics is not None:
+            self.listen(listen.metrics, server)
+        self.watcher.start()
+        self.ticker.start(TICK_S, now=False)
+        self.log('daemon_started', place=self.settings.place, callers=str(listen.callers))
+
+    def listen(self, address: Any, factory: Any) -> None:
+        """Accept connections at an address."""
+        self.reactor.listenTCP(address.port, factory, backlog=BACKLOG, interface=address.host)
+
+    def note_signal(self, number: int, frame: Any) -> None:
+        """Remember a signal; the next tick acts on it."""
+        if number == signal.SIGHUP:
+            self.reload_pending = True
+        else:
+            self.stop_pending = True
+
+    def tick(self) -> None:
+        """Let time pass in the state and act on signals."""
+        now = read_clock()
+        late_s = now - self.last_tick_at - TICK_S
+        self.last_tick_at = now
+        if self.reload_pending:
+            self.reload_pending = False
+            self.reload()
+        if self.stop_pending:
+            self.stop_pending = False
+            self.log('daemon_stopping', sessions=len(self.node.state.sessions))
+            self.node.dispatch(PoolerStopping())
+        self.node.dispatch(PoolerTick(suspended_s=late_s))
+        if ticks.is_finished(self.node.state, now, self.settings.stop_limit - STOP_MARGIN_S):
+            self.finish()
+
+    def reload(self) -> None:
+        """Read the settings file again; a file with mistakes changes nothing."""
+        loaded = load_pooler_settings(self.path)
+        if isinstance(loaded, Err):
+            self.log('settings_refused', cause=loaded.err_value)
+            return
+        self.settings = loaded.ok_value
+        self.node.state.regions = dict(self.settings.regions)
+        self.log('settings_reloaded', file=str(Path(self.path).name))
+
+    def finish(self) -> None:
+        """End the daemon."""
+        if self.ticker.running:
+            self.ticker.stop()
+            self.log('daemon_stopped', sessions=len(self.node.state.sessions))
+            self.reactor.stop()
+
+    def respond(self, method: str, path: str) -> tuple[int, str, bytes]:
+        """Answer the load balancer and whoever reads the metrics."""
+        if path == self.environment.readiness_path:
+            return (200 if self.is_ready() else 503), 'application/json', b'{}'
+        if path == METRICS_PATH:
+            return 200, METRICS_TYPE, render_metrics(self.node.state)
+        return 404, 'application/json', b'{}'
+
+    def is_ready(self) -> bool:
+        """Return whether the VM takes new callers."""
+        state = self.node.state
+        return sessions.is_configured(state) and state.stopping_since is None
+
+
+def run_pooler(settings: PoolerSettings, path: str) -> int:
+    """Run a daemon in the pooler role until it is told to stop."""
+    from twisted.internet import reactor  # noqa: PLC0415
+
+    runtime = PoolerRuntime(settings, path, reactor)
+    reactor.callWhenRunning(runtime.start)
+    reactor.run(installSignalHandlers=False)
+    return 0
+
+
+def get_session(node: Node, session_id: int) -> Any:
+    """Return the connection of a caller, or None when it has ended."""
+    return node.services[Environment].callers.sessions.get(session_id)
+
+
+@executes(AcceptCaller)
+def accept_caller(node: Node, effect: AcceptCaller) -> None:
+    """Tell a caller that its session is open."""
+    caller = get_session(node, effect.session_id)
+    if caller is not None:
+        caller.accept()
+
+
+@executes(RefuseCaller)
+def refuse_caller(node: Node, effect: RefuseCaller) -> None:
+    """Tell a caller why it gets no session."""
+    caller = get_session(node, effect.session_id)
+    if caller is not None:
+        caller.refuse(effect.error)
+
+
+@executes(AnswerCaller)
+def answer_caller(node: Node, effect: AnswerCaller) -> None:
+    """Send a final answer."""
+    caller = get_session(node, effect.session_id)
+    if caller is not None:
+        caller.answer(effect)
+
+
+@executes(CloseCaller)
+def close_caller(node: Node, effect: CloseCaller) -> None:
+    """Close the connection of a caller."""
+    caller = get_session(node, effect.session_id)
+    if caller is not None:
+        caller.close()
+
+
+@executes(OpenTarget)
+def open_target(node: Node, effect: OpenTarget) -> None:
+    """Open a connection to a target."""
+    node.services[Environment].targets.open(effect)
+
+
+@executes(SendCommands)
+def send_commands(node: Node, effect: SendCommands) -> None:
+    """Send commands to a target."""
+    connection = node.services[Environment].targets.connections.get(effect.connection_id)
+    if connection is not None:
+        connection.send_commands(effect.commands)
+
+
+@executes(CloseTarget)
+def close_target(node: Node, effect: CloseTarget) -> None:
+    """Close a connection to a target."""
+    connection = node.services[Environment].targets.connections.get(effect.connection_id)
+    if connection is not None:
+        connection.close()
+
+
+@executes(WriteLog)
+def write_log(node: Node, effect: WriteLog) -> None:
+    """Write one log line."""
+    node.services[PoolerRuntime].log(effect.kind, **effect.fields)
+
+
+@executes(ReadDuty)
+def read_duty(node: Node, effect: ReadDuty) -> None:
+    """Read the duty record."""
+
+    async def read() -> None:
+        found = await node.services[Environment].store.read_duty()
+        if isinstance(found, Err):
+            node.services[PoolerRuntime].log('duty_read_failed', cause=found.err_value.reason)
+            node.dispatch(DutyReadFailed())
+        else:
+            snapshot = found.ok_value
+            node.dispatch(DutyRead(snapshot.revision, snapshot.record))
+
+    ensureDeferred(read())
+
+
+@executes(WriteDuty)
+def write_duty(node: Node, effect: WriteDuty) -> None:
+    """Write the duty record."""
+
+    async def write() -> None:
+        store = node.services[Environment].store
+        written = await store.write_duty(effect.record, effect.revision)
+        node.dispatch(DutyWritten(effect.record, written.outcome, written.revision))
+
+    ensureDeferred(write())
+
+
+@executes(CallPromotion)
+def call_promotion(node: Node, effect: CallPromotion) -> None:
+    """Ask the platform to promote a target."""
+
+    async def call() -> None:
+        promotions = node.services[Environment].promotions
+        answer = await promotions.promote(
+            effect.group, effect.target, effect.holder, effect.fencing_token
+        )
+        reason = answer.err_value if isinstance(answer, Err) else ''
+        accepted = not isinstance(answer, Err)
+        node.dispatch(PromotionAnswered(effect.group, effect.target, accepted, reason))
+
+    ensureDeferred(call())
--- /dev/null
+++ b/src/cassiaseam/pooler/sessions.py
@@ -0,0 +1,150 @@
+"""Sessions of callers: opening, statements that need no target, answers, closing."""
+
+from cassiaseam.errors import ErrorKind, RequestError
+from cassiaseam.pooler.commands import SessionState, Statement, StatementKind
+from cassiaseam.pooler.events import (
+    AcceptCaller,
+    AnswerCaller,
+    CallerConnected,
+    CloseCaller,
+    RefuseCaller,
+    StatementMalformed,
+    WriteLog,
+)
+from cassiaseam.pooler.model import Route
+from cassiaseam.pooler.state import CallerSession, Operation, PoolerState
+from cassiaseam.reducer.registry import handles
+
+# Time in seconds that a caller may wait for the first configuration; callers give up after 2 s.
+START_LIMIT_S = 1.5
+_DATA_KINDS = frozenset((StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE))
+# Statements that may wait behind the one under way on one session.
+MAX_WAITING_STATEMENTS = 64
+
+
+@handles(CallerConnected)
+def open_session(state: PoolerState, event: CallerConnected, now: float) -> list:
+    """Open a session, or keep it waiting until the first configuration is known."""
+    session = CallerSession(event.session_id, event.database, event.caller, now)
+    state.sessions[event.session_id] = session
+    if not is_configured(state):
+        return []
+    return admit_session(state, session)
+
+
+def is_configured(state: PoolerState) -> bool:
+    """Return whether the daemon knows its configuration and targets."""
+    return state.config is not None and state.targets_known
+
+
+def admit_session(state: PoolerState, session: CallerSession) -> list:
+    """Accept a session when a route has its database, and refuse it otherwise."""
+    if find_route(state, session) is not None:
+        session.accepted = True
+        return [AcceptCaller(session.session_id)]
+    del state.sessions[session.session_id]
+    error = RequestError(ErrorKind.UNKNOWN_DATABASE, f'no database {session.database!r}')
+    return [
+        WriteLog(
+            'session_refused',
+            {'database': session.database, 'version': state.config.version, 'cause': 'no_route'},
+        ),
+        RefuseCaller(session.session_id, error),
+    ]
+
+
+def refuse_late_sessions(state: PoolerState, now: float) -> list:
+    """Refuse callers that have waited too long for the first configuration."""
+    effects: list = []
+    for session in list(state.sessions.values()):
+        if session.accepted:
+            continue
+        if is_configured(state):
+            effects += admit_session(state, session)
+        elif now - session.connected_at > START_LIMIT_S:
+            del state.sessions[session.session_id]
+            error = RequestError(ErrorKind.NO_TARGET, 'no configuration yet')
+            effects.append(RefuseCaller(session.session_id, error))
+    return effects
+
+
+def find_route(state: PoolerState, session: CallerSession) -> Route | None:
+    """Return the route of a session's database in the configuration in force."""
+    return state.config.routes.get(session.database) if state.config else None
+
+
+@handles(StatementMalformed)
+def answer_malformed(state: PoolerState, event: StatementMalformed, now: float) -> list:
+    """Answer a statement that cannot be read; the session goes on."""
+    session = state.sessions.get(event.session_id)
+    if session is None:
+        return []
+    error = RequestError(ErrorKind.BAD_REQUEST, event.reason)
+    return [AnswerCaller(session.session_id, session.state, error=error)]
+
+
+def answer_local(session: CallerSession) -> list:
+    """Confirm a statement that needs no target."""
+    return [AnswerCaller(session.session_id, session.state)]
+
+
+def answer_error(session: CallerSession, error: RequestError) -> list:
+    """Refuse a statement."""
+    return [AnswerCaller(session.session_id, session.state, error=error)]
+
+
+def run_session_statement(session: CallerSession, statement: Statement) -> list:
+    """Carry out SET, PREPARE or DEALLOCATE, which only change the session."""
+    if statement.kind is StatementKind.SET:
+        session.variables[statement.name] = statement.argument
+        return answer_local(session)
+    if statement.kind is StatementKind.PREPARE:
+        session.prepared[statement.name] = statement
+        return answer_local(session)
+    if session.prepared.pop(statement.name, None) is None:
+        error = RequestError(ErrorKind.UNKNOWN_OBJECT, f'no statement {statement.name!r}')
+        return answer_error(session, error)
+    return answer_local(session)
+
+
+def check_statement(session: CallerSession, statement: Statement) -> RequestError | None:
+    """Return why a statement cannot run in the state of its session, or None."""
+    kind = statement.kind
+    if session.state is SessionState.FAILED_TRANSACTION:
+        if kind not in {StatementKind.COMMIT, StatementKind.ROLLBACK}:
+            return RequestError(ErrorKind.BAD_REQUEST, 'the transaction has failed')
+        return None
+    in_transaction = session.transaction is not None
+    if kind is StatementKind.BEGIN and in_transaction:
+        return RequestError(ErrorKind.BAD_REQUEST, 'a transaction is open')
+    if kind in {StatementKind.COMMIT, StatementKind.ROLLBACK} and not in_transaction:
+        return RequestError(ErrorKind.BAD_REQUEST, 'no transaction is open')
+    if kind is StatementKind.EXECUTE and statement.name not in session.prepared:
+        return RequestError(ErrorKind.UNKNOWN_OBJECT, f'no statement {statement.name!r}')
+    return None
+
+
+def is_write(session: CallerSession, statement: Statement) -> bool:
+    """Return whether a statement may change data."""
+    if statement.kind is StatementKind.EXECUTE:
+        return session.prepared[statement.name].writes
+    return statement.kind is StatementKind.WRITE
+
+
+def close_session(state: PoolerState, session: CallerSession) -> list:
+    """Close an idle session."""
+    state.sessions.pop(session.session_id, None)
+    return [CloseCaller(session.session_id)]
+
+
+def describe_operation(operation: Operation, now: float) -> dict[str, object]:
+    """Return the log fields that identify an operation."""
+    return {
+        'request_id': operation.statement.request_id,
+        'session': operation.session_id,
+        'statement': operation.statement.kind.value,
+        'route': operation.route.name,
+        'group': operation.route.group,
+        'age_ms': round((now - operation.arrived_at) * 1000),
+        'attempts': operation.attempts,
+    }
--- /dev/null
+++ b/src/cassiaseam/pooler/settings.py
@@ -0,0 +1,59 @@
+"""Settings of a daemon in the pooler role."""
+
+from pathlib import Path
+from typing import Any, Literal
+
+import yaml
+from pydantic import ValidationError
+from result import Err, Ok, Result
+
+from cassiaseam.settings.loader import UniqueKeyLoader
+from cassiaseam.settings.model import Name, Section
+from cassiaseam.settings.problems import describe_validation_errors
+from cassiaseam.settings.units import DurationS, SocketAddress
+
+
+class PoolerListenSettings(Section):
+    """Addresses that the daemon listens on; metrics are optional."""
+
+    callers: SocketAddress
+    readiness: SocketAddress
+    metrics: SocketAddress | None = None
+
+
+class PoolerSettings(Section):
+    """Settings of one daemon in the pooler role.
+
+    Attributes:
+        vm: Name of the VM.
+        place: Data centre of the VM.
+        regions: Region per data centre.
+        environment: Registered adapter that speaks to callers, targets and the store.
+        store: Address of the store.
+        promotions: Address of the API that promotes targets.
+        stop_limit: Time in seconds that the daemon has after it was told to stop.
+        log_level: Lowest level of the log lines.
+    """
+
+    vm: Name
+    place: Name
+    regions: dict[str, str] = {}
+    environment: Name
+    listen: PoolerListenSettings
+    store: SocketAddress
+    promotions: SocketAddress
+    stop_limit: DurationS = 6.0
+    log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
+
+
+def load_pooler_settings(path: str | Path) -> Result[PoolerSettings, str]:
+    """Read and check a settings file; the error lists all problems."""
+    try:
+        document: Any = yaml.load(Path(path).read_text(encoding='utf-8'), UniqueKeyLoader)
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        return Err(f'{path}: {error}')
+    try:
+        return Ok(PoolerSettings.model_validate(document))
+    except ValidationError as error:
+        problems = describe_validation_errors(str(path), error)
+        return Err('\n'.join(str(problem) for problem in problems))
--- /dev/null
+++ b/src/cassiaseam/pooler/state.py
@@ -0,0 +1,376 @@
+"""State of the pooler role."""
+
+import enum
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+from cassiaseam.group.state import GroupState
+from cassiaseam.pooler.commands import Command, Forward, SessionState, Statement, TargetReply
+from cassiaseam.pooler.events import DutyRecord
+from cassiaseam.pooler.model import Route, RoutingConfig, TargetRecord
+from cassiaseam.positions import LogPosition
+
+
+class Purpose(enum.Enum):
+    """What a command that waits for a connection is for."""
+
+    CONTROL = 'control'
+    STATEMENT = 'statement'
+    BEGIN = 'begin'
+
+
+@dataclass(slots=True)
+class Operation:
+    """One statement of a caller until its final answer.
+
+    Attributes:
+        session_id: Session of the caller.
+        statement: The statement.
+        route: Route in force when the statement or its transaction began.
+        arrived_at: Time at which it arrived.
+        deadline: Time at which its final answer is due.
+        started_at: Time at which its transaction or, outside of one, the statement arrived.
+        is_write: Whether it may change data.
+        needs_primary: Whether only the primary may run it.
+        needs_confirmation: Whether its answer waits until the primary is confirmed in charge.
+        attempts: How often it was sent to a target.
+        tried: Targets that could not run it, with the time of the refusal.
+        jobs: Jobs that wait or run for it; more than one while a read is sent twice.
+        retry_at: Time of the next attempt while none is under way, or None.
+        reply: Successful reply that waits for confirmation.
+        reply_target: Target of `reply`.
+        commit: Position of a commit that waits for a majority, or None.
+        sent_at: Time at which it was first sent, or None.
+        floor: Position that its latest target had to hold, or None.
+        done: Whether it has its final answer.
+    """
+
+    session_id: int
+    statement: Statement
+    route: Route
+    arrived_at: float
+    deadline: float
+    started_at: float
+    is_write: bool = False
+    needs_primary: bool = False
+    needs_confirmation: bool = False
+    attempts: int = 0
+    tried: dict[str, float] = field(default_factory=dict)
+    jobs: list['Job'] = field(default_factory=list)
+    retry_at: float | None = None
+    reply: TargetReply | None = None
+    reply_target: str = ''
+    commit: LogPosition | None = None
+    sent_at: float | None = None
+    floor: LogPosition | None = None
+    done: bool = False
+
+
+@dataclass(slots=True)
+class Job:
+    """A command that waits for a connection to a target or runs on one.
+
+    Attributes:
+        target: Name of the target.
+        command: The command.
+        purpose: What it is for.
+        created_at: Time at which it was queued.
+        operation: Operation that it belongs to, or None.
+        connection_id: Connection that it runs on, or 0 while it waits.
+        sent_at: Time at which the command was sent, or None.
+        cancelled: Whether its reply is to be dropped.
+    """
+
+    target: str
+    command: Command
+    purpose: Purpose
+    created_at: float
+    operation: Operation | None = None
+    connection_id: int = 0
+    sent_at: float | None = None
+    cancelled: bool = False
+
+
+@dataclass(slots=True)
+class TransactionState:
+    """An open transaction of a session.
+
+    Attributes:
+        statement: The BEGIN of the caller.
+        route: Route in force when it began.
+        started_at: Time at which it began.
+        connection_id: Connection that it is pinned to, or 0 before its first statement.
+        target: Target of the connection.
+        has_written: Whether a write was sent.
+        confirmed: Whether its reads need no further confirmation of the primary.
+        last_used_at: Time of the latest statement or answer.
+    """
+
+    statement: Statement
+    route: Route
+    started_at: float
+    connection_id: int = 0
+    target: str = ''
+    has_written: bool = False
+    confirmed: bool = False
+    last_used_at: float = 0
+
+
+@dataclass(slots=True)
+class CallerSession:
+    """Session of a caller.
+
+    Attributes:
+        session_id: Number of the session.
+        database: Database that the caller connected to.
+        caller: Name that the caller gave.
+        state: State as the latest answer showed it.
+        variables: Values of SET that were acknowledged.
+        prepared: Statement of PREPARE per name.
+        transaction: Open transaction, or None.
+        current: Operation under way, or None.
+        waiting: Statements that arrived while one was under way.
+        last_commit: Position of the latest commit of the session.
+        accepted: Whether the caller was told that the session is open.
+        connected_at: Time at which the caller asked for the session.
+    """
+
+    session_id: int
+    database: str
+    caller: str
+    connected_at: float
+    state: SessionState = SessionState.IDLE
+    variables: dict[str, str] = field(default_factory=dict)
+    prepared: dict[str, Statement] = field(default_factory=dict)
+    transaction: TransactionState | None = None
+    current: Operation | None = None
+    waiting: deque[Statement] = field(default_factory=deque)
+    last_commit: LogPosition | None = None
+    accepted: bool = False
+
+
+@dataclass(slots=True)
+class Connection:
+    """Connection to a target.
+
+    Attributes:
+        connection_id: Number of the connection.
+        target: Name of the target.
+        opened_at: Time at which it was asked for.
+        ready: Whether it accepts commands.
+        job: Job that runs on it, or None.
+        setup: Commands sent ahead of the job that are not answered yet.
+        pinned_to: Session whose open transaction it holds, or 0.
+        variables: Session variables set on it.
+        prepared: Names prepared on it.
+        idle_since: Time since which it is idle.
+        closing: Whether it is closed as soon as it is idle.
+    """
+
+    connection_id: int
+    target: str
+    opened_at: float
+    ready: bool = False
+    job: Job | None = None
+    setup: deque[Command] = field(default_factory=deque)
+    pinned_to: int = 0
+    variables: dict[str, str] = field(default_factory=dict)
+    prepared: set[str] = field(default_factory=set)
+    idle_since: float = 0
+    closing: bool = False
+
+
+@dataclass(slots=True)
+class TargetState:
+    """What the daemon knows of one target beside its reported status.
+
+    Attributes:
+        record: Latest record of the target.
+        connections: Connections to it that are open or being opened.
+        queue: Jobs that wait for a connection.
+        status_job: Status poll under way, or None.
+        poll_again: Whether another poll is to follow the one under way.
+        next_poll_at: Time before which no further poll is sent.
+        heard_at: Time of the latest reply, or None.
+        silent_since: Time of the oldest command that is unanswered since the latest reply.
+        failing_since: Time since which connections cannot be opened, or None.
+        refused_until: Time before which no connection is opened.
+        missing_since: Time since which its record is missing from the store, or None.
+        lag_floor: Latest position that it refused because it lacks it.
+        lagging_until: Time before which reads that need `lag_floor` are not sent to it.
+        reported_connections: Connections from all VMs as it last reported them.
+        service_time_s: Moving average of the time that it takes for a statement.
+        failure_rate: Moving average of the share of statements that fail.
+    """
+
+    record: TargetRecord
+    connections: dict[int, Connection] = field(default_factory=dict)
+    queue: deque[Job] = field(default_factory=deque)
+    status_job: Job | None = None
+    poll_again: bool = False
+    next_poll_at: float = 0
+    heard_at: float | None = None
+    silent_since: float | None = None
+    failing_since: float | None = None
+    refused_until: float = 0
+    missing_since: float | None = None
+    lag_floor: LogPosition | None = None
+    lagging_until: float = 0
+    reported_connections: int = 0
+    service_time_s: float = 0.02
+    failure_rate: float = 0
+
+
+class PromotionStage(enum.Enum):
+    """Step of a promotion."""
+
+    READ_DUTY = 'read_duty'
+    CLAIM_DUTY = 'claim_duty'
+    DEMOTE = 'demote'
+    FENCE = 'fence'
+    CATCH_UP = 'catch_up'
+    PROMOTE = 'promote'
+    AWAIT = 'await'
+
+
+@dataclass(slots=True)
+class Promotion:
+    """A promotion that this daemon attempts.
+
+    Attributes:
+        cause: Why it was started.
+        started_at: Time at which it was started.
+        planned: Whether the primary is alive and hands over.
+        stage: Current step.
+        stage_at: Time at which the step began.
+        sent_at: Time at which the messages of the step were last sent.
+        claimed_at: Time at which the claim of the duty was sent.
+        token: Fencing token, or 0 before the claim succeeded.
+        term: Term of the fences.
+        old_primary: Primary to replace, or ''.
+        final: Last position of a demoted primary, or None.
+        grants: Position per target that granted the fence.
+        demoted: Whether the old primary confirmed that it is a replica.
+        chosen: Target to promote, or ''.
+        nonce: Unique id of the claim of the duty, or ''.
+    """
+
+    cause: str
+    started_at: float
+    planned: bool
+    stage: PromotionStage
+    stage_at: float
+    sent_at: float = -1
+    claimed_at: float = 0
+    token: int = 0
+    term: int = 0
+    old_primary: str = ''
+    final: LogPosition | None = None
+    grants: dict[str, LogPosition] = field(default_factory=dict)
+    demoted: bool = False
+    chosen: str = ''
+    nonce: str = ''
+
+
+@dataclass(slots=True)
+class GroupView:
+    """One database group.
+
+    Attributes:
+        name: Name of the group.
+        monitor: Statuses, samples and the primary in charge.
+        targets: State per target.
+        size: Number of targets of which a majority is needed.
+        shrunk_at: Time since which fewer targets than `size` are known, or None.
+        operations: Operations that wait for a target, a confirmation or a majority.
+        without_primary_since: Time since which no primary works, or None.
+        promotion: Promotion that this daemon attempts, or None.
+        retry_promotion_at: Time before which no promotion is started.
+        evidence_from: Latest start time that waiting operations need a poll from.
+        fenced_since: Time since which a target is fenced above the term in charge, or None.
+        survey_at: Time of the latest poll of all targets.
+        demote_until: Time until which a former primary is told to step down.
+        demote_sent_at: Time of the latest request to step down.
+        cause_since: Time from which the primary may be replaced, or None without a cause.
+        former_primary: Former primary that may still accept writes, or ''.
+        has_callers: Whether open sessions read data of an accepted age.
+    """
+
+    name: str
+    monitor: GroupState
+    targets: dict[str, TargetState] = field(default_factory=dict)
+    size: int = 0
+    shrunk_at: float | None = None
+    operations: list[Operation] = field(default_factory=list)
+    without_primary_since: float | None = None
+    promotion: Promotion | None = None
+    retry_promotion_at: float = 0
+    evidence_from: float = -1
+    fenced_since: float | None = None
+    survey_at: float = -1
+    demote_until: float = 0
+    demote_sent_at: float = -1
+    cause_since: float | None = None
+    former_primary: str = ''
+    has_callers: bool = False
+
+
+@dataclass(slots=True)
+class DutyView:
+    """What this daemon knows of the duty record.
+
+    Attributes:
+        revision: Revision that was last seen.
+        record: Record at that revision, or None.
+        seen_at: Time at which the revision was first seen.
+    """
+
+    revision: int = -1
+    record: DutyRecord | None = None
+    seen_at: float = 0
+
+
+@dataclass(slots=True)
+class PoolerState:
+    """State of the pooler role of one daemon.
+
+    Attributes:
+        vm: Name of the VM.
+        place: Place of the VM.
+        regions: Region per place.
+        rng: Source of randomness.
+        config: Configuration in force, or None before the first one.
+        groups: View per database group.
+        target_groups: Group per target name.
+        sessions: Sessions of callers.
+        connections: Connections to targets.
+        prepared_names: Name on the targets per shape and kind.
+        next_connection_id: Number of the next connection.
+        stopping_since: Time at which the daemon was told to stop, or None.
+        store_reachable: Whether the store answers.
+        duty: Duty record as last seen.
+        counters: Counts for the metrics.
+    """
+
+    vm: str
+    place: str
+    rng: random.Random
+    regions: dict[str, str] = field(default_factory=dict)
+    config: RoutingConfig | None = None
+    groups: dict[str, GroupView] = field(default_factory=dict)
+    target_groups: dict[str, str] = field(default_factory=dict)
+    sessions: dict[int, CallerSession] = field(default_factory=dict)
+    connections: dict[int, Connection] = field(default_factory=dict)
+    prepared_names: dict[tuple[str, bool], str] = field(default_factory=dict)
+    next_connection_id: int = 1
+    stopping_since: float | None = None
+    store_reachable: bool = False
+    targets_known: bool = False
+    duty: DutyView = field(default_factory=DutyView)
+    counters: dict[tuple[str, str], int] = field(default_factory=dict)
+
+
+def find_forwarded(job: Job) -> Forward | None:
+    """Return the statement that a job forwards, or None for other commands."""
+    return job.command if isinstance(job.command, Forward) else None
--- /dev/null
+++ b/src/cassiaseam/pooler/storewatch.py
@@ -0,0 +1,163 @@
+"""Follows the configuration and the target records in the store."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from result import Err
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import deferLater
+
+from cassiaseam.pooler.events import (
+    ConfigurationRead,
+    StoreContact,
+    TargetChanged,
+    TargetRemoved,
+    TargetsListed,
+)
+from cassiaseam.pooler.storeport import Change, HistoryGone, Listing
+
+# Seconds that a watch waits for a change; every watch is one call that is paid for.
+WATCH_S = 25.0
+# Pauses in seconds after a failed call; they double up to the longest.
+FIRST_PAUSE_S = 0.25
+LONGEST_PAUSE_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class WatchedKinds:
+    """Names of the objects that are followed.
+
+    Attributes:
+        config: Kind of the configuration.
+        config_name: Name of the object that holds the configuration.
+        targets: Kind of the target records.
+    """
+
+    config: str
+    config_name: str
+    targets: str
+
+
+class StoreWatcher:
+    """Keeps one list and one watch per kind going.
+
+    Attributes:
+        reachable: Whether the latest call per kind was answered.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        environment: Any,
+        dispatch: Callable[[Any], None],
+        log: Callable[..., None],
+        rng: random.Random,
+    ):
+        self.reactor = reactor
+        self.environment = environment
+        self.store = environment.store
+        self.dispatch = dispatch
+        self.log = log
+        self.rng = rng
+        self.reachable: dict[str, bool] = {}
+
+    def start(self) -> None:
+        """Begin to follow both kinds."""
+        kinds = self.environment.kinds
+        for kind, listed, changed in (
+            (kinds.config, self.read_config, self.read_config),
+            (kinds.targets, self.read_target_list, self.read_target_changes),
+        ):
+            ensureDeferred(self.follow(kind, listed, changed))
+
+    async def follow(
+        self,
+        kind: str,
+        listed: Callable[[tuple[Change, ...]], None],
+        changed: Callable[[tuple[Change, ...]], None],
+    ) -> None:
+        """List a kind, then watch it; list again when changes may have been missed."""
+        pause_s = FIRST_PAUSE_S
+        while True:
+            listing = await self.store.list_objects(kind)
+            if isinstance(listing, Err):
+                self.note_contact(kind, False, listing.err_value.reason)
+                await self.sleep(pause_s)
+                pause_s = min(pause_s * 2, LONGEST_PAUSE_S)
+                continue
+            pause_s = FIRST_PAUSE_S
+            self.note_contact(kind, True)
+            listed(listing.ok_value.changes)
+            await self.watch(kind, listing.ok_value.revision, changed)
+
+    async def watch(
+        self, kind: str, revision: int, changed: Callable[[tuple[Change, ...]], None]
+    ) -> None:
+        """Take over changes until the history is gone or too many calls have failed."""
+        failures = 0
+        while True:
+            seen = await self.store.watch_objects(kind, revision, WATCH_S)
+            if isinstance(seen, Err):
+                self.note_contact(kind, False, seen.err_value.reason)
+                failures += 1
+                await self.sleep(min(FIRST_PAUSE_S * 2 ** (failures - 1), LONGEST_PAUSE_S))
+                continue
+            failures = 0
+            self.note_contact(kind, True)
+            if isinstance(seen.ok_value, HistoryGone):
+                self.log('store_history_gone', kind=kind, revision=revision)
+                return
+            listing: Listing = seen.ok_value
+            revision = max(revision, listing.revision)
+            if listing.changes:
+                changed(listing.changes)
+
+    def note_contact(self, kind: str, answered: bool, reason: str = '') -> None:
+        """Report whether the store answers to at least one of the kinds."""
+        if not answered:
+            self.log('store_call_failed', kind=kind, cause=reason)
+        self.reachable[kind] = answered
+        self.dispatch(StoreContact(any(self.reachable.values())))
+
+    def sleep(self, seconds: float) -> Deferred[None]:
+        """Wait for a time with some spread, so that the VMs do not call together."""
+        spread = seconds * (0.5 + self.rng.random())
+        return deferLater(self.reactor, spread, lambda: None)
+
+    def read_config(self, changes: tuple[Change, ...]) -> None:
+        """Decode the newest configuration among the changes."""
+        for change in reversed(changes):
+            if change.name != self.environment.kinds.config_name or change.deleted:
+                continue
+            decoded = self.environment.decode_config(change.spec)
+            if isinstance(decoded, Err):
+                self.log('configuration_refused', cause=decoded.err_value)
+                continue
+            self.dispatch(ConfigurationRead(decoded.ok_value))
+            return
+
+    def read_target_list(self, changes: tuple[Change, ...]) -> None:
+        """Decode all target records."""
+        records = []
+        for change in changes:
+            decoded = self.environment.decode_target(change.name, change.spec)
+            if isinstance(decoded, Err):
+                self.log('target_record_refused', cause=decoded.err_value)
+            else:
+                records.append(decoded.ok_value)
+        self.dispatch(TargetsListed(tuple(records)))
+
+    def read_target_changes(self, changes: tuple[Change, ...]) -> None:
+        """Decode changed target records."""
+        for change in changes:
+            if change.deleted:
+                self.dispatch(TargetRemoved(change.name))
+                continue
+            decoded = self.environment.decode_target(change.name, change.spec)
+            if isinstance(decoded, Err):
+                self.log('target_record_refused', cause=decoded.err_value)
+                self.dispatch(TargetRemoved(change.name))
+            else:
+                self.dispatch(TargetChanged(decoded.ok_value))
--- /dev/null
+++ b/src/cassiaseam/pooler/ticks.py
@@ -0,0 +1,128 @@
+"""What passing time brings about."""
+
+from cassiaseam.pooler import catalogue, connections, failover, operations, sessions, targets
+from cassiaseam.pooler.commands import SessionState
+from cassiaseam.pooler.events import PoolerStopping, PoolerTick, WriteLog
+from cassiaseam.pooler.model import Consistency
+from cassiaseam.pooler.state import GroupView, PoolerState
+from cassiaseam.reducer.registry import handles
+
+# Seconds by which a tick may be late before silence of the targets proves nothing.
+OWN_PAUSE_S = 0.4
+# Age in seconds of the latest quorum sample above which a group with callers is polled.
+SAMPLE_REFRESH_S = 0.7
+# Seconds without a reply to a statement after which the primary is asked for its status.
+PROBE_AFTER_S = 0.25
+# Seconds after the stop request for which idle sessions stay open, so that the load balancer has
+# taken the VM out before callers reconnect.
+STOP_GRACE_S = 1.6
+# Seconds after the stop request that open transactions have to end.
+TRANSACTION_GRACE_S = 3.0
+
+
+@handles(PoolerTick)
+def handle_tick(state: PoolerState, event: PoolerTick, now: float) -> list:
+    """Expire, retry, probe and close what is due."""
+    effects = sessions.refuse_late_sessions(state, now)
+    if event.suspended_s > OWN_PAUSE_S:
+        forget_silence(state, now)
+        effects.append(WriteLog('process_resumed', {'pause_ms': round(event.suspended_s * 1000)}))
+    for group in list(state.groups.values()):
+        effects += catalogue.forget_missing_targets(state, group, now)
+        for target in list(group.targets.values()):
+            effects += targets.close_stuck_connections(state, group, target, now)
+            effects += connections.start_jobs(state, target, now)
+            effects += connections.close_idle_connections(state, target, now)
+        effects += operations.expire_operations(state, group, now)
+        effects += probe_primary(state, group, now)
+        effects += refresh_sample(state, group, now)
+        effects += failover.check_primary(state, group, now)
+    effects += end_idle_transactions(state, now)
+    return effects + close_idle_sessions(state, now)
+
+
+def forget_silence(state: PoolerState, now: float) -> None:
+    """Start measuring anew after this process stood still."""
+    for group in state.groups.values():
+        for target in group.targets.values():
+            if target.silent_since is not None:
+                target.silent_since = now
+            if target.failing_since is not None:
+                target.failing_since = now
+
+
+def probe_primary(state: PoolerState, group: GroupView, now: float) -> list:
+    """Ask a primary for its status when it owes replies or has no connection."""
+    target = group.targets.get(group.monitor.primary)
+    if target is None or target.status_job is not None:
+        return []
+    silent = target.silent_since is not None and now - target.silent_since > PROBE_AFTER_S
+    if silent or not target.connections:
+        return connections.submit_status_poll(state, group, target.record.name, now)
+    return []
+
+
+def refresh_sample(state: PoolerState, group: GroupView, now: float) -> list:
+    """Keep a recent quorum sample for groups whose callers accept data of some age."""
+    if not group.has_callers:
+        return []
+    samples = group.monitor.samples
+    if samples and now - samples[-1].started_at < SAMPLE_REFRESH_S:
+        return []
+    return operations.request_evidence(state, group, now - SAMPLE_REFRESH_S, now)
+
+
+def note_callers(state: PoolerState) -> None:
+    """Mark the groups that sessions with an accepted age use."""
+    used = set()
+    for session in state.sessions.values():
+        route = sessions.find_route(state, session)
+        if route is not None and route.consistency is not Consistency.PRIMARY:
+            used.add(route.group)
+    for group in state.groups.values():
+        group.has_callers = group.name in used
+
+
+def end_idle_transactions(state: PoolerState, now: float) -> list:
+    """End transactions whose caller rests for too long."""
+    effects: list = []
+    if state.config is None:
+        return effects
+    for session in list(state.sessions.values()):
+        transaction = session.transaction
+        if transaction is None or session.current is not None:
+            continue
+        if now - transaction.last_used_at > state.config.transaction_idle_s:
+            effects += operations.release_transaction(state, session, 'idle', now)
+    return effects
+
+
+@handles(PoolerStopping)
+def begin_stop(state: PoolerState, event: PoolerStopping, now: float) -> list:
+    """Let what is under way end; idle sessions are closed after a moment."""
+    if state.stopping_since is None:
+        state.stopping_since = now
+    return []
+
+
+def close_idle_sessions(state: PoolerState, now: float) -> list:
+    """Close sessions without work while the daemon stops."""
+    note_callers(state)
+    if state.stopping_since is None or now - state.stopping_since < STOP_GRACE_S:
+        return []
+    effects: list = []
+    for session in list(state.sessions.values()):
+        if session.current is not None or session.waiting:
+            continue
+        if session.state is SessionState.IDLE:
+            effects += sessions.close_session(state, session)
+        elif now - state.stopping_since > TRANSACTION_GRACE_S and session.transaction:
+            effects += operations.release_transaction(state, session, 'stopping', now)
+    return effects
+
+
+def is_finished(state: PoolerState, now: float, limit_s: float) -> bool:
+    """Return whether a stopping daemon has nothing left to do."""
+    if state.stopping_since is None:
+        return False
+    return not state.sessions or now - state.stopping_since > limit_s
--- a/src/cassiaseam/settings/loader.py
+++ b/src/cassiaseam/settings/loader.py
@@ -35,11 +35,11 @@
     platform_token: str = field(default='', repr=False)
 
 
-class _UniqueKeyLoader(yaml.SafeLoader):
+class UniqueKeyLoader(yaml.SafeLoader):
     """YAML loader that refuses a key that occurs twice, of which YAML keeps only the last."""
 
 
-def _construct_unique_mapping(loader: _UniqueKeyLoader, node: yaml.MappingNode) -> dict[Any, Any]:
+def _construct_unique_mapping(loader: UniqueKeyLoader, node: yaml.MappingNode) -> dict[Any, Any]:
     seen: set[str] = set()
     for key_node, _ in node.value:
         if str(key_node.value) in seen:
@@ -49,7 +49,7 @@
     return loader.construct_mapping(node, deep=True)
 
 
-_UniqueKeyLoader.add_constructor(
+UniqueKeyLoader.add_constructor(
     yaml.resolver.BaseResolver.DEFAULT_MAPPING_TAG,
     _construct_unique_mapping,
 )
@@ -129,7 +129,7 @@
     if len(text) > MAX_FILE_BYTES:
         return Err(SettingsProblem(str(path), '', f'{len(text)} bytes', 'at most 1MiB'))
     try:
-        document = yaml.load(text, Loader=_UniqueKeyLoader)  # noqa: S506
+        document = yaml.load(text, Loader=UniqueKeyLoader)  # noqa: S506
     except yaml.YAMLError as error:
         mark = getattr(error, 'problem_mark', None)
         where = f'line {mark.line + 1}' if mark else ''
--- a/src/cassiaseam_load/slope_platform.py
+++ b/src/cassiaseam_load/slope_platform.py
@@ -13,11 +13,11 @@
 from twisted.internet.asyncioreactor import AsyncioSelectorReactor
 
 from cassiaseam.configuration.document import SHARD_COUNT, encode_shard_document, format_shard_key
+from cassiaseam.objectstore.client import PlatformClient
+from cassiaseam.objectstore.model import VmDocument
+from cassiaseam.objectstore.terms import claim_term, record_primary
 from cassiaseam.plans.intents import parse_intent
 from cassiaseam.plans.store import PlanStore
-from cassiaseam.platform.client import PlatformClient
-from cassiaseam.platform.model import VmDocument
-from cassiaseam.platform.terms import claim_term, record_primary
 from cassiaseam.reducer.target_io import ClaimTerm, RecordPrimary
 from cassiaseam_load.slope_configuration import make_databases
 from cassiaseam_load.slope_registry import Point, measures_role
--- a/tests/operations/admin_server.py
+++ b/tests/operations/admin_server.py
@@ -88,7 +88,7 @@
 
 async def start_services(store, certificate, key):
     """Start one service that knows one with TLS and one without; return its port."""
-    from cassiaseam.platform.model import VmDocument
+    from cassiaseam.objectstore.model import VmDocument
 
     vms = []
     for vm, uses_tls in (('vm-tls', True), ('vm-plain', False), ('vm-asked', True)):
--- a/tests/operations/test_cluster_view.py
+++ b/tests/operations/test_cluster_view.py
@@ -14,7 +14,7 @@
 from cassiaseam.membership.messages import MemberRecord, MemberStatus
 from cassiaseam.membership.records import update_eligibility
 from cassiaseam.membership.state import create_membership
-from cassiaseam.platform.model import VmDocument
+from cassiaseam.objectstore.model import VmDocument
 from cassiaseam.reducer.node_state import NodeState
 from cassiaseam.settings.model import LatencySettings
 
--- a/tests/operations/test_plan_platform.py
+++ b/tests/operations/test_plan_platform.py
@@ -9,12 +9,12 @@
 
 from cassiaseam.configuration.document import find_shard, format_shard_key
 from cassiaseam.errors import ErrorKind
+from cassiaseam.objectstore.breaker import BackoffSettings
+from cassiaseam.objectstore.client import PlatformClient
+from cassiaseam.objectstore.http import HttpCall
 from cassiaseam.plans.intents import parse_intent
 from cassiaseam.plans.model import PlanState
 from cassiaseam.plans.store import PlanStore
-from cassiaseam.platform.breaker import BackoffSettings
-from cassiaseam.platform.client import PlatformClient
-from cassiaseam.platform.http import HttpCall
 from cassiaseam_standin.group_launcher import start_platform
 
 NOW = 1_800_000_000.0
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -6,10 +6,10 @@
 from twisted.internet.asyncioreactor import AsyncioSelectorReactor
 
 from cassiaseam.errors import ErrorKind
-from cassiaseam.platform.breaker import BackoffSettings
-from cassiaseam.platform.client import PlatformClient
-from cassiaseam.platform.model import VmDocument
-from cassiaseam.platform.terms import claim_term, record_primary
+from cassiaseam.objectstore.breaker import BackoffSettings
+from cassiaseam.objectstore.client import PlatformClient
+from cassiaseam.objectstore.model import VmDocument
+from cassiaseam.objectstore.terms import claim_term, record_primary
 from cassiaseam.reducer.target_io import ClaimTerm, RecordPrimary, TermClaim
 
 FAST = BackoffSettings(first_s=0.005, max_s=0.02, failures_to_open=20)
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -6,10 +6,10 @@
 from twisted.internet.asyncioreactor import AsyncioSelectorReactor
 
 from cassiaseam.errors import ErrorKind
-from cassiaseam.platform.breaker import BackoffSettings
-from cassiaseam.platform.client import PlatformClient
-from cassiaseam.platform.http import HttpCall
-from cassiaseam.platform.model import VmDocument
+from cassiaseam.objectstore.breaker import BackoffSettings
+from cassiaseam.objectstore.client import PlatformClient
+from cassiaseam.objectstore.http import HttpCall
+from cassiaseam.objectstore.model import VmDocument
 from cassiaseam_standin.group_launcher import start_platform
 
 VM = VmDocument(name='vm-1', place='gyor-a', host='127.0.0.1', peer_port=7000)
