Bound store watches by the history of the store and log failures of tasks

Ruled out: a lost change (the next list showed it) and the HTTP client (the watch had returned). Change: the argument is positional only, tasks log what they raise, a watch begins anew after an exception, and it waits less long than the store keeps its history.

--- a/src/cassiaseam/pooler/connections.py
+++ b/src/cassiaseam/pooler/connections.py
@@ -134,7 +134,7 @@
     if setup:
         connection.setup.extend(setup)
         note_sent(target, now)
-        return [SendCommands(connection.connection_id, tuple(setup))]
+        return [send(state, connection, tuple(setup))]
     return send_command(state, target, connection, now)
 
 
@@ -151,7 +151,17 @@
         if job.operation.sent_at is None:
             job.operation.sent_at = now
         job.operation.attempts += 1
-    return [SendCommands(connection.connection_id, (command,))]
+    return [send(state, connection, (command,))]
+
+
+def send(
+    state: PoolerState, connection: Connection, commands: tuple[Command, ...]
+) -> SendCommands:
+    """Return the effect that sends commands, and count them."""
+    for command in commands:
+        kind = type(command).__name__
+        state.commands_sent[kind] = state.commands_sent.get(kind, 0) + 1
+    return SendCommands(connection.connection_id, commands)
 
 
 def plan_setup(state: PoolerState, connection: Connection, job: Job) -> list[Command]:
--- a/src/cassiaseam/pooler/metrics.py
+++ b/src/cassiaseam/pooler/metrics.py
@@ -15,6 +15,8 @@
         lines.append(
             f'cassiaseam_statements_total{{route="{route}",outcome="{outcome}"}} {number}'
         )
+    for kind, number in sorted(state.commands_sent.items()):
+        lines.append(f'cassiaseam_target_commands_total{{command="{kind}"}} {number}')
     for group in state.groups.values():
         labels = f'group="{group.name}"'
         lines.append(f'cassiaseam_group_term{{{labels}}} {group.monitor.term}')
--- a/src/cassiaseam/pooler/runtime.py
+++ b/src/cassiaseam/pooler/runtime.py
@@ -46,6 +46,10 @@
 TICK_S = 0.02
 # Connections that the kernel keeps while the daemon is busy.
 BACKLOG = 512
+# Longest time in seconds that a watch of the store waits, and the part of the time for which the
+# store keeps its history that it may take: a watch must end before its revision is dropped.
+LONGEST_WATCH_S = 25.0
+WATCH_SHARE = 0.85
 # Seconds of the stop limit kept for the end of the process itself.
 STOP_MARGIN_S = 0.4
 METRICS_PATH = '/metrics'
@@ -81,16 +85,23 @@
         self.environment = builder(settings, reactor, self.node.dispatch)
         self.node.services[PoolerRuntime] = self
         self.node.services[Environment] = self.environment
-        self.watcher = StoreWatcher(reactor, self.environment, self.node.dispatch, self.log, rng)
+        watch_s = min(LONGEST_WATCH_S, settings.store_history * WATCH_SHARE)
+        self.watcher = StoreWatcher(
+            reactor, self.environment, self.node.dispatch, self.log, rng, watch_s
+        )
         self.ticker = LoopingCall(self.tick)
         self.last_tick_at = read_clock()
         self.stop_pending = False
         self.reload_pending = False
 
-    def log(self, kind: str, **fields: Any) -> None:
+    def log(self, kind: str, /, **fields: Any) -> None:
         """Write one log line."""
         self.output.write_line(format_log_event(kind, fields))
 
+    def log_failure(self, failure: Any) -> None:
+        """Log an exception that nobody handled."""
+        self.log('task_failed', cause=failure.getTraceback(), level='error')
+
     def start(self) -> None:
         """Open the sockets and begin to follow the store."""
         signal.signal(signal.SIGTERM, self.note_signal)
@@ -179,6 +190,12 @@
     return node.services[Environment].callers.sessions.get(session_id)
 
 
+def run_coroutine(node: Node, coroutine: Any) -> None:
+    """Run a coroutine; an exception in it is logged."""
+    runtime = node.services[PoolerRuntime]
+    ensureDeferred(coroutine).addErrback(runtime.log_failure)
+
+
 @executes(AcceptCaller)
 def accept_caller(node: Node, effect: AcceptCaller) -> None:
     """Tell a caller that its session is open."""
@@ -252,7 +269,7 @@
             snapshot = found.ok_value
             node.dispatch(DutyRead(snapshot.revision, snapshot.record))
 
-    ensureDeferred(read())
+    run_coroutine(node, read())
 
 
 @executes(WriteDuty)
@@ -264,7 +281,7 @@
         written = await store.write_duty(effect.record, effect.revision)
         node.dispatch(DutyWritten(effect.record, written.outcome, written.revision))
 
-    ensureDeferred(write())
+    run_coroutine(node, write())
 
 
 @executes(CallPromotion)
@@ -280,4 +297,4 @@
         accepted = not isinstance(answer, Err)
         node.dispatch(PromotionAnswered(effect.group, effect.target, accepted, reason))
 
-    ensureDeferred(call())
+    run_coroutine(node, call())
--- a/src/cassiaseam/pooler/settings.py
+++ b/src/cassiaseam/pooler/settings.py
@@ -31,6 +31,7 @@
         environment: Registered adapter that speaks to callers, targets and the store.
         store: Address of the store.
         promotions: Address of the API that promotes targets.
+        store_history: Time in seconds for which the store keeps changes.
         stop_limit: Time in seconds that the daemon has after it was told to stop.
         log_level: Lowest level of the log lines.
     """
@@ -42,6 +43,7 @@
     listen: PoolerListenSettings
     store: SocketAddress
     promotions: SocketAddress
+    store_history: DurationS = 20.0
     stop_limit: DurationS = 6.0
     log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
 
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -350,7 +350,9 @@
         stopping_since: Time at which the daemon was told to stop, or None.
         store_reachable: Whether the store answers.
         duty: Duty record as last seen.
-        counters: Counts for the metrics.
+        targets_known: Whether the records of the targets were read.
+        counters: Final answers per route and outcome.
+        commands_sent: Commands sent to targets per kind.
     """
 
     vm: str
@@ -369,6 +371,7 @@
     targets_known: bool = False
     duty: DutyView = field(default_factory=DutyView)
     counters: dict[tuple[str, str], int] = field(default_factory=dict)
+    commands_sent: dict[str, int] = field(default_factory=dict)
 
 
 def find_forwarded(job: Job) -> Forward | None:
--- a/src/cassiaseam/pooler/storewatch.py
+++ b/src/cassiaseam/pooler/storewatch.py
@@ -18,13 +18,14 @@
 )
 from cassiaseam.pooler.storeport import Change, HistoryGone, Listing
 
-# Seconds that a watch waits for a change; every watch is one call that is paid for.
-WATCH_S = 25.0
 # Pauses in seconds after a failed call; they double up to the longest.
 FIRST_PAUSE_S = 0.25
 LONGEST_PAUSE_S = 1.0
 
 
+Reader = Callable[[tuple[Change, ...]], None]
+
+
 @dataclass(frozen=True, slots=True)
 class WatchedKinds:
     """Names of the objects that are followed.
@@ -44,6 +45,7 @@
     """Keeps one list and one watch per kind going.
 
     Attributes:
+        watch_s: Seconds that a watch waits for a change.
         reachable: Whether the latest call per kind was answered.
     """
 
@@ -54,6 +56,7 @@
         dispatch: Callable[[Any], None],
         log: Callable[..., None],
         rng: random.Random,
+        watch_s: float,
     ):
         self.reactor = reactor
         self.environment = environment
@@ -61,6 +64,7 @@
         self.dispatch = dispatch
         self.log = log
         self.rng = rng
+        self.watch_s = watch_s
         self.reachable: dict[str, bool] = {}
 
     def start(self) -> None:
@@ -70,14 +74,18 @@
             (kinds.config, self.read_config, self.read_config),
             (kinds.targets, self.read_target_list, self.read_target_changes),
         ):
-            ensureDeferred(self.follow(kind, listed, changed))
+            self.keep_following(kind, listed, changed)
 
-    async def follow(
-        self,
-        kind: str,
-        listed: Callable[[tuple[Change, ...]], None],
-        changed: Callable[[tuple[Change, ...]], None],
-    ) -> None:
+    def keep_following(self, kind: str, listed: Reader, changed: Reader) -> None:
+        """Follow a kind, and begin anew after an exception in the reading of an object."""
+
+        def restart(failure: Any) -> None:
+            self.log('store_watch_failed', kind=kind, cause=failure.getTraceback())
+            self.reactor.callLater(LONGEST_PAUSE_S, self.keep_following, kind, listed, changed)
+
+        ensureDeferred(self.follow(kind, listed, changed)).addErrback(restart)
+
+    async def follow(self, kind: str, listed: Reader, changed: Reader) -> None:
         """List a kind, then watch it; list again when changes may have been missed."""
         pause_s = FIRST_PAUSE_S
         while True:
@@ -92,13 +100,11 @@
             listed(listing.ok_value.changes)
             await self.watch(kind, listing.ok_value.revision, changed)
 
-    async def watch(
-        self, kind: str, revision: int, changed: Callable[[tuple[Change, ...]], None]
-    ) -> None:
+    async def watch(self, kind: str, revision: int, changed: Reader) -> None:
         """Take over changes until the history is gone or too many calls have failed."""
         failures = 0
         while True:
-            seen = await self.store.watch_objects(kind, revision, WATCH_S)
+            seen = await self.store.watch_objects(kind, revision, self.watch_s)
             if isinstance(seen, Err):
                 self.note_contact(kind, False, seen.err_value.reason)
                 failures += 1
