Confirm reads by the primary that served them and see newer terms as fences

Ruled out: a missing fence (the promotion had fenced both replicas). Change: the target of the reply has to be the primary in charge, the term that a target follows counts like a fence, a stopping daemon ends when its sockets are closed, idle sessions are closed together with an answer; samples are renewed by the reads that need them instead of periodically, and commits ask the nearest replicas first.

--- a/src/cassiaseam/pooler/evidence.py
+++ b/src/cassiaseam/pooler/evidence.py
@@ -63,7 +63,8 @@
         instance=name,
         incarnation=target.record.incarnation,
         term=reported.term,
-        fenced_term=reported.fenced_term,
+        # A fence ends with a promotion; the newer term then excludes older primaries.
+        fenced_term=max(reported.fenced_term, reported.term),
         last=reported.last,
         applied=ZERO_POSITION,
         role=TargetRole.PRIMARY if reported.is_primary else TargetRole.REPLICA,
@@ -124,6 +125,11 @@
     add_quorum_samples(monitor)
 
 
+def is_fenced(status: TargetStatus) -> bool:
+    """Return whether a target waits behind a fence for a newer term."""
+    return status.fenced_term > status.term
+
+
 def forget_status(group: GroupView, name: str) -> None:
     """Drop what a target said before it restarted."""
     if name in group.monitor.targets:
@@ -132,13 +138,13 @@
         group.monitor.primary = ''
 
 
-def is_primary_confirmed(group: GroupView, since: float) -> bool:
-    """Return whether a majority saw the primary in charge at or after `since`.
+def is_primary_confirmed(group: GroupView, name: str, since: float) -> bool:
+    """Return whether a majority saw a target in charge as the primary at or after `since`.
 
     A promotion fences a majority first. A commit that a newer primary acknowledged before `since`
     would therefore show in one of the statuses.
     """
-    return is_in_charge(group.monitor, polled_after=since)
+    return name == group.monitor.primary and is_in_charge(group.monitor, polled_after=since)
 
 
 def is_commit_held(group: GroupView, position: LogPosition) -> bool:
--- a/src/cassiaseam/pooler/failover.py
+++ b/src/cassiaseam/pooler/failover.py
@@ -108,7 +108,9 @@
     """Remember since when some target is fenced above the term in charge."""
     monitor = group.monitor
     fenced = any(
-        view.status is not None and view.status.fenced_term > monitor.term
+        view.status is not None
+        and evidence.is_fenced(view.status)
+        and view.status.fenced_term > monitor.term
         for view in monitor.targets.values()
     )
     if not fenced:
@@ -489,7 +491,9 @@
     """Let all fenced replicas receive again."""
     effects: list = []
     for name, view in group.monitor.targets.items():
-        if name in group.targets and view.status is not None and view.status.fenced_term:
+        if name not in group.targets or view.status is None:
+            continue
+        if evidence.is_fenced(view.status):
             effects += send_control(state, group, name, LiftFence(), now)
     return effects
 
--- a/src/cassiaseam/pooler/operations.py
+++ b/src/cassiaseam/pooler/operations.py
@@ -40,6 +40,12 @@
 REFUSAL_MEMORY_S = 0.15
 # Part of the statement time limit kept for the way of the final answer.
 ANSWER_MARGIN_S = 0.05
+# Age of the latest sample, as a part of the accepted age, above which it is renewed, and the age
+# of statuses that the new sample may be made of.
+REFRESH_SHARE = 0.7
+REUSE_SHARE = 0.2
+# Seconds that a commit waits for the nearest replicas before all are polled for it.
+WIDEN_AFTER_S = 0.04
 # Pause in seconds between two status polls of a replica that does not hold a commit yet.
 POLL_PAUSE_S = 0.008
 # Stands in a transaction for a connection that was taken away from it.
@@ -144,9 +150,7 @@
     name = choose_target(state, group, operation, floor, now)
     if not name:
         return []
-    effects: list = []
-    if operation.needs_confirmation:
-        effects = request_evidence(state, group, operation.started_at, now)
+    effects = refresh_evidence(state, group, operation, now)
     return effects + send_to_target(state, group, operation, name, floor, now)
 
 
@@ -194,6 +198,21 @@
     return connections.start_job(state, target, connection, job, now)
 
 
+def refresh_evidence(
+    state: PoolerState, group: GroupView, operation: Operation, now: float
+) -> list:
+    """Poll what the answer needs, and what later reads are going to need."""
+    if operation.needs_confirmation:
+        return request_evidence(state, group, operation.started_at, now)
+    samples = group.monitor.samples
+    if operation.floor is None or not samples:
+        return []
+    accepted_s = operation.route.max_age_s
+    if now - samples[-1].started_at < accepted_s * REFRESH_SHARE:
+        return []
+    return request_evidence(state, group, now - accepted_s * REUSE_SHARE, now)
+
+
 def request_evidence(state: PoolerState, group: GroupView, since: float, now: float) -> list:
     """Make sure that a majority is polled at or after `since`."""
     effects: list = []
@@ -292,6 +311,7 @@
     else:
         connection.job = None
     operation.reply = reply
+    operation.replied_at = now
     operation.reply_target = connection.target
     committed = operation.statement.kind is StatementKind.COMMIT and transaction.has_written
     if committed or (transaction is None and operation.is_write):
@@ -305,10 +325,11 @@
     session = state.sessions[operation.session_id]
     if operation.commit is not None:
         if not evidence.is_commit_held(group, operation.commit):
-            return request_commit_evidence(state, group, now)
+            return request_commit_evidence(state, group, operation, now)
         session.last_commit = operation.commit
     elif operation.needs_confirmation:
-        if not evidence.is_primary_confirmed(group, operation.started_at):
+        target = operation.reply_target
+        if not evidence.is_primary_confirmed(group, target, operation.started_at):
             return rerun_or_wait(state, group, operation, now)
         if session.transaction is not None:
             session.transaction.confirmed = True
@@ -326,10 +347,15 @@
     return request_evidence(state, group, operation.started_at, now)
 
 
-def request_commit_evidence(state: PoolerState, group: GroupView, now: float) -> list:
-    """Poll replicas until one holds the commits that wait."""
+def request_commit_evidence(
+    state: PoolerState, group: GroupView, operation: Operation, now: float
+) -> list:
+    """Poll the nearest replicas, and later all, until enough of them hold a commit."""
     effects: list = []
-    for name in routing.list_by_distance(state, group, now):
+    names = routing.list_by_distance(state, group, now)
+    if now - operation.replied_at < WIDEN_AFTER_S:
+        names = names[: max(group.size // 2, 1)]
+    for name in names:
         target = group.targets[name]
         if target.status_job is None and now >= target.next_poll_at:
             effects += connections.submit_status_poll(state, group, name, now)
@@ -541,6 +567,10 @@
     effects: list = []
     while session.waiting and session.current is None:
         effects += run_statement(state, session, session.waiting.popleft(), now)
+    # A caller that gets the end of the session together with an answer has sent nothing since.
+    idle = session.current is None and session.state is SessionState.IDLE
+    if idle and sessions.is_closing(state, now) and session.session_id in state.sessions:
+        effects += sessions.close_session(state, session)
     return effects
 
 
--- a/src/cassiaseam/pooler/runtime.py
+++ b/src/cassiaseam/pooler/runtime.py
@@ -141,7 +141,10 @@
             self.log('daemon_stopping', sessions=len(self.node.state.sessions))
             self.node.dispatch(PoolerStopping())
         self.node.dispatch(PoolerTick(suspended_s=late_s))
-        if ticks.is_finished(self.node.state, now, self.settings.stop_limit - STOP_MARGIN_S):
+        limit_s = self.settings.stop_limit - STOP_MARGIN_S
+        # Answers may still be on their way while the state knows no session any longer.
+        flushed = not self.environment.callers.sessions
+        if ticks.is_finished(self.node.state, now, limit_s, flushed):
             self.finish()
 
     def reload(self) -> None:
--- a/src/cassiaseam/pooler/sessions.py
+++ b/src/cassiaseam/pooler/sessions.py
@@ -17,7 +17,9 @@
 
 # Time in seconds that a caller may wait for the first configuration; callers give up after 2 s.
 START_LIMIT_S = 1.5
-_DATA_KINDS = frozenset((StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE))
+# Seconds after the stop request for which idle sessions stay open, so that the load balancer has
+# taken the VM out before callers reconnect.
+STOP_GRACE_S = 1.6
 # Statements that may wait behind the one under way on one session.
 MAX_WAITING_STATEMENTS = 64
 
@@ -137,6 +139,11 @@
     return [CloseCaller(session.session_id)]
 
 
+def is_closing(state: PoolerState, now: float) -> bool:
+    """Return whether sessions are closed as soon as they are idle."""
+    return state.stopping_since is not None and now - state.stopping_since >= STOP_GRACE_S
+
+
 def describe_operation(operation: Operation, now: float) -> dict[str, object]:
     """Return the log fields that identify an operation."""
     return {
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -43,6 +43,7 @@
         commit: Position of a commit that waits for a majority, or None.
         sent_at: Time at which it was first sent, or None.
         floor: Position that its latest target had to hold, or None.
+        replied_at: Time of `reply`.
         done: Whether it has its final answer.
     """
 
@@ -64,6 +65,7 @@
     commit: LogPosition | None = None
     sent_at: float | None = None
     floor: LogPosition | None = None
+    replied_at: float = 0
     done: bool = False
 
 
@@ -294,7 +296,6 @@
         demote_sent_at: Time of the latest request to step down.
         cause_since: Time from which the primary may be replaced, or None without a cause.
         former_primary: Former primary that may still accept writes, or ''.
-        has_callers: Whether open sessions read data of an accepted age.
     """
 
     name: str
@@ -313,7 +314,6 @@
     demote_sent_at: float = -1
     cause_since: float | None = None
     former_primary: str = ''
-    has_callers: bool = False
 
 
 @dataclass(slots=True)
--- a/src/cassiaseam/pooler/ticks.py
+++ b/src/cassiaseam/pooler/ticks.py
@@ -3,19 +3,13 @@
 from cassiaseam.pooler import catalogue, connections, failover, operations, sessions, targets
 from cassiaseam.pooler.commands import SessionState
 from cassiaseam.pooler.events import PoolerStopping, PoolerTick, WriteLog
-from cassiaseam.pooler.model import Consistency
 from cassiaseam.pooler.state import GroupView, PoolerState
 from cassiaseam.reducer.registry import handles
 
 # Seconds by which a tick may be late before silence of the targets proves nothing.
 OWN_PAUSE_S = 0.4
-# Age in seconds of the latest quorum sample above which a group with callers is polled.
-SAMPLE_REFRESH_S = 0.7
 # Seconds without a reply to a statement after which the primary is asked for its status.
 PROBE_AFTER_S = 0.25
-# Seconds after the stop request for which idle sessions stay open, so that the load balancer has
-# taken the VM out before callers reconnect.
-STOP_GRACE_S = 1.6
 # Seconds after the stop request that open transactions have to end.
 TRANSACTION_GRACE_S = 3.0
 
@@ -35,7 +29,6 @@
             effects += connections.close_idle_connections(state, target, now)
         effects += operations.expire_operations(state, group, now)
         effects += probe_primary(state, group, now)
-        effects += refresh_sample(state, group, now)
         effects += failover.check_primary(state, group, now)
     effects += end_idle_transactions(state, now)
     return effects + close_idle_sessions(state, now)
@@ -62,27 +55,6 @@
     return []
 
 
-def refresh_sample(state: PoolerState, group: GroupView, now: float) -> list:
-    """Keep a recent quorum sample for groups whose callers accept data of some age."""
-    if not group.has_callers:
-        return []
-    samples = group.monitor.samples
-    if samples and now - samples[-1].started_at < SAMPLE_REFRESH_S:
-        return []
-    return operations.request_evidence(state, group, now - SAMPLE_REFRESH_S, now)
-
-
-def note_callers(state: PoolerState) -> None:
-    """Mark the groups that sessions with an accepted age use."""
-    used = set()
-    for session in state.sessions.values():
-        route = sessions.find_route(state, session)
-        if route is not None and route.consistency is not Consistency.PRIMARY:
-            used.add(route.group)
-    for group in state.groups.values():
-        group.has_callers = group.name in used
-
-
 def end_idle_transactions(state: PoolerState, now: float) -> list:
     """End transactions whose caller rests for too long."""
     effects: list = []
@@ -107,8 +79,7 @@
 
 def close_idle_sessions(state: PoolerState, now: float) -> list:
     """Close sessions without work while the daemon stops."""
-    note_callers(state)
-    if state.stopping_since is None or now - state.stopping_since < STOP_GRACE_S:
+    if not sessions.is_closing(state, now):
         return []
     effects: list = []
     for session in list(state.sessions.values()):
@@ -121,8 +92,18 @@
     return effects
 
 
-def is_finished(state: PoolerState, now: float, limit_s: float) -> bool:
-    """Return whether a stopping daemon has nothing left to do."""
+def is_finished(state: PoolerState, now: float, limit_s: float, flushed: bool) -> bool:
+    """Return whether a stopping daemon has nothing left to do.
+
+    Args:
+        state: State of the daemon.
+        now: Time in seconds.
+        limit_s: Seconds that the daemon has after the stop request.
+        flushed: Whether all answers have left the process.
+    """
     if state.stopping_since is None:
         return False
-    return not state.sessions or now - state.stopping_since > limit_s
+    waited_s = now - state.stopping_since
+    if waited_s > limit_s:
+        return True
+    return waited_s > sessions.STOP_GRACE_S and not state.sessions and flushed
