--- a/src/cassiaseam/pooler/catalogue.py
+++ b/src/cassiaseam/pooler/catalogue.py
@@ -62,6 +62,12 @@
     if state.store_reachable == event.reachable:
         return []
     state.store_reachable = event.reachable
+    if event.reachable:
+        # Records that lapsed while the store was away get their time to come back.
+        for group in state.groups.values():
+            for target in group.targets.values():
+                if target.missing_since is not None:
+                    target.missing_since = now
     return [WriteLog('store_regained' if event.reachable else 'store_lost', {})]
 
 
@@ -87,6 +93,7 @@
         known.port,
     ):
         effects += restart_target(state, group, target, now)
+    note_leaving(target, now)
     if record.leaving and not known.leaving:
         effects.append(describe_target('target_leaving', record))
     if record.is_primary != known.is_primary or record.leaving != known.leaving:
@@ -97,6 +104,7 @@
 def add_target(state: PoolerState, group: GroupView, record: TargetRecord, now: float) -> list:
     """Begin to use a target."""
     group.targets[record.name] = TargetState(record)
+    note_leaving(group.targets[record.name], now)
     state.target_groups[record.name] = group.name
     evidence.refresh_members(group, now)
     return [
@@ -105,12 +113,22 @@
     ]
 
 
+def note_leaving(target: TargetState, now: float) -> None:
+    """Remember since when a target leaves."""
+    if not target.record.leaving:
+        target.leaving_since = None
+    elif target.leaving_since is None:
+        target.leaving_since = now
+
+
 def restart_target(state: PoolerState, group: GroupView, target: TargetState, now: float) -> list:
     """Drop what belongs to an earlier start of a target."""
     name = target.record.name
     effects = [describe_target('target_restarted', target.record)]
     effects += close_connections(state, group, target, 'target restarted', now)
     fresh = TargetState(target.record)
+    note_leaving(fresh, now)
+    fresh.distrusted_until = now + evidence.RESTART_DISTRUST_S
     group.targets[name] = fresh
     evidence.forget_status(group, name)
     return effects + connections.submit_status_poll(state, group, name, now)
--- a/src/cassiaseam/pooler/evidence.py
+++ b/src/cassiaseam/pooler/evidence.py
@@ -17,8 +17,6 @@
 
 # Records of live targets are back two seconds after the store is; a multiple of that.
 SHRINK_DELAY_S = 10.0
-# Time in seconds after which a target whose record stays missing counts as gone.
-RETURN_LIMIT_S = 2.5
 # Time that a restarted replica does not vouch for a primary: a fence ends with a restart, and a
 # promotion that counted on the fence is over by then.
 RESTART_DISTRUST_S = 3.0
@@ -59,6 +57,8 @@
     if view is None or target is None:
         return
     target.reported_connections = reported.connections
+    if now < target.distrusted_until and not reported.is_primary:
+        return
     status = TargetStatus(
         instance=name,
         incarnation=target.record.incarnation,
--- a/src/cassiaseam/pooler/failover.py
+++ b/src/cassiaseam/pooler/failover.py
@@ -128,10 +128,8 @@
         return ('no_primary', False) if waited and group.targets else ('', False)
     if has_failed(primary, now):
         return 'primary_failed', False
-    if primary.record.leaving or primary.missing_since is not None:
-        gone_s = now - primary.missing_since if primary.missing_since is not None else 0
-        if primary.record.leaving or gone_s > evidence.RETURN_LIMIT_S:
-            return 'primary_leaving', True
+    if primary.record.leaving or routing.is_gone(primary, now):
+        return 'primary_leaving', True
     if group.fenced_since is not None and now - group.fenced_since > ABANDONED_FENCE_S:
         return 'abandoned_fence', True
     return '', False
--- a/src/cassiaseam/pooler/metrics.py
+++ b/src/cassiaseam/pooler/metrics.py
@@ -1,10 +1,34 @@
-"""Metrics of the pooler role in the text form of Prometheus."""
+"""Metrics of the pooler role in the text form of Prometheus.
 
-from cassiaseam.pooler.state import PoolerState
+The text is written here, because the library of the other roles would double the memory of a
+daemon in this one.
+"""
 
+from bisect import bisect_left
+from dataclasses import dataclass, field
+from typing import Any
 
-def render_metrics(state: PoolerState) -> bytes:
-    """Return the counters and gauges of a daemon."""
+# Upper bounds of the latency buckets in seconds.
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+
+
+@dataclass(slots=True)
+class Histogram:
+    """Counts per bucket; the last one has no upper bound."""
+
+    counts: list[int] = field(default_factory=lambda: [0] * (len(LATENCY_BUCKETS_S) + 1))
+    total_s: float = 0
+
+
+def note_latency(histograms: dict[str, Histogram], route: str, seconds: float) -> None:
+    """Count one answer."""
+    histogram = histograms.setdefault(route, Histogram())
+    histogram.counts[bisect_left(LATENCY_BUCKETS_S, seconds)] += 1
+    histogram.total_s += seconds
+
+
+def render_metrics(state: Any) -> bytes:
+    """Return the counters, gauges and histograms of a `PoolerState`."""
     lines = [
         f'cassiaseam_sessions {len(state.sessions)}',
         f'cassiaseam_target_connections {len(state.connections)}',
@@ -12,13 +36,28 @@
         f'cassiaseam_store_reachable {int(state.store_reachable)}',
     ]
     for (route, outcome), number in sorted(state.counters.items()):
-        lines.append(
-            f'cassiaseam_statements_total{{route="{route}",outcome="{outcome}"}} {number}'
-        )
+        labels = f'route="{route}",outcome="{outcome}"'
+        lines.append(f'cassiaseam_statements_total{{{labels}}} {number}')
     for kind, number in sorted(state.commands_sent.items()):
         lines.append(f'cassiaseam_target_commands_total{{command="{kind}"}} {number}')
     for group in state.groups.values():
         labels = f'group="{group.name}"'
         lines.append(f'cassiaseam_group_term{{{labels}}} {group.monitor.term}')
         lines.append(f'cassiaseam_group_operations{{{labels}}} {len(group.operations)}')
+    for route, histogram in sorted(state.latencies.items()):
+        lines += render_histogram(route, histogram)
     return ('\n'.join(lines) + '\n').encode()
+
+
+def render_histogram(route: str, histogram: Histogram) -> list[str]:
+    """Return the cumulative buckets, the sum and the count of one route."""
+    name = 'cassiaseam_statement_seconds'
+    lines = []
+    total = 0
+    bounds = [f'{bound:g}' for bound in LATENCY_BUCKETS_S] + ['+Inf']
+    for bound, number in zip(bounds, histogram.counts, strict=True):
+        total += number
+        lines.append(f'{name}_bucket{{route="{route}",le="{bound}"}} {total}')
+    lines.append(f'{name}_sum{{route="{route}"}} {histogram.total_s:.6f}')
+    lines.append(f'{name}_count{{route="{route}"}} {total}')
+    return lines
--- a/src/cassiaseam/pooler/operations.py
+++ b/src/cassiaseam/pooler/operations.py
@@ -6,7 +6,7 @@
 """
 
 from cassiaseam.errors import ErrorKind, RequestError
-from cassiaseam.pooler import connections, evidence, routing, sessions
+from cassiaseam.pooler import connections, evidence, metrics, routing, sessions
 from cassiaseam.pooler.commands import (
     NOT_RUN,
     Begin,
@@ -386,8 +386,19 @@
         session.transaction.last_used_at = now
     finish(state, operation)
     count(state, operation, 'served')
+    metrics.note_latency(state.latencies, operation.route.name, now - operation.arrived_at)
     answer = AnswerCaller(session.session_id, session.state, reply.rows, reply.signature)
-    return [answer, *continue_session(state, session, now)]
+    log = WriteLog(
+        'request_served',
+        {
+            **sessions.describe_operation(operation, now),
+            'target': operation.reply_target,
+            'term': group.monitor.term,
+            'commit': operation.commit,
+            'waited_for_evidence_ms': round((now - operation.replied_at) * 1000),
+        },
+    )
+    return [answer, log, *continue_session(state, session, now)]
 
 
 def handle_failure(
@@ -414,6 +425,7 @@
     repeatable = not operation.is_write
     if reply.failure in NOT_RUN or (repeatable and reply.failure is not TargetFailure.REJECTED):
         operation.tried[connection.target] = now
+        effects.append(describe_retry(operation, connection.target, reply.failure.value, now))
         return effects + retry(state, group, operation, reply, now)
     return effects + answer_failure(state, operation, reply, now)
 
@@ -505,7 +517,14 @@
         text = f'connection lost: {reason}'
         return refuse(state, operation, ErrorKind.OUTCOME_UNKNOWN, text, now)
     operation.tried[job.target] = now
-    return advance(state, group, operation, now)
+    log = describe_retry(operation, job.target, reason, now)
+    return [log, *advance(state, group, operation, now)]
+
+
+def describe_retry(operation: Operation, target: str, cause: str, now: float) -> WriteLog:
+    """Return the log line of an attempt that did not run or whose answer was lost."""
+    fields = sessions.describe_operation(operation, now)
+    return WriteLog('request_retried', {**fields, 'target': target, 'cause': cause})
 
 
 # endings
--- a/src/cassiaseam/pooler/routing.py
+++ b/src/cassiaseam/pooler/routing.py
@@ -10,6 +10,12 @@
 # Seconds of expected wait that distance stands for: another place, another region.
 OTHER_PLACE_COST_S = 0.01
 OTHER_REGION_COST_S = 0.03
+# Seconds after which a target whose record stays missing counts as gone: live ones are back two
+# seconds after the store is.
+RETURN_LIMIT_S = 2.5
+# Seconds for which a primary that leaves takes new work; a promotion is over by then, and a
+# target may end seven seconds after its announcement.
+LEAVING_LIMIT_S = 5.0
 # Expected wait in seconds that a share of failing statements of 1 stands for.
 FAILURE_COST_S = 2.0
 
@@ -18,11 +24,12 @@
     """Return the primary in charge, or '' while there is none that answers."""
     name = group.monitor.primary
     target = group.targets.get(name)
-    if target is None or group.promotion is not None and group.promotion.token:
+    if target is None or target.failing_since is not None or is_gone(target, now):
         return ''
-    if target.failing_since is not None:
+    if group.promotion is not None and group.promotion.token:
         return ''
-    return name
+    left_s = now - target.leaving_since if target.leaving_since is not None else 0
+    return name if left_s < LEAVING_LIMIT_S else ''
 
 
 def is_responsive(target: TargetState, now: float) -> bool:
@@ -53,11 +60,16 @@
     return best.record.name
 
 
+def is_gone(target: TargetState, now: float) -> bool:
+    """Return whether the record of a target is missing for longer than an outage explains."""
+    return target.missing_since is not None and now - target.missing_since > RETURN_LIMIT_S
+
+
 def may_serve_read(
     group: GroupView, target: TargetState, floor: LogPosition | None, now: float
 ) -> bool:
     """Return whether a target takes reads and may hold the floor."""
-    if target.record.leaving or target.missing_since is not None:
+    if target.record.leaving or is_gone(target, now):
         return False
     if floor is None or now >= target.lagging_until or target.lag_floor is None:
         return True
--- a/src/cassiaseam/pooler/sessions.py
+++ b/src/cassiaseam/pooler/sessions.py
@@ -15,7 +15,8 @@
 from cassiaseam.pooler.state import CallerSession, Operation, PoolerState
 from cassiaseam.reducer.registry import handles
 
-# Time in seconds that a caller may wait for the first configuration; callers give up after 2 s.
+# Time in seconds after the start of the daemon for which callers wait for the first configuration;
+# they give up after 2 s, and later ones are refused at once.
 START_LIMIT_S = 1.5
 # Seconds after the stop request for which idle sessions stay open, so that the load balancer has
 # taken the VM out before callers reconnect.
@@ -63,7 +64,7 @@
             continue
         if is_configured(state):
             effects += admit_session(state, session)
-        elif now - session.connected_at > START_LIMIT_S:
+        elif now - state.started_at > START_LIMIT_S:
             del state.sessions[session.session_id]
             error = RequestError(ErrorKind.NO_TARGET, 'no configuration yet')
             effects.append(RefuseCaller(session.session_id, error))
@@ -154,4 +155,5 @@
         'group': operation.route.group,
         'age_ms': round((now - operation.arrived_at) * 1000),
         'attempts': operation.attempts,
+        'floor': operation.floor,
     }
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -8,6 +8,7 @@
 from cassiaseam.group.state import GroupState
 from cassiaseam.pooler.commands import Command, Forward, SessionState, Statement, TargetReply
 from cassiaseam.pooler.events import DutyRecord
+from cassiaseam.pooler.metrics import Histogram
 from cassiaseam.pooler.model import Route, RoutingConfig, TargetRecord
 from cassiaseam.positions import LogPosition
 
@@ -199,6 +200,8 @@
         failing_since: Time since which connections cannot be opened, or None.
         refused_until: Time before which no connection is opened.
         missing_since: Time since which its record is missing from the store, or None.
+        leaving_since: Time since which it is known to leave, or None.
+        distrusted_until: Time before which its statuses prove nothing, after a restart.
         lag_floor: Latest position that it refused because it lacks it.
         lagging_until: Time before which reads that need `lag_floor` are not sent to it.
         reported_connections: Connections from all VMs as it last reported them.
@@ -217,6 +220,8 @@
     failing_since: float | None = None
     refused_until: float = 0
     missing_since: float | None = None
+    leaving_since: float | None = None
+    distrusted_until: float = 0
     lag_floor: LogPosition | None = None
     lagging_until: float = 0
     reported_connections: int = 0
@@ -352,12 +357,14 @@
         duty: Duty record as last seen.
         targets_known: Whether the records of the targets were read.
         counters: Final answers per route and outcome.
+        latencies: Time from the arrival of a statement to its answer, per route.
         commands_sent: Commands sent to targets per kind.
     """
 
     vm: str
     place: str
     rng: random.Random
+    started_at: float = 0
     regions: dict[str, str] = field(default_factory=dict)
     config: RoutingConfig | None = None
     groups: dict[str, GroupView] = field(default_factory=dict)
@@ -372,6 +379,7 @@
     duty: DutyView = field(default_factory=DutyView)
     counters: dict[tuple[str, str], int] = field(default_factory=dict)
     commands_sent: dict[str, int] = field(default_factory=dict)
+    latencies: dict[str, Histogram] = field(default_factory=dict)
 
 
 def find_forwarded(job: Job) -> Forward | None:
--- a/src/cassiaseam/positions.py
+++ b/src/cassiaseam/positions.py
@@ -21,6 +21,10 @@
     term: int = 0
     offset: int = 0
 
+    def __str__(self) -> str:
+        """Return the form that logs show."""
+        return f'{self.term}.{self.offset}'
+
     def covers(self, floor: 'LogPosition') -> bool:
         """Return whether a log that ends here holds the acknowledged entry at `floor`."""
         return self.offset >= floor.offset and self.term >= floor.term
--- /dev/null
+++ b/tests/platform/test_platform_records.py
@@ -0,0 +1,108 @@
+"""Configuration and target records as the store holds them."""
+
+import copy
+
+import pytest
+from result import Err
+
+from cassiaseam.platform import records
+from cassiaseam.pooler.events import DutyRecord
+from cassiaseam.pooler.model import Consistency, GroupLimits, Route, TargetRecord
+
+CONFIG = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r1',
+            'host': 'stock',
+            'pathPrefix': '/',
+            'routeKind': 'read_your_writes',
+            'timeoutMs': 1000,
+            'targetLatencyMs': 800,
+            'priority': 2,
+            'service': 'huvo',
+            'maxAttempts': 2,
+            'maxStalenessMs': 2500,
+        },
+        {'name': 'r2', 'host': 'orders', 'routeKind': 'primary', 'service': 'huvo'},
+        {'name': 'r3', 'host': 'odd', 'routeKind': 'later_kind', 'service': 'huvo'},
+    ],
+    'services': [{'name': 'huvo', 'maxConnections': 76, 'syncReplicas': 1, 'new': [1]}],
+    'limits': {'transactionIdleMs': 2000},
+    'more': {},
+}
+TARGET = {
+    'service': 'huvo',
+    'address': '10.128.0.9:8080',
+    'zone': 'gyor-a',
+    'version': 'v1',
+    'slots': 5,
+    'state': 'ready',
+    'coldRemainingMs': 0,
+    'databaseRole': 'replica',
+    'sequence': 4,
+    'born': 1764000000000,
+}
+
+
+def test_configuration_is_decoded_once():
+    config = records.decode_config(CONFIG).ok_value
+    assert config.version == 7
+    assert config.groups == {'huvo': GroupLimits(76, 1)}
+    assert config.transaction_idle_s == 2
+    assert config.routes['stock'] == Route(
+        'r1', 'stock', 'huvo', Consistency.READ_YOUR_WRITES, 1, 0.8, 2.5, 2
+    )
+    assert sorted(config.routes) == ['orders', 'stock']
+
+
+@pytest.mark.parametrize('spec', [None, 7, [], {}, {**CONFIG, 'version': '7'}, {'version': 1}])
+def test_unreadable_configuration_is_refused(spec):
+    assert isinstance(records.decode_config(spec), Err)
+
+
+def test_target_is_decoded():
+    assert records.decode_target('i-1', TARGET).ok_value == TargetRecord(
+        'i-1', 'huvo', '10.128.0.9', 8080, 'gyor-a', 5, False, False, '1764000000000'
+    )
+
+
+ODD = [
+    ('service', None),
+    ('service', ''),
+    ('address', 'nowhere'),
+    ('address', 7),
+    ('zone', ['gyor-a']),
+    ('slots', '5'),
+    ('slots', True),
+    ('state', 'sleeping'),
+    ('databaseRole', 'observer'),
+    ('databaseRole', None),
+]
+
+
+@pytest.mark.parametrize(('field', 'odd'), ODD)
+def test_entry_of_another_writer_names_no_target(field, odd):
+    assert isinstance(records.decode_target('i-1', {**TARGET, field: odd}), Err)
+
+
+@pytest.mark.parametrize('field', ['service', 'address', 'zone', 'state', 'databaseRole'])
+def test_entry_without_a_field_names_no_target(field):
+    spec = copy.deepcopy(TARGET)
+    del spec[field]
+    assert isinstance(records.decode_target('i-1', spec), Err)
+
+
+@pytest.mark.parametrize('spec', [None, 'text', 3, []])
+def test_entry_that_is_no_mapping_names_no_target(spec):
+    assert isinstance(records.decode_target('i-1', spec), Err)
+
+
+def test_duty_record_survives_the_store():
+    record = DutyRecord('vm-1', 'ab', released=False)
+    assert records.decode_duty(records.encode_duty(record)) == record
+
+
+@pytest.mark.parametrize('spec', [None, {}, {'holder': 1}, {'holder': 'a', 'nonce': 'b'}])
+def test_unreadable_duty_record_is_none(spec):
+    assert records.decode_duty(spec) is None
