Refuse at once and leave rotation where a VM reaches no majority of a group

Change: a VM without a majority of a group reports itself not ready, refuses at once, and closes idle sessions of that group after the load balancer has taken it out; a group counts as leaderless only when every target that may lead has said that it does not; lost targets are probed; a VM opens many connections to a target only while that has much room.

--- a/src/cassiaseam/pooler/connections.py
+++ b/src/cassiaseam/pooler/connections.py
@@ -27,11 +27,10 @@
 
 # Connections to one target that a VM may open however many the other VMs have.
 GUARANTEED_CONNECTIONS = 2
-# Connections to one target that a VM never exceeds.
-MAX_CONNECTIONS_PER_TARGET = 10
-# Share of a target's connection limit above which a VM keeps to its guaranteed number; the rest
-# is for VMs that start.
-CONNECTION_SHARE = 0.75
+# Further steps: the number of connections that a VM may have while the target has less than a
+# share of its limit in use. The numbers are reported late, and after a promotion all VMs open
+# connections to one target at the same time, so the large step needs much room.
+CONNECTION_STEPS = ((4, 0.7), (10, 0.45))
 # Pause in seconds after a target refused a connection because it has too many.
 TOO_MANY_PAUSE_S = 0.5
 # Pause in seconds between attempts to reach a target that cannot be connected to.
@@ -74,14 +73,15 @@
 def may_open_connection(state: PoolerState, target: TargetState, now: float) -> bool:
     """Return whether this VM may open another connection to a target."""
     count = len(target.connections)
-    if now < target.refused_until or count >= MAX_CONNECTIONS_PER_TARGET:
+    if now < target.refused_until:
         return False
     if count < GUARANTEED_CONNECTIONS:
         return True
     limits = state.config.groups.get(target.record.group) if state.config else None
     if limits is None:
         return False
-    return target.reported_connections < limits.max_connections * CONNECTION_SHARE
+    used = target.reported_connections / max(limits.max_connections, 1)
+    return any(count < most and used < share for most, share in CONNECTION_STEPS)
 
 
 def open_connection(state: PoolerState, target: TargetState, now: float) -> list:
--- a/src/cassiaseam/pooler/failover.py
+++ b/src/cassiaseam/pooler/failover.py
@@ -9,6 +9,8 @@
 acknowledge its commits any longer, and the replica that holds the most is promoted.
 """
 
+from cassiaseam.group.evidence import count_majority
+from cassiaseam.messages import TargetRole
 from cassiaseam.pooler import connections, evidence, routing
 from cassiaseam.pooler.commands import Command, Demote, Fence, LiftFence, TargetReply
 from cassiaseam.pooler.events import (
@@ -123,9 +125,7 @@
     """Return why the primary has to be replaced, or '', and whether it can hand over."""
     primary = group.targets.get(group.monitor.primary)
     if primary is None:
-        since = group.without_primary_since
-        waited = since is not None and now - since > NO_PRIMARY_LIMIT_S
-        return ('no_primary', False) if waited and group.targets else ('', False)
+        return ('no_primary', False) if is_leaderless(group, now) else ('', False)
     if has_failed(primary, now):
         return 'primary_failed', False
     if primary.record.leaving or routing.is_gone(primary, now):
@@ -135,6 +135,22 @@
     return '', False
 
 
+def is_leaderless(group: GroupView, now: float) -> bool:
+    """Return whether a majority says that it does not lead, and no other target may lead."""
+    since = group.without_primary_since
+    if since is None or now - since < NO_PRIMARY_LIMIT_S:
+        return False
+    followers = 0
+    for name, target in group.targets.items():
+        view = group.monitor.targets.get(name)
+        if view is not None and view.status is not None and view.status_started_at >= since:
+            followers += view.status.role is not TargetRole.PRIMARY
+        elif not has_failed(target, now):
+            # It may lead and only have refused this VM, for too many connections say.
+            return False
+    return followers >= count_majority(group.monitor)
+
+
 def has_failed(target: TargetState, now: float) -> bool:
     """Return whether a target is out of reach for so long that it counts as failed."""
     if target.failing_since is not None and now - target.failing_since > REFUSED_LIMIT_S:
--- a/src/cassiaseam/pooler/operations.py
+++ b/src/cassiaseam/pooler/operations.py
@@ -126,10 +126,18 @@
     group = state.groups.get(route.group)
     if group is None:
         return refuse(state, operation, ErrorKind.NO_TARGET, 'the group has no targets', now)
+    if routing.is_cut_off(group, now) and not is_pinned(transaction):
+        text = 'this VM does not reach a majority of the targets'
+        return refuse(state, operation, ErrorKind.NO_TARGET, text, now)
     group.operations.append(operation)
     return advance(state, group, operation, now)
 
 
+def is_pinned(transaction: TransactionState | None) -> bool:
+    """Return whether a transaction has a connection."""
+    return transaction is not None and transaction.connection_id > 0
+
+
 def advance(state: PoolerState, group: GroupView, operation: Operation, now: float) -> list:
     """Take the next step of an operation that has nothing under way."""
     if operation.done or operation.jobs:
--- a/src/cassiaseam/pooler/routing.py
+++ b/src/cassiaseam/pooler/routing.py
@@ -1,12 +1,14 @@
 """Which target serves a statement."""
 
-from cassiaseam.group.state import GroupState
+from cassiaseam.group.evidence import count_majority
 from cassiaseam.pooler.state import GroupView, Operation, PoolerState, TargetState
 from cassiaseam.positions import LogPosition
 
 # Seconds without a reply to anything after which no statement is sent to a target if others can
 # serve it.
 SILENCE_LIMIT_S = 0.4
+# Seconds without a reply, or without a connection, after which a target is out of reach.
+OUT_OF_REACH_S = 0.8
 # Seconds of expected wait that distance stands for: another place, another region.
 OTHER_PLACE_COST_S = 0.01
 OTHER_REGION_COST_S = 0.03
@@ -39,6 +41,25 @@
     return target.silent_since is None or now - target.silent_since < SILENCE_LIMIT_S
 
 
+def is_out_of_reach(target: TargetState, now: float) -> bool:
+    """Return whether a target has not answered for so long that this VM has lost it."""
+    since = min(
+        (at for at in (target.failing_since, target.silent_since) if at is not None),
+        default=now,
+    )
+    return now - since > OUT_OF_REACH_S
+
+
+def is_cut_off(group: GroupView, now: float) -> bool:
+    """Return whether this VM reaches no majority of a group.
+
+    Another VM may reach it, so callers are better served there.
+    """
+    lost = sum(is_out_of_reach(target, now) for target in group.targets.values())
+    missing = max(group.size - len(group.targets), 0)
+    return group.size - lost - missing < count_majority(group.monitor)
+
+
 def find_read_target(
     state: PoolerState,
     group: GroupView,
@@ -104,8 +125,3 @@
             find_distance_cost_s(state, group.targets[name]),
         ),
     )
-
-
-def is_primary_known(monitor: GroupState) -> bool:
-    """Return whether some target leads the newest known term."""
-    return bool(monitor.primary)
--- a/src/cassiaseam/pooler/runtime.py
+++ b/src/cassiaseam/pooler/runtime.py
@@ -167,16 +167,11 @@
     def respond(self, method: str, path: str) -> tuple[int, str, bytes]:
         """Answer the load balancer and whoever reads the metrics."""
         if path == self.environment.readiness_path:
-            return (200 if self.is_ready() else 503), 'application/json', b'{}'
+            return (200 if ticks.is_ready(self.node.state) else 503), 'application/json', b'{}'
         if path == METRICS_PATH:
             return 200, METRICS_TYPE, render_metrics(self.node.state)
         return 404, 'application/json', b'{}'
 
-    def is_ready(self) -> bool:
-        """Return whether the VM takes new callers."""
-        state = self.node.state
-        return sessions.is_configured(state) and state.stopping_since is None
-
 
 def run_pooler(settings: PoolerSettings, path: str) -> int:
     """Run a daemon in the pooler role until it is told to stop."""
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -195,6 +195,7 @@
         status_job: Status poll under way, or None.
         poll_again: Whether another poll is to follow the one under way.
         next_poll_at: Time before which no further poll is sent.
+        next_probe_at: Time before which it is not asked again why it is silent.
         heard_at: Time of the latest reply, or None.
         silent_since: Time of the oldest command that is unanswered since the latest reply.
         failing_since: Time since which connections cannot be opened, or None.
@@ -215,6 +216,7 @@
     status_job: Job | None = None
     poll_again: bool = False
     next_poll_at: float = 0
+    next_probe_at: float = 0
     heard_at: float | None = None
     silent_since: float | None = None
     failing_since: float | None = None
@@ -301,6 +303,7 @@
         demote_sent_at: Time of the latest request to step down.
         cause_since: Time from which the primary may be replaced, or None without a cause.
         former_primary: Former primary that may still accept writes, or ''.
+        cut_off_since: Time since which this VM reaches no majority, or None.
     """
 
     name: str
@@ -319,6 +322,7 @@
     demote_sent_at: float = -1
     cause_since: float | None = None
     former_primary: str = ''
+    cut_off_since: float | None = None
 
 
 @dataclass(slots=True)
--- a/src/cassiaseam/pooler/targets.py
+++ b/src/cassiaseam/pooler/targets.py
@@ -126,7 +126,6 @@
         effects = note_lost_transaction(state, connection, now)
     else:
         effects = []
-    connections.note_heard(target, now)
     return effects + connections.start_jobs(state, target, now)
 
 
--- a/src/cassiaseam/pooler/ticks.py
+++ b/src/cassiaseam/pooler/ticks.py
@@ -1,15 +1,28 @@
 """What passing time brings about."""
 
-from cassiaseam.pooler import catalogue, connections, failover, operations, sessions, targets
+from cassiaseam.pooler import (
+    catalogue,
+    connections,
+    failover,
+    operations,
+    routing,
+    sessions,
+    targets,
+)
 from cassiaseam.pooler.commands import SessionState
 from cassiaseam.pooler.events import PoolerStopping, PoolerTick, WriteLog
-from cassiaseam.pooler.state import GroupView, PoolerState
+from cassiaseam.pooler.state import CallerSession, GroupView, PoolerState
 from cassiaseam.reducer.registry import handles
 
 # Seconds by which a tick may be late before silence of the targets proves nothing.
 OWN_PAUSE_S = 0.4
-# Seconds without a reply to a statement after which the primary is asked for its status.
+# Seconds without a reply after which a target is asked for its status, and the pause between two
+# such questions.
 PROBE_AFTER_S = 0.25
+PROBE_PAUSE_S = 0.25
+# Seconds without a majority of a group after which its idle sessions are closed; the load balancer
+# has taken the VM out by then.
+MOVE_AFTER_S = 2.2
 # Seconds after the stop request that open transactions have to end.
 TRANSACTION_GRACE_S = 3.0
 
@@ -28,8 +41,9 @@
             effects += connections.start_jobs(state, target, now)
             effects += connections.close_idle_connections(state, target, now)
         effects += operations.expire_operations(state, group, now)
-        effects += probe_primary(state, group, now)
+        effects += probe_targets(state, group, now)
         effects += failover.check_primary(state, group, now)
+        effects += note_reach(group, now)
     effects += end_idle_transactions(state, now)
     return effects + close_idle_sessions(state, now)
 
@@ -44,15 +58,44 @@
                 target.failing_since = now
 
 
-def probe_primary(state: PoolerState, group: GroupView, now: float) -> list:
-    """Ask a primary for its status when it owes replies or has no connection."""
-    target = group.targets.get(group.monitor.primary)
-    if target is None or target.status_job is not None:
+def probe_targets(state: PoolerState, group: GroupView, now: float) -> list:
+    """Ask targets that owe replies, and a primary without connections, for their status."""
+    effects: list = []
+    for name, target in group.targets.items():
+        if target.status_job is not None or now < target.next_probe_at:
+            continue
+        silent = target.silent_since is not None and now - target.silent_since > PROBE_AFTER_S
+        unused = name == group.monitor.primary and not target.connections
+        if silent or unused or target.failing_since is not None:
+            target.next_probe_at = now + PROBE_PAUSE_S
+            effects += connections.submit_status_poll(state, group, name, now)
+    return effects
+
+
+def note_reach(group: GroupView, now: float) -> list:
+    """Remember since when this VM reaches no majority of a group."""
+    cut_off = routing.is_cut_off(group, now)
+    if cut_off == (group.cut_off_since is not None):
         return []
-    silent = target.silent_since is not None and now - target.silent_since > PROBE_AFTER_S
-    if silent or not target.connections:
-        return connections.submit_status_poll(state, group, target.record.name, now)
-    return []
+    group.cut_off_since = now if cut_off else None
+    return [WriteLog('group_lost' if cut_off else 'group_regained', {'group': group.name})]
+
+
+def is_ready(state: PoolerState) -> bool:
+    """Return whether this VM takes new callers."""
+    if not sessions.is_configured(state) or state.stopping_since is not None:
+        return False
+    return all(group.cut_off_since is None for group in state.groups.values())
+
+
+def is_moving(state: PoolerState, session: CallerSession, now: float) -> bool:
+    """Return whether an idle session is closed, so that its caller connects elsewhere."""
+    if sessions.is_closing(state, now):
+        return True
+    route = sessions.find_route(state, session)
+    group = state.groups.get(route.group) if route else None
+    since = group.cut_off_since if group else None
+    return since is not None and now - since > MOVE_AFTER_S
 
 
 def end_idle_transactions(state: PoolerState, now: float) -> list:
@@ -78,15 +121,17 @@
 
 
 def close_idle_sessions(state: PoolerState, now: float) -> list:
-    """Close sessions without work while the daemon stops."""
-    if not sessions.is_closing(state, now):
-        return []
+    """Close sessions without work while the daemon stops or their group is out of reach."""
     effects: list = []
     for session in list(state.sessions.values()):
-        if session.current is not None or session.waiting:
+        if session.current is not None or session.waiting or not session.accepted:
+            continue
+        if not is_moving(state, session, now):
             continue
         if session.state is SessionState.IDLE:
             effects += sessions.close_session(state, session)
+        elif state.stopping_since is None:
+            continue
         elif now - state.stopping_since > TRANSACTION_GRACE_S and session.transaction:
             effects += operations.release_transaction(state, session, 'stopping', now)
     return effects
--- /dev/null
+++ b/tests/pooler/test_pooler_reach.py
@@ -0,0 +1,122 @@
+"""What a VM does that does not reach the targets, or not all of them."""
+
+import pytest
+from pooler_world import GROUP, World, get_error, is_success
+
+from cassiaseam.errors import ErrorKind
+from cassiaseam.pooler import ticks
+from cassiaseam.pooler.commands import StatementKind, TargetFailure, TargetReply
+from cassiaseam.pooler.events import ConnectionRefused
+
+CUT_S = 8.0
+
+
+def cut_off(world, vm, names):
+    for name in names:
+        world.cut(vm, name, CUT_S)
+
+
+@pytest.mark.parametrize(
+    ('names', 'ready'),
+    [(['t0'], True), (['t1'], True), (['t0', 't1'], False), (['t0', 't1', 't2'], False)],
+)
+def test_vm_without_a_majority_is_not_ready_until_it_is_back(names, ready):
+    world = World()
+    world.run_until(0.5)
+    state = world.vms['vm0'].state
+    world.connect('vm0', 1, 'stock')
+    cut_off(world, 'vm0', names)
+    for step in range(40):
+        if (('vm0', 1) in world.closed) or world.calls.get(('vm0', 1)) is None:
+            world.connect('vm0', 1, 'stock')
+        call = world.calls.get(('vm0', 1))
+        if call is None or call.answer is not None:
+            world.send(
+                'vm0', 1, StatementKind.WRITE if step % 2 else StatementKind.READ, f'v{step}'
+            )
+        world.run_until(0.5 + (step + 1) * 0.1)
+    assert ticks.is_ready(state) is ready
+    world.run_until(0.5 + CUT_S + 3)
+    assert ticks.is_ready(state)
+
+
+def test_request_that_cannot_be_served_is_refused_at_once():
+    # Statements waited for their time limit on VMs that had lost all targets (esoviz trouble-1).
+    world = World()
+    world.run_until(0.5)
+    world.connect('vm0', 1, 'orders')
+    cut_off(world, 'vm0', ['t0', 't1', 't2'])
+    first = world.send('vm0', 1, StatementKind.READ)
+    world.run_until(2.5)
+    assert get_error(first) is not None
+    second = world.send('vm0', 1, StatementKind.READ)
+    assert get_error(second) is ErrorKind.NO_TARGET
+
+
+def test_idle_sessions_of_a_cut_off_vm_move():
+    world = World()
+    world.run_until(0.5)
+    world.connect('vm0', 1, 'orders')
+    world.connect('vm0', 2, 'prices')
+    cut_off(world, 'vm0', ['t0', 't1', 't2'])
+    world.send('vm0', 1, StatementKind.READ)
+    world.run_until(0.5 + 5)
+    assert ('vm0', 2) in world.closed
+
+
+def test_target_that_refuses_connections_is_not_taken_for_a_follower():
+    # A VM that knew no primary promoted another target although the primary only had too many
+    # connections for it (esoviz trouble-1, second promotion at 13.8 s).
+    world = World(vms=1)
+    world.run_until(0.5)
+    vm = world.vms['vm0']
+    group = vm.state.groups[GROUP]
+
+    def refuse(effect):
+        if effect.record.name == 't0':
+            reply = TargetReply(failure=TargetFailure.TOO_MANY_CONNECTIONS, message='full')
+            event = ConnectionRefused(effect.connection_id, 'full', reply)
+            world.after(0.004, lambda: vm.dispatch(event))
+        else:
+            opened(effect)
+
+    opened = vm.open_target
+    from pooler_world import EXECUTORS, OpenTarget
+
+    original = EXECUTORS[OpenTarget]
+    EXECUTORS[OpenTarget] = lambda it, effect: refuse(effect)
+    try:
+        for number in list(vm.links):
+            if vm.links[number][0].name == 't0':
+                vm.lose(number)
+        group.monitor.primary = ''
+        world.run_until(5)
+    finally:
+        EXECUTORS[OpenTarget] = original
+    assert not world.promotion_calls
+
+
+def test_crashed_primary_is_replaced_and_writes_go_on():
+    world = World()
+    world.run_until(0.5)
+    world.connect('vm0', 1, 'orders')
+    assert_served(world, 'before')
+    world.crash('t0', 20)
+    crashed_at = world.now
+    number = 0
+    while True:
+        number += 1
+        call = world.send('vm0', 1, StatementKind.WRITE, f'after-{number}')
+        while call.answer is None:
+            world.run_until(world.now + 0.01)
+        if is_success(call):
+            break
+        assert world.now - crashed_at < 2
+    # Goal of the failover gap in docs/design.md.
+    assert world.now - crashed_at < 2
+
+
+def assert_served(world, value):
+    call = world.send('vm0', 1, StatementKind.WRITE, value)
+    world.run_until(world.now + 0.5)
+    assert is_success(call)
