--- a/src/cassiaseam/pooler/operations.py
+++ b/src/cassiaseam/pooler/operations.py
@@ -38,6 +38,8 @@
 HEDGE_AFTER_S = 0.3
 # Time in seconds that a refusal by a target keeps an operation from going there again.
 REFUSAL_MEMORY_S = 0.15
+# Statements on one group that may be under way on one VM.
+MAX_OPERATIONS = 500
 # Part of the statement time limit kept for the way of the final answer.
 ANSWER_MARGIN_S = 0.05
 # Age of the latest sample, as a part of the accepted age, above which it is renewed, and the age
@@ -129,6 +131,8 @@
     if routing.is_cut_off(group, now) and not is_pinned(transaction):
         text = 'this VM does not reach a majority of the targets'
         return refuse(state, operation, ErrorKind.NO_TARGET, text, now)
+    if len(group.operations) >= MAX_OPERATIONS and not is_pinned(transaction):
+        return refuse(state, operation, ErrorKind.OVERLOADED, 'too many statements wait', now)
     group.operations.append(operation)
     return advance(state, group, operation, now)
 
@@ -482,6 +486,10 @@
     """Answer the failure of a statement inside a transaction and end the transaction."""
     session = state.sessions[operation.session_id]
     connection.job = None
+    still_open = reply.session_state is SessionState.IN_TRANSACTION
+    if still_open and reply.failure is TargetFailure.BUSY:
+        operation.retry_at = now + RETRY_PAUSE_S
+        return [describe_retry(operation, connection.target, reply.failure.value, now)]
     is_commit = operation.statement.kind is StatementKind.COMMIT
     if is_commit and session.transaction.has_written and reply.failure not in NOT_RUN:
         kind, text = ErrorKind.OUTCOME_UNKNOWN, f'commit failed: {reply.message}'
--- a/src/cassiaseam/pooler/routing.py
+++ b/src/cassiaseam/pooler/routing.py
@@ -30,6 +30,9 @@
         return ''
     if group.promotion is not None and group.promotion.token:
         return ''
+    # Behind a fence no majority confirms a commit; it would only be in doubt.
+    if group.fenced_since is not None:
+        return ''
     left_s = now - target.leaving_since if target.leaving_since is not None else 0
     return name if left_s < LEAVING_LIMIT_S else ''
 
--- a/src/cassiaseam/pooler/settings.py
+++ b/src/cassiaseam/pooler/settings.py
@@ -7,9 +7,9 @@
 from pydantic import ValidationError
 from result import Err, Ok, Result
 
-from cassiaseam.settings.loader import UniqueKeyLoader
-from cassiaseam.settings.model import Name, Section
 from cassiaseam.settings.problems import describe_validation_errors
+from cassiaseam.settings.section import Name, Section
+from cassiaseam.settings.unique_keys import UniqueKeyLoader
 from cassiaseam.settings.units import DurationS, SocketAddress
 
 
--- a/src/cassiaseam/settings/loader.py
+++ b/src/cassiaseam/settings/loader.py
@@ -13,6 +13,7 @@
 from cassiaseam.settings.checks import find_contradictions
 from cassiaseam.settings.model import DatabaseSettings, Settings
 from cassiaseam.settings.problems import SettingsProblem, describe_validation_errors
+from cassiaseam.settings.unique_keys import UniqueKeyLoader
 
 MAX_FILE_BYTES = 1 << 20
 READABLE_FILE_FORM = 'a readable file that is not empty'
@@ -35,26 +36,6 @@
     platform_token: str = field(default='', repr=False)
 
 
-class UniqueKeyLoader(yaml.SafeLoader):
-    """YAML loader that refuses a key that occurs twice, of which YAML keeps only the last."""
-
-
-def _construct_unique_mapping(loader: UniqueKeyLoader, node: yaml.MappingNode) -> dict[Any, Any]:
-    seen: set[str] = set()
-    for key_node, _ in node.value:
-        if str(key_node.value) in seen:
-            problem = f'key {key_node.value!r} occurs twice'
-            raise yaml.constructor.ConstructorError(None, None, problem, key_node.start_mark)
-        seen.add(str(key_node.value))
-    return loader.construct_mapping(node, deep=True)
-
-
-UniqueKeyLoader.add_constructor(
-    yaml.resolver.BaseResolver.DEFAULT_MAPPING_TAG,
-    _construct_unique_mapping,
-)
-
-
 def load_settings(
     path: str | Path, check_files: bool = True
 ) -> Result[Settings, list[SettingsProblem]]:
--- a/src/cassiaseam/settings/model.py
+++ b/src/cassiaseam/settings/model.py
@@ -7,11 +7,11 @@
 from pathlib import Path
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, HttpUrl
+from pydantic import Field, HttpUrl
 
+from cassiaseam.settings.section import Name, Section
 from cassiaseam.settings.units import DurationS, IpNumber, SizeBytes, SocketAddress
 
-Name = Annotated[str, Field(pattern='^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$')]
 Port = Annotated[int, Field(ge=1, le=65535)]
 ServiceName = Annotated[str, Field(pattern=r'^(\*|[A-Za-z0-9][A-Za-z0-9_.-]{0,62})$')]
 ALL_DATABASES = '*'
@@ -25,12 +25,6 @@
     ADMINISTRATOR = 'administrator'
 
 
-class Section(BaseModel):
-    """Base of all sections: unknown keys are errors and values never change."""
-
-    model_config = ConfigDict(extra='forbid', frozen=True)
-
-
 class ListenSettings(Section):
     """Addresses that the daemon listens on."""
 
--- a/tests/pooler/pooler_world.py
+++ b/tests/pooler/pooler_world.py
@@ -123,6 +123,7 @@
         self.down = False
         self.mute = False
         self.drop_answers = 0
+        self.busy = 0
         self.leaving = False
         self.born = 1
         self.runs = Counter()
@@ -173,6 +174,10 @@
     def run_statement(self, connection, command):
         statement = command.statement
         kind = statement.kind
+        if self.busy > 0:
+            self.busy -= 1
+            state = SessionState.IN_TRANSACTION if connection.open else SessionState.IDLE
+            return TargetReply(failure=TargetFailure.BUSY, session_state=state)
         if self.lacks(command.floor):
             return self.fail(connection, TargetFailure.BEHIND)
         writes = kind is StatementKind.WRITE
--- a/tests/pooler/test_pooler_reach.py
+++ b/tests/pooler/test_pooler_reach.py
@@ -120,3 +120,45 @@
     call = world.send('vm0', 1, StatementKind.WRITE, value)
     world.run_until(world.now + 0.5)
     assert is_success(call)
+
+
+def test_writes_wait_while_another_vm_fences_the_replicas():
+    # Commits at a primary whose replicas were fenced could only end in doubt.
+    world = World()
+    world.run_until(0.5)
+    world.connect('vm0', 1, 'orders')
+    for name in ('t1', 't2'):
+        world.targets[name].fenced = 2
+    group = world.vms['vm0'].state.groups[GROUP]
+    world.send('vm0', 1, StatementKind.READ)
+    world.run_until(0.7)
+    world.connect('vm0', 2, 'orders')
+    call = world.send('vm0', 2, StatementKind.WRITE, 'held')
+    world.run_until(0.9)
+    assert group.fenced_since is not None
+    assert call.answer is None
+    assert world.committed['held'] == 0
+    for name in ('t1', 't2'):
+        world.targets[name].fenced = 0
+    world.run_until(1.6)
+    assert is_success(call)
+
+
+def test_statement_that_finds_a_busy_primary_keeps_its_transaction():
+    # BUSY inside a transaction aborted it although nothing had run (nls scale-2, 55 times).
+    world = World()
+    world.run_until(0.5)
+    world.connect('vm0', 1, 'orders')
+    world.send('vm0', 1, StatementKind.BEGIN)
+    read = world.send('vm0', 1, StatementKind.READ)
+    world.run_until(1)
+    assert is_success(read)
+    target = world.targets['t0']
+    target.busy = 3
+    write = world.send('vm0', 1, StatementKind.WRITE, 'kept')
+    world.run_until(1.5)
+    assert is_success(write)
+    commit = world.send('vm0', 1, StatementKind.COMMIT)
+    world.run_until(2)
+    assert is_success(commit)
+    assert world.committed['kept'] == 1
