Hold writes back while no majority can confirm them

Ruled out: a lost answer (the target had answered; the statuses of the replicas showed term 1). Change: a write or the COMMIT of writes waits, unsent, until a majority follows the term of the primary and holds the latest commit that was left in doubt, and while a commit has waited for 0.25 s. What was never sent is refused as not run.

--- a/src/cassiaseam/pooler/evidence.py
+++ b/src/cassiaseam/pooler/evidence.py
@@ -17,6 +17,8 @@
 
 # Records of live targets are back two seconds after the store is; a multiple of that.
 SHRINK_DELAY_S = 10.0
+# Time in seconds that a commit may wait for a majority before further writes are held back.
+CONFIRMATION_LIMIT_S = 0.25
 # Time that a restarted replica does not vouch for a primary: a fence ends with a restart, and a
 # promotion that counted on the fence is over by then.
 RESTART_DISTRUST_S = 3.0
@@ -152,6 +154,32 @@
     return is_committed(group.monitor, position, position.term)
 
 
+def can_acknowledge(group: GroupView, now: float) -> bool:
+    """Return whether a commit that is sent now may be expected to reach a majority.
+
+    After a promotion the replicas take a moment to follow the new primary, and some may receive
+    nothing at all. A write that waits has not run; one that was sent would end in doubt.
+    """
+    monitor = group.monitor
+    following = sum(
+        view.status is not None
+        and view.status.term == monitor.term
+        and view.status.fenced_term <= monitor.term
+        for view in monitor.targets.values()
+    )
+    if following < count_majority(monitor):
+        return False
+    missing = group.unconfirmed
+    if missing is not None and missing.term == monitor.term:
+        if not is_commit_held(group, missing):
+            return False
+        group.unconfirmed = None
+    return not any(
+        operation.commit is not None and now - operation.replied_at > CONFIRMATION_LIMIT_S
+        for operation in group.operations
+    )
+
+
 def find_floor(group: GroupView, operation: Operation, session_commit: LogPosition | None):
     """Return the position that a read has to cover, or None while it is unknown.
 
--- a/src/cassiaseam/pooler/operations.py
+++ b/src/cassiaseam/pooler/operations.py
@@ -48,6 +48,8 @@
 REUSE_SHARE = 0.2
 # Seconds that a commit waits for the nearest replicas before all are polled for it.
 WIDEN_AFTER_S = 0.04
+# Age in seconds of statuses that are polled again while writes are held back.
+EVIDENCE_AGE_S = 0.05
 # Pause in seconds between two status polls of a replica that does not hold a commit yet.
 POLL_PAUSE_S = 0.008
 # Stands in a transaction for a connection that was taken away from it.
@@ -151,6 +153,8 @@
     operation.retry_at = now + RETRY_PAUSE_S
     session = state.sessions[operation.session_id]
     transaction = session.transaction
+    if is_commit_of_writes(operation, transaction) and not evidence.can_acknowledge(group, now):
+        return request_evidence(state, group, now - EVIDENCE_AGE_S, now)
     if transaction is not None and transaction.connection_id:
         return send_in_transaction(state, operation, transaction, now)
     floor = None
@@ -166,6 +170,14 @@
     return effects + send_to_target(state, group, operation, name, floor, now)
 
 
+def is_commit_of_writes(operation: Operation, transaction: TransactionState | None) -> bool:
+    """Return whether a statement commits writes, alone or of its transaction."""
+    if transaction is None:
+        return operation.is_write
+    is_commit = operation.statement.kind is StatementKind.COMMIT
+    return is_commit and transaction.has_written
+
+
 def choose_target(
     state: PoolerState, group: GroupView, operation: Operation, floor, now: float
 ) -> str:
@@ -699,10 +711,13 @@
     transaction = session.transaction
     commits = operation.statement.kind is StatementKind.COMMIT
     if commits:
-        unsure = operation.commit is not None or transaction.has_written
+        unsure = transaction.has_written and is_sent(operation)
     else:
         unsure = operation.is_write and transaction is None and is_sent(operation)
     if unsure:
+        group = state.groups.get(operation.route.group)
+        if group is not None and operation.commit is not None:
+            group.unconfirmed = operation.commit
         return refuse(state, operation, ErrorKind.OUTCOME_UNKNOWN, 'no confirmation in time', now)
     if transaction is not None:
         return refuse(state, operation, ErrorKind.TRANSACTION_ABORTED, 'no answer in time', now)
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -304,6 +304,7 @@
         cause_since: Time from which the primary may be replaced, or None without a cause.
         former_primary: Former primary that may still accept writes, or ''.
         cut_off_since: Time since which this VM reaches no majority, or None.
+        unconfirmed: Latest commit that was left in doubt because no majority held it, or None.
     """
 
     name: str
@@ -323,6 +324,7 @@
     cause_since: float | None = None
     former_primary: str = ''
     cut_off_since: float | None = None
+    unconfirmed: LogPosition | None = None
 
 
 @dataclass(slots=True)
--- a/tests/pooler/test_pooler_reach.py
+++ b/tests/pooler/test_pooler_reach.py
@@ -180,3 +180,45 @@
     read = world.send('vm0', 1, StatementKind.READ)
     world.run_until(1.4)
     assert is_success(read)
+
+
+@pytest.mark.parametrize('in_transaction', [False, True])
+def test_write_is_held_back_while_no_majority_can_confirm_it(in_transaction):
+    # Writes sent right after a promotion, or while all replicas were deaf, ended in doubt although
+    # they could have waited (esoviz inc-fd44, 22 of 58 failures).
+    world = World()
+    world.run_until(0.5)
+    world.connect('vm0', 1, 'orders')
+    world.connect('vm0', 2, 'orders')
+    if in_transaction:
+        world.send('vm0', 2, StatementKind.BEGIN)
+        world.run_until(0.6)
+        world.send('vm0', 2, StatementKind.WRITE, 'second')
+        world.run_until(0.7)
+    for name in ('t1', 't2'):
+        world.cut('t0', name, 1.2)
+    first = world.send('vm0', 1, StatementKind.WRITE, 'first')
+    world.run_until(1.1)
+    assert first.answer is None
+    kind = StatementKind.COMMIT if in_transaction else StatementKind.WRITE
+    second = world.send('vm0', 2, kind, 'second')
+    world.run_until(1.7)
+    assert get_error(first) is ErrorKind.OUTCOME_UNKNOWN
+    assert world.committed['second'] == 0
+    world.run_until(3)
+    assert is_success(second)
+
+
+def test_write_that_was_held_back_to_the_end_has_not_run():
+    world = World()
+    world.run_until(0.5)
+    world.connect('vm0', 1, 'orders')
+    world.connect('vm0', 2, 'orders')
+    for name in ('t1', 't2'):
+        world.cut('t0', name, 20)
+    world.send('vm0', 1, StatementKind.WRITE, 'first')
+    world.run_until(1)
+    second = world.send('vm0', 2, StatementKind.WRITE, 'second')
+    world.run_until(2.2)
+    assert get_error(second) is ErrorKind.OVERLOADED
+    assert world.committed['second'] == 0
