Split the statements of the pooler role into sending, replies and endings

Change: moves only; statements that waited on a session continue through the reducer, which ends the circle between answers and arrivals. Conclusion: no decision changed.

--- a/src/cassiaseam/pooler/catalogue.py
+++ b/src/cassiaseam/pooler/catalogue.py
@@ -1,6 +1,6 @@
 """Configuration and target records from the store."""
 
-from cassiaseam.pooler import connections, evidence, operations, sessions, targets
+from cassiaseam.pooler import connections, evidence, sessions, targets
 from cassiaseam.pooler.events import (
     ConfigurationRead,
     StoreContact,
@@ -202,6 +202,3 @@
             'leaving': record.leaving,
         },
     )
-
-
-REGISTERED = (operations,)
--- /dev/null
+++ b/src/cassiaseam/pooler/endings.py
@@ -0,0 +1,149 @@
+"""Final answers without a result, and the ends of transactions and sessions."""
+
+from cassiaseam.errors import ErrorKind, RequestError
+from cassiaseam.pooler import connections, sessions
+from cassiaseam.pooler.commands import Rollback, SessionState, Statement, StatementKind
+from cassiaseam.pooler.events import CallerLost, StatementArrived, WriteLog
+from cassiaseam.pooler.state import CallerSession, Job, Operation, PoolerState, Purpose
+from cassiaseam.reducer.registry import handles, reduce_event
+
+# Stands in a transaction for a connection that was taken away from it.
+RELEASED = -1
+# Pause in seconds that a refused caller is told to wait.
+RETRY_AFTER_S = 0.3
+
+
+def refuse(
+    state: PoolerState, operation: Operation, kind: ErrorKind, text: str, now: float
+) -> list:
+    """Give an operation up with an error and end its transaction."""
+    session = state.sessions[operation.session_id]
+    error = RequestError(kind, text, retry_after_s=RETRY_AFTER_S)
+    effects: list = [
+        WriteLog(
+            'request_failed',
+            {
+                **sessions.describe_operation(operation, now),
+                'kind': kind.value,
+                'cause': text,
+                'version': state.config.version if state.config else 0,
+            },
+        )
+    ]
+    cancel_jobs(state, operation)
+    finish(state, operation)
+    count(state, operation, kind.value)
+    if session.transaction is not None:
+        effects += abandon_transaction(state, session, now, running=operation)
+        if operation.statement.kind is not StatementKind.COMMIT:
+            session.state = SessionState.FAILED_TRANSACTION
+    effects += sessions.answer_error(session, error)
+    return effects + continue_session(state, session, now)
+
+
+def finish(state: PoolerState, operation: Operation) -> None:
+    """Forget an operation that has its final answer."""
+    operation.done = True
+    session = state.sessions.get(operation.session_id)
+    if session is not None and session.current is operation:
+        session.current = None
+    group = state.groups.get(operation.route.group)
+    if group is not None and operation in group.operations:
+        group.operations.remove(operation)
+
+
+def cancel_jobs(state: PoolerState, operation: Operation) -> None:
+    """Drop what still waits or runs for an operation."""
+    for job in operation.jobs:
+        job.cancelled = True
+
+
+def count(state: PoolerState, operation: Operation, outcome: str) -> None:
+    """Count an outcome for the metrics."""
+    key = (operation.route.name, outcome)
+    state.counters[key] = state.counters.get(key, 0) + 1
+
+
+def continue_session(state: PoolerState, session: CallerSession, now: float) -> list:
+    """Run the next statement that waited on a session."""
+    effects: list = []
+    while session.waiting and session.current is None:
+        event = StatementArrived(session.session_id, session.waiting.popleft())
+        effects.extend(reduce_event(state, event, now))
+    # A caller that gets the end of the session together with an answer has sent nothing since.
+    idle = session.current is None and session.state is SessionState.IDLE
+    if idle and sessions.is_closing(state, now) and session.session_id in state.sessions:
+        effects += sessions.close_session(state, session)
+    return effects
+
+
+def abandon_transaction(
+    state: PoolerState, session: CallerSession, now: float, running: Operation | None = None
+) -> list:
+    """End the transaction of a session without a commit and free its connection."""
+    transaction = session.transaction
+    session.transaction = None
+    session.state = SessionState.IDLE
+    if transaction is None:
+        return []
+    connection = state.connections.get(transaction.connection_id)
+    if connection is None:
+        return []
+    group = state.groups[transaction.route.group]
+    target = group.targets[connection.target]
+    if connection.job is not None:
+        # The statement still runs; closing the connection rolls the transaction back.
+        return connections.close_connection(state, target, connection)
+    connection.pinned_to = 0
+    job = Job(connection.target, Rollback(), Purpose.CONTROL, now)
+    return connections.start_job(state, target, connection, job, now)
+
+
+def release_transaction(
+    state: PoolerState, session: CallerSession, cause: str, now: float
+) -> list:
+    """Roll the transaction of a caller that rests back; its next statement is refused."""
+    transaction = session.transaction
+    if transaction.connection_id not in state.connections:
+        return []
+    effects = abandon_transaction(state, session, now)
+    session.transaction = transaction
+    session.state = SessionState.IN_TRANSACTION
+    transaction.connection_id = RELEASED
+    log = WriteLog('transaction_ended', {'session': session.session_id, 'cause': cause})
+    return [*effects, log]
+
+
+def end_failed_transaction(
+    state: PoolerState, session: CallerSession, statement: Statement, now: float
+) -> list:
+    """Answer the COMMIT or ROLLBACK that ends a failed transaction."""
+    effects = abandon_transaction(state, session, now)
+    session.state = SessionState.IDLE
+    if statement.kind is StatementKind.ROLLBACK:
+        return effects + sessions.answer_local(session)
+    error = RequestError(ErrorKind.TRANSACTION_ABORTED, 'the transaction was rolled back')
+    return effects + sessions.answer_error(session, error)
+
+
+@handles(CallerLost)
+def end_session(state: PoolerState, event: CallerLost, now: float) -> list:
+    """Roll back what a caller left open."""
+    session = state.sessions.get(event.session_id)
+    if session is None:
+        return []
+    effects: list = []
+    if session.current is not None:
+        operation = session.current
+        effects.append(WriteLog('caller_left', sessions.describe_operation(operation, now)))
+        cancel_jobs(state, operation)
+        finish(state, operation)
+    effects += abandon_transaction(state, session, now)
+    state.sessions.pop(event.session_id, None)
+    return effects
+
+
+def describe_retry(operation: Operation, target: str, cause: str, now: float) -> WriteLog:
+    """Return the log line of an attempt that did not run or whose answer was lost."""
+    fields = sessions.describe_operation(operation, now)
+    return WriteLog('request_retried', {**fields, 'target': target, 'cause': cause})
--- /dev/null
+++ b/src/cassiaseam/pooler/sending.py
@@ -0,0 +1,147 @@
+"""Where and when a statement is sent.
+
+A read goes to the target with the least expected wait that holds its floor. What commits writes
+waits until a majority can confirm it.
+"""
+
+from cassiaseam.errors import ErrorKind
+from cassiaseam.pooler import connections, endings, evidence, routing
+from cassiaseam.pooler.commands import Begin, Forward, StatementKind
+from cassiaseam.pooler.model import Consistency
+from cassiaseam.pooler.state import (
+    GroupView,
+    Job,
+    Operation,
+    PoolerState,
+    Purpose,
+    TransactionState,
+)
+
+# Pause in seconds before a statement that did not run is tried again.
+RETRY_PAUSE_S = 0.03
+# Time in seconds that a refusal by a target keeps an operation from going there again.
+REFUSAL_MEMORY_S = 0.15
+# Age of the latest sample, as a part of the accepted age, above which it is renewed, and the age
+# of statuses that the new sample may be made of.
+REFRESH_SHARE = 0.7
+REUSE_SHARE = 0.2
+# Age in seconds of statuses that are polled again while writes are held back.
+EVIDENCE_AGE_S = 0.05
+
+
+def advance(state: PoolerState, group: GroupView, operation: Operation, now: float) -> list:
+    """Take the next step of an operation that has nothing under way."""
+    if operation.done or operation.jobs:
+        return []
+    operation.retry_at = now + RETRY_PAUSE_S
+    session = state.sessions[operation.session_id]
+    transaction = session.transaction
+    if is_commit_of_writes(operation, transaction) and not evidence.can_acknowledge(group, now):
+        return request_evidence(state, group, now - EVIDENCE_AGE_S, now)
+    if transaction is not None and transaction.connection_id:
+        return send_in_transaction(state, operation, transaction, now)
+    floor = None
+    if operation.route.consistency is not Consistency.PRIMARY and not operation.is_write:
+        floor = evidence.find_floor(group, operation, session.last_commit)
+        if floor is None:
+            return request_evidence(state, group, operation.started_at, now)
+    operation.floor = floor
+    name = choose_target(state, group, operation, floor, now)
+    if not name:
+        return []
+    effects = refresh_evidence(state, group, operation, now)
+    return effects + send_to_target(state, group, operation, name, floor, now)
+
+
+def is_commit_of_writes(operation: Operation, transaction: TransactionState | None) -> bool:
+    """Return whether a statement commits writes, alone or of its transaction."""
+    if transaction is None:
+        return operation.is_write
+    is_commit = operation.statement.kind is StatementKind.COMMIT
+    return is_commit and transaction.has_written
+
+
+def is_pinned(transaction: TransactionState | None) -> bool:
+    """Return whether a transaction has a connection."""
+    return transaction is not None and transaction.connection_id > 0
+
+
+def choose_target(
+    state: PoolerState, group: GroupView, operation: Operation, floor, now: float
+) -> str:
+    """Return the target for an operation, or '' while there is none."""
+    for tried, refused_at in list(operation.tried.items()):
+        if now - refused_at > REFUSAL_MEMORY_S:
+            del operation.tried[tried]
+    if not operation.needs_primary:
+        return routing.find_read_target(state, group, operation, floor, now)
+    name = routing.find_write_target(group, now)
+    return '' if name in operation.tried else name
+
+
+def send_to_target(
+    state: PoolerState, group: GroupView, operation: Operation, name: str, floor, now: float
+) -> list:
+    """Send a statement, or the beginning of its transaction, to a target."""
+    transaction = state.sessions[operation.session_id].transaction
+    if transaction is None:
+        job = Job(name, Forward(operation.statement, floor), Purpose.STATEMENT, now, operation)
+    else:
+        command = Begin(transaction.statement.read_only, floor)
+        job = Job(name, command, Purpose.BEGIN, now, operation)
+    operation.jobs.append(job)
+    operation.retry_at = None
+    return connections.submit_job(state, group, job, now)
+
+
+def send_in_transaction(
+    state: PoolerState, operation: Operation, transaction: TransactionState, now: float
+) -> list:
+    """Send a statement on the connection that its transaction is pinned to."""
+    connection = state.connections.get(transaction.connection_id)
+    if connection is None:
+        return endings.refuse(
+            state, operation, ErrorKind.TRANSACTION_ABORTED, 'connection lost', now
+        )
+    group = state.groups[operation.route.group]
+    target = group.targets[connection.target]
+    transaction.has_written = transaction.has_written or operation.is_write
+    job = Job(connection.target, Forward(operation.statement), Purpose.STATEMENT, now, operation)
+    operation.jobs.append(job)
+    operation.retry_at = None
+    return connections.start_job(state, target, connection, job, now)
+
+
+def refresh_evidence(
+    state: PoolerState, group: GroupView, operation: Operation, now: float
+) -> list:
+    """Poll what the answer needs, and what later reads are going to need."""
+    if operation.needs_confirmation:
+        return request_evidence(state, group, operation.started_at, now)
+    samples = group.monitor.samples
+    if operation.floor is None or not samples:
+        return []
+    accepted_s = operation.route.max_age_s
+    if now - samples[-1].started_at < accepted_s * REFRESH_SHARE:
+        return []
+    return request_evidence(state, group, now - accepted_s * REUSE_SHARE, now)
+
+
+def request_evidence(state: PoolerState, group: GroupView, since: float, now: float) -> list:
+    """Make sure that a majority is polled at or after `since`."""
+    effects: list = []
+    needed = max(group.size // 2, 1)
+    if not group.monitor.primary:
+        needed = len(group.targets)
+    names = routing.list_by_distance(state, group, now)
+    for name in names[:needed]:
+        view = group.monitor.targets.get(name)
+        if view is not None and view.status is not None and view.status_started_at >= since:
+            continue
+        effects += connections.submit_status_poll(state, group, name, now)
+    primary = group.targets.get(group.monitor.primary)
+    if primary is not None:
+        view = group.monitor.targets[group.monitor.primary]
+        if view.status_started_at < since:
+            effects += connections.submit_status_poll(state, group, primary.record.name, now)
+    return effects
--- a/src/cassiaseam/pooler/targets.py
+++ b/src/cassiaseam/pooler/targets.py
@@ -1,6 +1,6 @@
 """Events of connections to targets."""
 
-from cassiaseam.pooler import connections, evidence, failover, operations
+from cassiaseam.pooler import connections, evidence, failover, replies
 from cassiaseam.pooler.commands import (
     CONTROL_COMMANDS,
     ReadStatus,
@@ -108,7 +108,7 @@
     if target is not None and target.status_job is job:
         target.status_job = None
         target.poll_again = False
-    return operations.handle_job_loss(state, group, job, reason, now)
+    return replies.handle_job_loss(state, group, job, reason, now)
 
 
 @handles(ConnectionLost)
@@ -165,7 +165,7 @@
     if isinstance(job.command, Rollback):
         return end_rollback(state, target, connection, reply, now)
     note_statement(target, job, reply, now)
-    return operations.handle_job_reply(state, group, connection, job, reply, now)
+    return replies.handle_job_reply(state, group, connection, job, reply, now)
 
 
 def handle_setup_reply(
@@ -187,9 +187,7 @@
     if connection.setup:
         return []
     if connection.job.cancelled:
-        return operations.handle_job_reply(
-            state, group, connection, take_job(connection), reply, now
-        )
+        return replies.handle_job_reply(state, group, connection, take_job(connection), reply, now)
     return connections.send_command(state, target, connection, now)
 
 
@@ -227,14 +225,14 @@
     effects = connections.release_connection(state, target, connection, now)
     if target.status_job is job:
         target.status_job = None
-    target.next_poll_at = now + operations.POLL_PAUSE_S
+    target.next_poll_at = now + replies.POLL_PAUSE_S
     if reply.status is not None:
         evidence.note_status(group, name, job.sent_at, reply.status, now)
     effects += failover.handle_control_reply(state, group, name, job, reply, now)
     if target.poll_again and isinstance(job.command, ReadStatus):
         target.poll_again = False
         effects += connections.submit_status_poll(state, group, name, now)
-    return effects + operations.use_evidence(state, group, now)
+    return effects + replies.use_evidence(state, group, now)
 
 
 def note_statement(target: TargetState, job: Job, reply: TargetReply, now: float) -> None:
--- a/src/cassiaseam/pooler/ticks.py
+++ b/src/cassiaseam/pooler/ticks.py
@@ -3,6 +3,7 @@
 from cassiaseam.pooler import (
     catalogue,
     connections,
+    endings,
     failover,
     operations,
     routing,
@@ -108,7 +109,7 @@
         if transaction is None or session.current is not None:
             continue
         if now - transaction.last_used_at > state.config.transaction_idle_s:
-            effects += operations.release_transaction(state, session, 'idle', now)
+            effects += endings.release_transaction(state, session, 'idle', now)
     return effects
 
 
@@ -133,7 +134,7 @@
         elif state.stopping_since is None:
             continue
         elif now - state.stopping_since > TRANSACTION_GRACE_S and session.transaction:
-            effects += operations.release_transaction(state, session, 'stopping', now)
+            effects += endings.release_transaction(state, session, 'stopping', now)
     return effects
 
 
