--- a/src/cassiaseam/pooler/failover.py
+++ b/src/cassiaseam/pooler/failover.py
@@ -9,10 +9,8 @@
 acknowledge its commits any longer, and the replica that holds the most is promoted.
 """
 
-from cassiaseam.group.evidence import count_majority
-from cassiaseam.messages import TargetRole
-from cassiaseam.pooler import connections, evidence, routing
-from cassiaseam.pooler.commands import Command, Demote, Fence, LiftFence, TargetReply
+from cassiaseam.pooler import connections, detection, evidence, routing, steering
+from cassiaseam.pooler.commands import Demote, Fence, TargetReply
 from cassiaseam.pooler.events import (
     CallPromotion,
     DutyRead,
@@ -31,7 +29,6 @@
     PoolerState,
     Promotion,
     PromotionStage,
-    Purpose,
     TargetState,
 )
 from cassiaseam.reducer.registry import handles
@@ -40,13 +37,6 @@
 CLAIM_LIFETIME_S = 3.0
 # Seconds after sending its claim for which a holder calls the platform.
 CLAIM_VALID_S = 2.0
-# Seconds without a reply, or of refused connections, after which a primary counts as failed.
-SILENCE_LIMIT_S = 0.7
-REFUSED_LIMIT_S = 0.35
-# Seconds without a primary after which one is promoted.
-NO_PRIMARY_LIMIT_S = 0.9
-# Seconds that a replica may be fenced above the term in charge before the fence is lifted.
-ABANDONED_FENCE_S = 2.5
 # Longest random pause in seconds by which the VMs spread their claims.
 CLAIM_SPREAD_S = 0.15
 # Pause in seconds after a failed attempt.
@@ -61,20 +51,17 @@
 RESEND_S = 0.3
 # Pause in seconds between status polls while a step waits for a position or a role.
 POLL_S = 0.03
-# Seconds for which a former primary is told to step down, and the pause between two tries.
+# Seconds for which a former primary is told to step down.
 DEMOTE_FORMER_S = 6.0
-DEMOTE_FORMER_PAUSE_S = 0.5
-# Pause in seconds between polls of all targets while the primary is not known.
-SURVEY_PAUSE_S = 0.15
 
 
 def check_primary(state: PoolerState, group: GroupView, now: float) -> list:
     """Start a promotion when the primary has to be replaced."""
-    effects = survey_targets(state, group, now)
+    effects = detection.survey_targets(state, group, now)
     if group.promotion is not None:
         return effects + advance_promotion(state, group, now)
-    effects += demote_former_primary(state, group, now)
-    cause, planned = find_cause(group, now)
+    effects += steering.demote_former_primary(state, group, now)
+    cause, planned = detection.find_cause(group, now)
     if not cause:
         group.cause_since = None
         return effects
@@ -86,78 +73,6 @@
     return effects + start_promotion(state, group, cause, planned, now)
 
 
-def survey_targets(state: PoolerState, group: GroupView, now: float) -> list:
-    """Poll all targets while the primary is unknown or a newer term shows."""
-    monitor = group.monitor
-    known = monitor.primary in group.targets and monitor.known_term <= monitor.term
-    note_fences(group, now)
-    if known:
-        group.without_primary_since = None
-        if group.fenced_since is None:
-            return []
-    elif group.without_primary_since is None and monitor.primary not in group.targets:
-        group.without_primary_since = now
-    if now - group.survey_at < SURVEY_PAUSE_S:
-        return []
-    group.survey_at = now
-    effects: list = []
-    for name in group.targets:
-        effects.extend(connections.submit_status_poll(state, group, name, now))
-    return effects
-
-
-def note_fences(group: GroupView, now: float) -> None:
-    """Remember since when some target is fenced above the term in charge."""
-    monitor = group.monitor
-    fenced = any(
-        view.status is not None
-        and evidence.is_fenced(view.status)
-        and view.status.fenced_term > monitor.term
-        for view in monitor.targets.values()
-    )
-    if not fenced:
-        group.fenced_since = None
-    elif group.fenced_since is None:
-        group.fenced_since = now
-
-
-def find_cause(group: GroupView, now: float) -> tuple[str, bool]:
-    """Return why the primary has to be replaced, or '', and whether it can hand over."""
-    primary = group.targets.get(group.monitor.primary)
-    if primary is None:
-        return ('no_primary', False) if is_leaderless(group, now) else ('', False)
-    if has_failed(primary, now):
-        return 'primary_failed', False
-    if primary.record.leaving or routing.is_gone(primary, now):
-        return 'primary_leaving', True
-    if group.fenced_since is not None and now - group.fenced_since > ABANDONED_FENCE_S:
-        return 'abandoned_fence', True
-    return '', False
-
-
-def is_leaderless(group: GroupView, now: float) -> bool:
-    """Return whether a majority says that it does not lead, and no other target may lead."""
-    since = group.without_primary_since
-    if since is None or now - since < NO_PRIMARY_LIMIT_S:
-        return False
-    followers = 0
-    for name, target in group.targets.items():
-        view = group.monitor.targets.get(name)
-        if view is not None and view.status is not None and view.status_started_at >= since:
-            followers += view.status.role is not TargetRole.PRIMARY
-        elif not has_failed(target, now):
-            # It may lead and only have refused this VM, for too many connections say.
-            return False
-    return followers >= count_majority(group.monitor)
-
-
-def has_failed(target: TargetState, now: float) -> bool:
-    """Return whether a target is out of reach for so long that it counts as failed."""
-    if target.failing_since is not None and now - target.failing_since > REFUSED_LIMIT_S:
-        return True
-    return target.silent_since is not None and now - target.silent_since > SILENCE_LIMIT_S
-
-
 def start_promotion(
     state: PoolerState, group: GroupView, cause: str, planned: bool, now: float
 ) -> list:
@@ -283,7 +198,7 @@
         },
     )
     if promotion.cause == 'abandoned_fence':
-        return [log, *lift_fences(state, group, now), *end_promotion(state, group, now)]
+        return [log, *steering.lift_fences(state, group, now), *end_promotion(state, group, now)]
     stage = PromotionStage.DEMOTE if promotion.planned else PromotionStage.FENCE
     enter_stage(promotion, stage, now)
     return [log, *advance_promotion(state, group, now)]
@@ -291,7 +206,7 @@
 
 def is_obsolete(group: GroupView, now: float) -> bool:
     """Return whether the reason for a promotion is gone."""
-    return not find_cause(group, now)[0]
+    return not detection.find_cause(group, now)[0]
 
 
 def enter_stage(promotion: Promotion, stage: PromotionStage, now: float) -> None:
@@ -320,9 +235,9 @@
     if promotion.sent_at >= 0:
         return []
     promotion.sent_at = now
-    effects = lift_fences(state, group, now)
+    effects = steering.lift_fences(state, group, now)
     command = Demote(promotion.term)
-    return effects + send_control(state, group, promotion.old_primary, command, now)
+    return effects + steering.send_control(state, group, promotion.old_primary, command, now)
 
 
 def run_catch_up_step(
@@ -353,7 +268,7 @@
             return promote(state, group, chosen, now)
     if now - promotion.stage_at > FENCE_LIMIT_S:
         return [
-            *lift_fences(state, group, now),
+            *steering.lift_fences(state, group, now),
             *give_up(state, group, f'only {len(promotion.grants)} targets were fenced', now),
         ]
     if promotion.sent_at >= 0 and now - promotion.sent_at < RESEND_S:
@@ -364,7 +279,7 @@
         if name not in promotion.grants:
             is_old = name == promotion.old_primary
             command = Demote(promotion.term) if is_old else Fence(promotion.term)
-            effects += send_control(state, group, name, command, now)
+            effects += steering.send_control(state, group, name, command, now)
     return effects
 
 
@@ -494,24 +409,6 @@
     return advance_promotion(state, group, now)
 
 
-def send_control(
-    state: PoolerState, group: GroupView, name: str, command: Command, now: float
-) -> list:
-    """Send a command of our own to a target."""
-    return connections.submit_job(state, group, Job(name, command, Purpose.CONTROL, now), now)
-
-
-def lift_fences(state: PoolerState, group: GroupView, now: float) -> list:
-    """Let all fenced replicas receive again."""
-    effects: list = []
-    for name, view in group.monitor.targets.items():
-        if name not in group.targets or view.status is None:
-            continue
-        if evidence.is_fenced(view.status):
-            effects += send_control(state, group, name, LiftFence(), now)
-    return effects
-
-
 def give_up(state: PoolerState, group: GroupView, reason: str, now: float) -> list:
     """End an attempt that did not succeed."""
     log = WriteLog(
@@ -551,18 +448,3 @@
     if not held or others or record is None or record.holder != state.vm:
         return []
     return [WriteDuty(DutyRecord(state.vm, record.nonce, released=True), state.duty.revision)]
-
-
-def demote_former_primary(state: PoolerState, group: GroupView, now: float) -> list:
-    """Tell a former primary that comes back into reach to step down."""
-    former = group.former_primary
-    if now > group.demote_until or former not in group.targets or not group.monitor.primary:
-        return []
-    view = group.monitor.targets.get(former)
-    stepped_down = (
-        view is not None and view.status is not None and view.status.term >= group.monitor.term
-    )
-    if stepped_down or now - group.demote_sent_at < DEMOTE_FORMER_PAUSE_S:
-        return []
-    group.demote_sent_at = now
-    return send_control(state, group, former, Demote(group.monitor.term), now)
--- a/src/cassiaseam_soak/installation.py
+++ b/src/cassiaseam_soak/installation.py
@@ -10,8 +10,9 @@
 from pathlib import Path
 
 from cassiaseam_soak.proxy import LOOPBACK, FaultyProxy
-from cassiaseam_standin.line_group import LineGroup, LineTarget
+from cassiaseam_standin.line_group import LineGroup
 from cassiaseam_standin.line_store import LineStore
+from cassiaseam_standin.line_target import LineTarget
 
 PLACES = ('north', 'middle', 'south')
 ROUTES = {'orders': 'primary', 'prices': 'bounded_staleness', 'stock': 'read_your_writes'}
--- a/src/cassiaseam_standin/line_store.py
+++ b/src/cassiaseam_standin/line_store.py
@@ -6,7 +6,8 @@
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
-from cassiaseam_standin.line_group import LOOPBACK, LineGroup, LineTarget
+from cassiaseam_standin.line_group import LineGroup
+from cassiaseam_standin.line_target import LOOPBACK, LineTarget
 
 RETAINED_EVENTS = 500
 PROMOTION_PATH = '/promotion'
--- a/tests/pooler/test_pooler_evidence.py
+++ b/tests/pooler/test_pooler_evidence.py
@@ -1,7 +1,8 @@
 """What statuses prove: acknowledgement, confirmation of the primary, floors of reads."""
 
 import pytest
-from pooler_world import GROUP, Backlog, World
+from fake_target import GROUP, Backlog
+from pooler_world import World
 
 from cassiaseam.group.view import find_quorum_floor
 from cassiaseam.pooler import evidence
--- a/tests/pooler/test_pooler_reach.py
+++ b/tests/pooler/test_pooler_reach.py
@@ -1,7 +1,8 @@
 """What a VM does that does not reach the targets, or not all of them."""
 
 import pytest
-from pooler_world import GROUP, World, get_error, is_success
+from fake_target import GROUP
+from pooler_world import World, get_error, is_success
 
 from cassiaseam.errors import ErrorKind
 from cassiaseam.pooler import ticks
