--- a/src/cassiaseam/platform/records.py
+++ b/src/cassiaseam/platform/records.py
@@ -65,7 +65,6 @@
     """Limits for callers as the operators write them."""
 
     transaction_idle_ms: Number = Field(alias='transactionIdleMs', default=3000)
-    body_bytes: Whole = Field(alias='maxBodyBytes', default=262144)
 
 
 class ConfigDocument(BaseModel):
@@ -113,9 +112,8 @@
         service.name: GroupLimits(service.max_connections, service.sync_replicas)
         for service in document.services
     }
-    limits = document.limits
-    idle_s = limits.transaction_idle_ms / 1000
-    return Ok(RoutingConfig(document.version, routes, groups, idle_s, limits.body_bytes))
+    idle_s = document.limits.transaction_idle_ms / 1000
+    return Ok(RoutingConfig(document.version, routes, groups, idle_s))
 
 
 def _build_route(route: RouteDocument) -> Route:
--- a/src/cassiaseam/pooler/connections.py
+++ b/src/cassiaseam/pooler/connections.py
@@ -210,7 +210,6 @@
 
 def note_heard(target: TargetState, now: float) -> None:
     """Remember that a target replied."""
-    target.heard_at = now
     target.failing_since = None
     busy = any(
         connection.job is not None or connection.setup
--- a/src/cassiaseam/pooler/evidence.py
+++ b/src/cassiaseam/pooler/evidence.py
@@ -12,7 +12,7 @@
 from cassiaseam.group.view import find_quorum_floor, is_committed
 from cassiaseam.messages import TargetRole, TargetStatus
 from cassiaseam.pooler.commands import ReportedStatus
-from cassiaseam.pooler.state import GroupView, Operation, TargetState
+from cassiaseam.pooler.state import GroupView, Operation
 from cassiaseam.positions import ZERO_POSITION, LogPosition
 
 # Records of live targets are back two seconds after the store is; a multiple of that.
@@ -196,8 +196,3 @@
 def count_needed_grants(group: GroupView) -> int:
     """Return how many fences a promotion needs to meet every majority."""
     return group.size - count_majority(group.monitor) + 1
-
-
-def find_supporters(group: GroupView) -> list[TargetState]:
-    """Return the targets beside the primary."""
-    return [target for name, target in group.targets.items() if name != group.monitor.primary]
--- a/src/cassiaseam/pooler/failover.py
+++ b/src/cassiaseam/pooler/failover.py
@@ -399,7 +399,6 @@
     command = job.command
     if isinstance(command, Demote) and command.term == promotion.term:
         if not reply.status.is_primary:
-            promotion.demoted = True
             promotion.grants[name] = reply.status.last
             if promotion.stage is PromotionStage.DEMOTE:
                 promotion.final = reply.status.last
--- a/src/cassiaseam/pooler/model.py
+++ b/src/cassiaseam/pooler/model.py
@@ -59,14 +59,12 @@
         routes: Route per database name.
         groups: Limits per database group.
         transaction_idle_s: Time in seconds after which an idle transaction may be ended.
-        max_statement_bytes: Length of the longest statement that is accepted.
     """
 
     version: int
     routes: dict[str, Route] = field(default_factory=dict)
     groups: dict[str, GroupLimits] = field(default_factory=dict)
     transaction_idle_s: float = 3.0
-    max_statement_bytes: int = 262144
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiaseam/pooler/sessions.py
+++ b/src/cassiaseam/pooler/sessions.py
@@ -28,7 +28,7 @@
 @handles(CallerConnected)
 def open_session(state: PoolerState, event: CallerConnected, now: float) -> list:
     """Open a session, or keep it waiting until the first configuration is known."""
-    session = CallerSession(event.session_id, event.database, event.caller, now)
+    session = CallerSession(event.session_id, event.database, event.caller)
     state.sessions[event.session_id] = session
     if not is_configured(state):
         return []
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from cassiaseam.group.state import GroupState
-from cassiaseam.pooler.commands import Command, Forward, SessionState, Statement, TargetReply
+from cassiaseam.pooler.commands import Command, SessionState, Statement, TargetReply
 from cassiaseam.pooler.events import DutyRecord
 from cassiaseam.pooler.metrics import Histogram
 from cassiaseam.pooler.model import Route, RoutingConfig, TargetRecord
@@ -136,13 +136,11 @@
         waiting: Statements that arrived while one was under way.
         last_commit: Position of the latest commit of the session.
         accepted: Whether the caller was told that the session is open.
-        connected_at: Time at which the caller asked for the session.
     """
 
     session_id: int
     database: str
     caller: str
-    connected_at: float
     state: SessionState = SessionState.IDLE
     variables: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, Statement] = field(default_factory=dict)
@@ -196,7 +194,6 @@
         poll_again: Whether another poll is to follow the one under way.
         next_poll_at: Time before which no further poll is sent.
         next_probe_at: Time before which it is not asked again why it is silent.
-        heard_at: Time of the latest reply, or None.
         silent_since: Time of the oldest command that is unanswered since the latest reply.
         failing_since: Time since which connections cannot be opened, or None.
         refused_until: Time before which no connection is opened.
@@ -217,7 +214,6 @@
     poll_again: bool = False
     next_poll_at: float = 0
     next_probe_at: float = 0
-    heard_at: float | None = None
     silent_since: float | None = None
     failing_since: float | None = None
     refused_until: float = 0
@@ -260,7 +256,6 @@
         old_primary: Primary to replace, or ''.
         final: Last position of a demoted primary, or None.
         grants: Position per target that granted the fence.
-        demoted: Whether the old primary confirmed that it is a replica.
         chosen: Target to promote, or ''.
         nonce: Unique id of the claim of the duty, or ''.
     """
@@ -277,7 +272,6 @@
     old_primary: str = ''
     final: LogPosition | None = None
     grants: dict[str, LogPosition] = field(default_factory=dict)
-    demoted: bool = False
     chosen: str = ''
     nonce: str = ''
 
@@ -296,7 +290,6 @@
         without_primary_since: Time since which no primary works, or None.
         promotion: Promotion that this daemon attempts, or None.
         retry_promotion_at: Time before which no promotion is started.
-        evidence_from: Latest start time that waiting operations need a poll from.
         fenced_since: Time since which a target is fenced above the term in charge, or None.
         survey_at: Time of the latest poll of all targets.
         demote_until: Time until which a former primary is told to step down.
@@ -316,7 +309,6 @@
     without_primary_since: float | None = None
     promotion: Promotion | None = None
     retry_promotion_at: float = 0
-    evidence_from: float = -1
     fenced_since: float | None = None
     survey_at: float = -1
     demote_until: float = 0
@@ -386,8 +378,3 @@
     counters: dict[tuple[str, str], int] = field(default_factory=dict)
     commands_sent: dict[str, int] = field(default_factory=dict)
     latencies: dict[str, Histogram] = field(default_factory=dict)
-
-
-def find_forwarded(job: Job) -> Forward | None:
-    """Return the statement that a job forwards, or None for other commands."""
-    return job.command if isinstance(job.command, Forward) else None
