--- a/src/cassiaseam/cli/error_table.py
+++ b/src/cassiaseam/cli/error_table.py
@@ -33,6 +33,7 @@
     ErrorKind.REPLICAS_BEHIND: 'A majority cannot hold the write in time; see partition.md.',
     ErrorKind.TOO_OLD: 'No reachable target is fresh enough; accept a higher age or wait.',
     ErrorKind.DEADLINE_EXCEEDED: 'The request cannot be done by its deadline and did not run.',
+    ErrorKind.STATEMENT_TIMEOUT: 'A target did not answer in time; a read may be repeated.',
     ErrorKind.NOT_OWNER: 'The daemon does not own the database now; the entry asks the next one.',
     ErrorKind.PEER_UNREACHABLE: 'The owner, or for operators the API, cannot be reached.',
     ErrorKind.SHUTTING_DOWN: 'The daemon is leaving; connect again.',
