Keep a COMMIT that is given up away from the connection it gave back

A COMMIT whose reply had come released its connection but its session still named it. When the COMMIT was given up in doubt, or its caller left, the transaction of whichever session used that connection by then was rolled back, and that session's next statement ran outside of its transaction. Ruled out: the restart of a target behind a cut (the connection and its START were new). Change: the session forgets the connection with the reply; a transaction is ended only on a connection that is pinned to its session.

--- a/src/cassiaseam/pooler/endings.py
+++ b/src/cassiaseam/pooler/endings.py
@@ -34,7 +34,7 @@
     finish(state, operation)
     count(state, operation, kind.value)
     if session.transaction is not None:
-        effects += abandon_transaction(state, session, now, running=operation)
+        effects += abandon_transaction(state, session, now)
         if operation.statement.kind is not StatementKind.COMMIT:
             session.state = SessionState.FAILED_TRANSACTION
     effects += sessions.answer_error(session, error)
@@ -77,9 +77,7 @@
     return effects
 
 
-def abandon_transaction(
-    state: PoolerState, session: CallerSession, now: float, running: Operation | None = None
-) -> list:
+def abandon_transaction(state: PoolerState, session: CallerSession, now: float) -> list:
     """End the transaction of a session without a commit and free its connection."""
     transaction = session.transaction
     session.transaction = None
@@ -87,7 +85,8 @@
     if transaction is None:
         return []
     connection = state.connections.get(transaction.connection_id)
-    if connection is None:
+    # After a COMMIT the connection may already serve another session.
+    if connection is None or connection.pinned_to != session.session_id:
         return []
     group = state.groups[transaction.route.group]
     target = group.targets[connection.target]
--- a/src/cassiaseam/pooler/replies.py
+++ b/src/cassiaseam/pooler/replies.py
@@ -88,7 +88,8 @@
     target = group.targets[connection.target]
     effects: list = []
     if transaction is None or operation.statement.kind is StatementKind.COMMIT:
-        connection.pinned_to = 0
+        if transaction is not None:
+            transaction.connection_id = endings.RELEASED
         effects = connections.release_connection(state, target, connection, now)
     else:
         connection.job = None
--- a/tests/pooler/test_pooler_reach.py
+++ b/tests/pooler/test_pooler_reach.py
@@ -249,3 +249,36 @@
     world.run_until(3)
     assert call is None or is_success(call)
     assert ('vm0', 1) in world.closed
+
+
+@pytest.mark.parametrize('caller_leaves', [False, True])
+def test_commit_in_doubt_does_not_end_the_transaction_of_another_caller(caller_leaves):
+    # The connection of a COMMIT that waited for its confirmation was in use by another session
+    # when the COMMIT was given up; that session's transaction was rolled back and its next
+    # statement ran outside of it (esoviz own day cuts, seed 1088112616866, PINNED at 13.413 s).
+    world = World(vms=1)
+    world.run_until(0.5)
+    state = world.vms['vm0'].state
+    world.connect('vm0', 1, 'orders')
+    world.connect('vm0', 2, 'orders')
+    world.send('vm0', 1, StatementKind.BEGIN)
+    world.send('vm0', 1, StatementKind.WRITE, 'first')
+    world.run_until(0.6)
+    for name in ('t1', 't2'):
+        world.cut('t0', name, 5)
+    commit = world.send('vm0', 1, StatementKind.COMMIT)
+    world.run_until(0.8)
+    assert commit.answer is None
+    world.send('vm0', 2, StatementKind.BEGIN)
+    world.send('vm0', 2, StatementKind.WRITE, 'second')
+    world.run_until(1)
+    pinned = state.connections[state.sessions[2].transaction.connection_id]
+    if caller_leaves:
+        world.leave('vm0', 1)
+    world.run_until(1.8)
+    backlog = world.vms['vm0'].links[pinned.connection_id][1]
+    assert backlog.open
+    assert pinned.pinned_to == 2
+    world.send('vm0', 2, StatementKind.WRITE, 'third')
+    world.run_until(1.9)
+    assert world.committed['third'] == 0
