Drop repeated resets of a target's state and name what the soak may catch

Cause: reading the whole change again: use_connection and fail_queue reset fields that note_heard and fail_job reset already, and the recovery check of the soak caught every exception, which could have hidden a fault of the soak itself. Change: the repeated resets are gone; the soak catches lost sessions and socket errors only. Conclusion: no decision changed.

--- a/src/cassiaseam/pooler/targets.py
+++ b/src/cassiaseam/pooler/targets.py
@@ -57,7 +57,6 @@
     connection.ready = True
     connection.idle_since = now
     connections.note_heard(target, now)
-    target.failing_since = None
     return connections.start_jobs(state, target, now)
 
 
@@ -96,9 +95,7 @@
     queue = list(target.queue)
     target.queue.clear()
     for job in queue:
-        if target.status_job is job:
-            target.status_job = None
-        effects += fail_job(state, group, job, reason, now)
+        effects.extend(fail_job(state, group, job, reason, now))
     return effects
 
 
--- a/src/cassiaseam_soak/run.py
+++ b/src/cassiaseam_soak/run.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from cassiaseam_soak.callers import Caller, Ledger
+from cassiaseam_soak.callers import Caller, Ledger, SessionLost
 from cassiaseam_soak.faults import FAULTS, PlannedFault, plan_faults
 from cassiaseam_soak.installation import ROUTES, Installation
 
@@ -89,7 +89,7 @@
             if caller.session is None:
                 await caller.connect()
             await caller.write()
-        except (OSError, RuntimeError, Exception) as error:  # noqa: BLE001
+        except (OSError, SessionLost) as error:
             caller.ledger.outcomes[f'retry {type(error).__name__}'] += 1
             caller.leave()
         if len(caller.ledger.acknowledged) > known:
