Tell why a scenario of the process tests failed

Cause: KNOWN-RED lists a scenario whose message was not kept, as the run prints progress only. Change: the run prints the messages of failed steps; the wait for a whole installation says what is missing; a COMMIT with an unexpected end shows its error. A daemon that goes on has the margin to answer; a request to it counts as hanging after that, as before.

--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -149,15 +149,17 @@
 
 async def commit_transaction(context, outcome):
     journal = context.load.journal
+    cause = ''
     try:
         await fetch(context.held, 'COMMIT')
         found = 'acknowledged'
         journal.acknowledged.add(context.held_row)
     except FAILURES as error:
         failure = classify_failure(error)
+        cause = f'{error}'
         found = 'lost' if failure.kind == LOST else failure.kind
         journal.refused.add(context.held_row)
-    assert found == outcome, f'{found}, expected {outcome}'
+    assert found == outcome, f'{found}, expected {outcome}: {cause}'
 
 
 @when('the {role} daemon is told to stop')
--- a/features/support/load.py
+++ b/features/support/load.py
@@ -174,25 +174,41 @@
         hint = f'/* cassiaseam: deadline={int(load.deadline_s * 1000)}ms{options} */ '
         number = next(load.sequence)
         load.in_flight[number] = self.daemon
+        sent_at = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(load.deadline_s + load.margin_s):
                 rows = await fetch(connection, hint + sql)
         except FAILURES as error:
-            raise RequestFailed(self.note_failure(number, sql, error)) from error
+            raise RequestFailed(self.note_failure(number, sql, error, sent_at)) from error
         finally:
             load.in_flight.pop(number, None)
         load.outcomes['ok'] += 1
         return rows
 
-    def note_failure(self, number: int, sql: str, error: Exception) -> CallerFailure:
+    def could_answer(self) -> bool:
+        """Return whether the daemon has run long enough to answer a request that is overdue.
+
+        A daemon that was frozen has the margin after it goes on.
+        """
+        world = self.load.world
+        if self.daemon in world.frozen:
+            return False
+        resumed_at = world.resumed_at.get(self.daemon)
+        now = asyncio.get_running_loop().time()
+        return resumed_at is None or now - resumed_at >= self.load.margin_s
+
+    def note_failure(
+        self, number: int, sql: str, error: Exception, sent_at: float
+    ) -> CallerFailure:
         load = self.load
         failure = classify_failure(error)
         load.outcomes[f'{failure.kind}/{failure.ran}'] += 1
         if number in load.watched:
             load.interrupted.append(f'{self.daemon}: {error}')
-        if failure.kind == NOT_ANSWERED and self.daemon not in load.world.frozen:
+        if failure.kind == NOT_ANSWERED and self.could_answer():
             load.violations.hanging += 1
-            load.violations.note(f'no answer of {self.daemon} to {sql}')
+            waited_s = asyncio.get_running_loop().time() - sent_at
+            load.violations.note(f'no answer of {self.daemon} in {waited_s:.2f} s to {sql}')
         if failure.kind in {NOT_ANSWERED, LOST}:
             self.drop()
         elif ANSWERS[ErrorKind(failure.kind)].retryable and 'retry_after_ms=' not in str(error):
--- a/features/support/world.py
+++ b/features/support/world.py
@@ -65,7 +65,9 @@
         """Forget the installation."""
         self.cluster: Cluster | None = None
         self.frozen: set[str] = set()
+        self.resumed_at: dict[str, float] = {}
         self.scenario = 0
+        self.not_whole = ''
         self.leaving = ''
         self.owners: set[str] = set()
 
@@ -190,6 +192,8 @@
         """
         for daemon in self.cluster.list_daemons():
             daemon.resume()
+        now = asyncio.get_running_loop().time()
+        self.resumed_at.update(dict.fromkeys(self.frozen, now))
         self.frozen.clear()
         await self.set_platform(**PLATFORM_DEFAULTS)
         for target in self.group.targets.values():
@@ -201,7 +205,10 @@
             if daemon.process is None:
                 daemon.start()
                 await daemon.wait_until_listening()
-        await wait_until(self.is_whole, HEAL_LIMIT_S, 'the installation is whole again')
+        try:
+            await wait_until(self.is_whole, HEAL_LIMIT_S, 'the installation is whole again')
+        except AssertionError as error:
+            raise AssertionError(f'{error}; last seen: {self.not_whole}') from error
         self.owners = await self.read_owners()
 
     async def _clear_faults(self, name: str) -> None:
@@ -217,26 +224,32 @@
         statuses = await self.read_statuses()
         primary = await self.find_primary()
         if primary is None or len(statuses) != len(self.list_targets()):
+            self.not_whole = f'primary {primary}, targets that answer: {sorted(statuses)}'
             return False
         for status in statuses.values():
             follows = status.instance == primary.instance or status.follows == primary.instance
             if not follows or status.term != primary.term or status.leaving:
+                self.not_whole = f'{status} does not follow {primary}'
                 return False
             if not status.applied.covers(primary.last):
+                self.not_whole = f'{status} is behind {primary}'
                 return False
         return all([await self._serves(daemon) for daemon in self.cluster.list_daemons()])
 
     async def _serves(self, daemon: DaemonProcess) -> bool:
         try:
             # After an outage a daemon leaves the platform alone for some seconds.
-            code, _ = await self.call_admin(daemon, '/v1/plans')
+            code, body = await self.call_admin(daemon, '/v1/plans')
             if code != 200:
+                self.not_whole = f'{daemon.vm} answers {code} to /v1/plans: {body}'
                 return False
             _, status = await self.call_admin(daemon, '/v1/status')
             if status['members']['alive'] != len(self.cluster.daemons):
+                self.not_whole = f'{daemon.vm} sees members {status["members"]}'
                 return False
             await self.query(daemon, TABLE_SQL)
-        except (ConnectionError, OSError, TimeoutError, pymysql.err.MySQLError):
+        except (ConnectionError, OSError, TimeoutError, pymysql.err.MySQLError) as error:
+            self.not_whole = f'{daemon.vm}: {error!r}'
             return False
         return True
 
--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -54,11 +54,23 @@
             if scenario['type'] != 'background':
                 name = f'{feature["name"]}: {scenario["name"].strip()}'
                 outcomes[name] = scenario.get('status') == 'passed'
+                print_failed_steps(name, scenario)
     if not outcomes:
         outcomes['behave ran no scenario'] = False
     return outcomes
 
 
+def print_failed_steps(name: str, scenario: dict) -> None:
+    """Print the messages of failed steps; the progress output does not show all of them."""
+    for step in scenario.get('steps', []):
+        result = step.get('result', {})
+        if result.get('status') not in {'failed', 'error'}:
+            continue
+        message = result.get('error_message', [])
+        text = message if isinstance(message, str) else '\n'.join(message)
+        print(f'{name}: {step["name"]}\n{text}')
+
+
 def main() -> int:
     with tempfile.TemporaryDirectory() as folder:
         outcomes = run_pytest(Path(folder) / 'pytest.xml')
