Close idle links to a peer that is silent on another link

Two daemons that dial each other at the same time keep two links. Only the link with requests or transactions is watched. After it was closed for silence, the next COMMIT went out on the second link to the frozen owner and ended in doubt after 0.6 s, where it should have ended as not run. Ruled out: the entry's own stalls (a run that also waited until the entry had closed a silent link still failed: 'link to vm vm-2 lost: silent for 0.60 s'). Change: a link that is closed for silence takes the idle links to the same peer with it; the next request dials anew and needs a hello. Test: test_silence_on_one_link_ends_an_idle_second_link_to_the_same_peer, which failed before.

--- a/src/cassiaseam/daemon/role_metrics.py
+++ b/src/cassiaseam/daemon/role_metrics.py
@@ -23,6 +23,7 @@
 RETRIES = 'cassiaseam_retries_total'
 PLATFORM_CALLS = 'cassiaseam_platform_calls_total'
 REFUSED_STAMPS = 'cassiaseam_refused_stamps_total'
+SILENT_PEERS = 'cassiaseam_silent_peers_total'
 QUEUE = 'cassiaseam_owner_queue_length'
 CONNECTIONS = 'cassiaseam_target_connections'
 RUNNING = 'cassiaseam_target_running_statements'
@@ -49,6 +50,7 @@
     MetricSpec(RETRIES, 'Requests sent again, by role.', _COUNTER, ('role',)),
     MetricSpec(PLATFORM_CALLS, 'Calls of the platform by event.', _COUNTER, ('event',)),
     MetricSpec(REFUSED_STAMPS, 'Clock stamps of peers too far ahead.', _COUNTER),
+    MetricSpec(SILENT_PEERS, 'Links closed because the peer was silent.', _COUNTER),
     *_DATABASE_GAUGES,
 )
 Labels = tuple[tuple[str, str], ...]
@@ -97,6 +99,8 @@
             self.report(metrics, PLATFORM_CALLS, runtime.peers.client.counters[event], event=event)
         refused = runtime.peers.stamps.counters['refused_stamps']
         self.report(metrics, REFUSED_STAMPS, refused)
+        silent = runtime.peers.transport.counters['frozen_peers']
+        self.report(metrics, SILENT_PEERS, silent)
 
     def collect_database(
         self, metrics: MetricsRegistry, name: str, summary: DatabaseSummary
--- a/src/cassiaseam/peers/link.py
+++ b/src/cassiaseam/peers/link.py
@@ -121,6 +121,7 @@
         open_transactions: Transactions whose statements ran over this link.
         incoming: Wire ids of requests of the peer that are not answered yet.
         draining: Whether a goodbye was sent or received.
+        was_silent: Whether it was closed because the peer was silent.
     """
 
     def __init__(self, context: LinkContext, vm: str = ''):
@@ -132,6 +133,7 @@
         self.open_transactions: set[str] = set()
         self.incoming: set[int] = set()
         self.draining = False
+        self.was_silent = False
         self.closed = False
         self.close_reason = ''
         self.incarnation = 0
@@ -328,6 +330,7 @@
             since = max(self.expecting_since, self.last_received_at)
             if now - since >= limits.silence_limit_s:
                 self.context.counters['frozen_peers'] += 1
+                self.was_silent = True
                 self.abort(f'silent for {now - since:.2f} s')
                 return
         if not self.paused:
--- a/src/cassiaseam/peers/link_table.py
+++ b/src/cassiaseam/peers/link_table.py
@@ -99,6 +99,12 @@
             self.links.pop(link.vm, None)
         return not listed
 
+    def close_idle_links(self, vm: str) -> None:
+        """Close the links to a silent VM that nothing watches; the next request dials again."""
+        for link in list(self.links.get(vm, ())):
+            if not link.is_busy():
+                link.abort('the peer is silent on another link')
+
     def find_link(self, vm: str) -> PeerLink | None:
         """Return the open link to a VM; of two, both sides choose the same one."""
         usable = [link for link in self.links.get(vm, ()) if not link.draining]
--- a/src/cassiaseam/peers/transport.py
+++ b/src/cassiaseam/peers/transport.py
@@ -298,6 +298,8 @@
         for key in lost:
             self.incoming.pop(key)
         is_last = self.table.forget_link(link)
+        if link.was_silent:
+            self.table.close_idle_links(link.vm)
         if link.incarnation and (was_busy or (is_last and not link.draining)):
             logging.info('event=peer_lost vm=%s reason=%r', link.vm, reason)
             self.on_peer_lost(link.vm)
--- a/tests/daemon/test_role_metrics.py
+++ b/tests/daemon/test_role_metrics.py
@@ -8,6 +8,7 @@
     PLATFORM_CALLS,
     REQUESTS,
     RETRIES,
+    SILENT_PEERS,
     RoleCollector,
     add_role_metrics,
 )
@@ -20,6 +21,7 @@
     peers = SimpleNamespace(
         client=SimpleNamespace(counters=Counter(calls=5)),
         stamps=SimpleNamespace(counters=Counter()),
+        transport=SimpleNamespace(counters=Counter(frozen_peers=7)),
     )
     listener = SimpleNamespace(connections={1, 2, 3})
     return SimpleNamespace(forwarder=forwarder, peers=peers, listener=listener)
@@ -38,6 +40,7 @@
         f'{PLATFORM_CALLS}{{event="calls"}} 5',
         f'{FAILOVERS}{{database="orders"}} 1',
         'cassiaseam_entry_sessions 3',
+        f'{SILENT_PEERS} 7',
     ],
 )
 def test_counters_are_not_added_twice_by_a_second_reading(line):
--- a/tests/test_peer_transport.py
+++ b/tests/test_peer_transport.py
@@ -235,6 +235,26 @@
     run_in_mesh(scenario)
 
 
+def test_silence_on_one_link_ends_an_idle_second_link_to_the_same_peer():
+    # A COMMIT to a frozen owner went out on the link that the owner had dialled, which nothing
+    # watched, and ended in doubt instead of not run.
+    async def scenario(mesh):
+        entry, peer = await mesh.add('a'), RawPeer('raw')
+        server = await listen_raw(mesh, peer)
+        await entry.table.obtain_link('raw')
+        loop = asyncio.get_running_loop()
+        await loop.create_connection(lambda: RawPeer('raw'), *mesh.addresses['a'])
+        await wait_until(lambda: len(entry.table.links['raw']) == 2)
+        await send(entry, 'raw', make_request(entry, kind=RequestKind.READ))
+        server.close()
+        commit = make_request(entry, 'r2', kind=RequestKind.COMMIT)
+        answer = await send(entry, 'raw', commit)
+        assert answer.error.kind is ErrorKind.PEER_UNREACHABLE
+        assert entry.counters['frozen_peers'] == 1
+
+    run_in_mesh(scenario)
+
+
 @pytest.mark.parametrize('kind', [RequestKind.READ, RequestKind.WRITE])
 def test_request_to_a_dead_address_was_never_sent(kind):
     async def scenario(mesh):
