Hold the duty to promote once per VM, for all its groups

Cause: each group of a VM claimed the duty for itself. A second group got a higher token, and the next call of the first one carried a lower token than the platform had seen; with several groups without a primary the claims also ran one after the other. Change: one claim per VM, in a module of its own; groups that wait share the read and the claim, and use a claim that is still valid. No new claim is made, and none is released, while a call under the former token may still arrive at the platform. Ruled out: a record per group; whether the platform compares tokens per group or over all is an open question (docs/platform.md), and one claim satisfies both.

--- /dev/null
+++ b/src/cassiaseam/pooler/duty.py
@@ -0,0 +1,147 @@
+"""The duty to promote, which one VM at a time holds.
+
+It is held by a conditional write of a record in the store; the revision of that write is the
+fencing token. A holder acts for `CLAIM_VALID_S` after it sent the claim; others take the duty over
+when the record has not changed for `CLAIM_LIFETIME_S`. One claim serves the promotions of all
+groups of a VM, so that their calls never carry a lower token than an earlier one.
+"""
+
+from dataclasses import dataclass
+
+from cassiaseam.pooler.events import (
+    DutyRead,
+    DutyRecord,
+    DutyWritten,
+    ReadDuty,
+    WriteDuty,
+    WriteOutcome,
+)
+from cassiaseam.pooler.state import PoolerState
+
+# Seconds after which an unchanged claim of another VM counts as abandoned.
+CLAIM_LIFETIME_S = 3.0
+# Seconds after sending its claim for which a holder calls the platform.
+CLAIM_VALID_S = 2.0
+# Seconds after which a read, a claim or a call without a result is not waited for any longer;
+# above the time limits of these calls.
+ASK_LIMIT_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class DutyStep:
+    """What follows from news about the duty.
+
+    Attributes:
+        effects: Calls of the store.
+        is_settled: Whether the promotions that wait for the duty go on or end.
+        refusal: Why this VM does not get the duty, or '' when it holds it.
+    """
+
+    effects: tuple = ()
+    is_settled: bool = False
+    refusal: str = ''
+
+
+def is_claim_valid(state: PoolerState, now: float) -> bool:
+    """Return whether this VM holds the duty and may call the platform."""
+    duty = state.duty
+    return bool(duty.token) and now - duty.claimed_at <= CLAIM_VALID_S
+
+
+def request_duty(state: PoolerState, now: float) -> list:
+    """Read the record unless a read or a claim is under way, or a call of an older token."""
+    duty = state.duty
+    if is_calling(state, now):
+        return []
+    if duty.asked_at is not None and now - duty.asked_at < ASK_LIMIT_S:
+        return []
+    duty.token = 0
+    duty.nonce = ''
+    duty.asked_at = now
+    return [ReadDuty()]
+
+
+def is_calling(state: PoolerState, now: float) -> bool:
+    """Return whether a call of the platform under the present token may still arrive there."""
+    return state.duty.calls > 0 and now - state.duty.called_at < ASK_LIMIT_S
+
+
+def take_record(state: PoolerState, event: DutyRead, now: float) -> DutyStep:
+    """Decide by the record read: use or drop a claim without an answer, or claim the duty."""
+    duty = state.duty
+    if event.revision != duty.revision:
+        duty.revision = event.revision
+        duty.seen_at = now
+    duty.record = event.record
+    duty.asked_at = None
+    if duty.token:
+        return DutyStep()
+    if duty.nonce:
+        if event.record is not None and event.record.nonce == duty.nonce:
+            return hold_duty(state, event.revision)
+        return lose_claim(state, 'the claim was not written')
+    if not is_duty_free(state, now):
+        return lose_claim(state, 'another VM holds the duty')
+    duty.nonce = f'{state.rng.getrandbits(64):016x}'
+    duty.claimed_at = now
+    duty.asked_at = now
+    record = DutyRecord(state.vm, duty.nonce, released=False)
+    return DutyStep((WriteDuty(record, event.revision),))
+
+
+def take_failed_read(state: PoolerState) -> DutyStep:
+    """Give the claim up when the record cannot be read."""
+    state.duty.asked_at = None
+    if state.duty.token:
+        return DutyStep()
+    return lose_claim(state, 'the duty record cannot be read')
+
+
+def take_written(state: PoolerState, event: DutyWritten, now: float) -> DutyStep:
+    """Take the result of writing the record."""
+    duty = state.duty
+    if event.outcome is WriteOutcome.WRITTEN:
+        duty.revision = event.revision
+        duty.record = event.record
+        duty.seen_at = now
+    if duty.nonce != event.record.nonce or duty.token or event.record.released:
+        return DutyStep()
+    duty.asked_at = None
+    if event.outcome is WriteOutcome.WRITTEN:
+        return hold_duty(state, event.revision)
+    if event.outcome is WriteOutcome.CONFLICT:
+        return lose_claim(state, 'another VM claimed the duty')
+    duty.asked_at = now
+    return DutyStep((ReadDuty(),))
+
+
+def hold_duty(state: PoolerState, token: int) -> DutyStep:
+    """Use the revision of the claim as the fencing token."""
+    state.duty.token = token
+    return DutyStep(is_settled=True)
+
+
+def lose_claim(state: PoolerState, reason: str) -> DutyStep:
+    """Drop a claim that did not succeed."""
+    state.duty.nonce = ''
+    return DutyStep(is_settled=True, refusal=reason)
+
+
+def is_duty_free(state: PoolerState, now: float) -> bool:
+    """Return whether this VM may claim the duty."""
+    record = state.duty.record
+    if record is None or record.released or record.holder == state.vm:
+        return True
+    return now - state.duty.seen_at > CLAIM_LIFETIME_S
+
+
+def release_duty(state: PoolerState, now: float) -> list:
+    """Let another VM take the duty at once, unless a call may still arrive at the platform."""
+    duty = state.duty
+    held = duty.token and duty.record is not None and duty.record.holder == state.vm
+    nonce = duty.nonce
+    duty.token = 0
+    duty.nonce = ''
+    if not held or is_calling(state, now):
+        return []
+    return [WriteDuty(DutyRecord(state.vm, nonce, released=True), duty.revision)]
--- a/src/cassiaseam/pooler/failover.py
+++ b/src/cassiaseam/pooler/failover.py
@@ -1,27 +1,20 @@
 """Promotion of another target when the primary leaves, fails or is cut off.
 
-One VM at a time holds the duty to promote, by a conditional write of a record in the store. The
-revision of that write is the fencing token. A holder acts for `CLAIM_VALID_S` after it sent the
-claim; others take the duty over when the record has not changed for `CLAIM_LIFETIME_S`.
-
-A primary that answers is demoted first, and the promoted target has to hold its whole log. In
-place of a primary that does not answer, enough replicas are fenced that no majority can
-acknowledge its commits any longer, and the replica that holds the most is promoted.
+A VM acts while it holds the duty to promote, see `duty`. A primary that answers is demoted first,
+and the promoted target has to hold its whole log. In place of a primary that does not answer,
+enough replicas are fenced that no majority can acknowledge its commits any longer, and the replica
+that holds the most is promoted.
 """
 
-from cassiaseam.pooler import connections, detection, evidence, routing, steering
+from cassiaseam.pooler import connections, detection, duty, evidence, routing, steering
 from cassiaseam.pooler.commands import Demote, Fence, TargetReply
 from cassiaseam.pooler.events import (
     CallPromotion,
     DutyRead,
     DutyReadFailed,
-    DutyRecord,
     DutyWritten,
     PromotionAnswered,
-    ReadDuty,
-    WriteDuty,
     WriteLog,
-    WriteOutcome,
 )
 from cassiaseam.pooler.state import (
     GroupView,
@@ -33,10 +26,6 @@
 )
 from cassiaseam.reducer.registry import handles
 
-# Seconds after which an unchanged claim of another VM counts as abandoned.
-CLAIM_LIFETIME_S = 3.0
-# Seconds after sending its claim for which a holder calls the platform.
-CLAIM_VALID_S = 2.0
 # Longest random pause in seconds by which the VMs spread their claims.
 CLAIM_SPREAD_S = 0.15
 # Pause in seconds after a failed attempt.
@@ -76,9 +65,9 @@
 def start_promotion(
     state: PoolerState, group: GroupView, cause: str, planned: bool, now: float
 ) -> list:
-    """Read the duty record, the first step of a promotion."""
+    """Ask for the duty, the first step of a promotion."""
     group.promotion = Promotion(
-        cause, now, planned, PromotionStage.READ_DUTY, now, old_primary=group.monitor.primary
+        cause, now, planned, PromotionStage.AWAIT_DUTY, now, old_primary=group.monitor.primary
     )
     log = WriteLog(
         'promotion_considered',
@@ -90,94 +79,58 @@
             'targets': len(group.targets),
         },
     )
-    return [log, ReadDuty()]
+    return [log, *run_duty_step(state, group, group.promotion, now)]
 
 
-def find_promotions(state: PoolerState, stage: PromotionStage) -> list[GroupView]:
-    """Return the groups whose promotion is at a stage."""
-    groups = state.groups.values()
-    return [g for g in groups if g.promotion is not None and g.promotion.stage is stage]
+def find_waiting(state: PoolerState) -> list[GroupView]:
+    """Return the groups whose promotion waits for the duty."""
+    return [
+        group
+        for group in state.groups.values()
+        if group.promotion is not None and group.promotion.stage is PromotionStage.AWAIT_DUTY
+    ]
 
 
 @handles(DutyRead)
-def claim_duty(state: PoolerState, event: DutyRead, now: float) -> list:
-    """Claim the duty when it is free."""
-    duty = state.duty
-    if event.revision != duty.revision:
-        duty.revision = event.revision
-        duty.seen_at = now
-    duty.record = event.record
-    effects: list = []
-    for group in find_promotions(state, PromotionStage.CLAIM_DUTY):
-        effects.extend(resolve_claim(state, group, event, now))
-    waiting = find_promotions(state, PromotionStage.READ_DUTY)
-    for group in waiting:
-        if is_duty_free(state, now) and not effects:
-            nonce = f'{state.rng.getrandbits(64):016x}'
-            record = DutyRecord(state.vm, nonce, released=False)
-            enter_stage(group.promotion, PromotionStage.CLAIM_DUTY, now)
-            group.promotion.claimed_at = now
-            group.promotion.nonce = nonce
-            effects.append(WriteDuty(record, event.revision))
-        else:
-            effects += give_up(state, group, 'another VM holds the duty', now)
-    return effects
-
-
-def resolve_claim(state: PoolerState, group: GroupView, event: DutyRead, now: float) -> list:
-    """Decide by the record read whether a claim without an answer has been written."""
-    record = event.record
-    promotion = group.promotion
-    if promotion.token:
-        return []
-    if record is not None and record.nonce == promotion.nonce:
-        return use_claim(state, group, event.revision, now)
-    return give_up(state, group, 'the claim was not written', now)
-
-
-def is_duty_free(state: PoolerState, now: float) -> bool:
-    """Return whether this VM may claim the duty."""
-    record = state.duty.record
-    if record is None or record.released or record.holder == state.vm:
-        return True
-    return now - state.duty.seen_at > CLAIM_LIFETIME_S
+def handle_duty_record(state: PoolerState, event: DutyRead, now: float) -> list:
+    """Claim the duty when it is free, or learn what became of a claim without an answer."""
+    return settle_duty(state, duty.take_record(state, event, now), now)
 
 
 @handles(DutyReadFailed)
-def give_up_without_duty(state: PoolerState, event: DutyReadFailed, now: float) -> list:
+def handle_failed_read(state: PoolerState, event: DutyReadFailed, now: float) -> list:
     """Try again later when the duty record cannot be read."""
-    effects: list = []
-    for stage in (PromotionStage.READ_DUTY, PromotionStage.CLAIM_DUTY):
-        for group in find_promotions(state, stage):
-            effects.extend(give_up(state, group, 'the duty record cannot be read', now))
-    return effects
+    return settle_duty(state, duty.take_failed_read(state), now)
 
 
 @handles(DutyWritten)
 def handle_claim_result(state: PoolerState, event: DutyWritten, now: float) -> list:
     """Use a claim that was written, or find out what became of it."""
-    if event.outcome is WriteOutcome.WRITTEN:
-        state.duty.revision = event.revision
-        state.duty.record = event.record
-        state.duty.seen_at = now
-    effects: list = []
-    for group in find_promotions(state, PromotionStage.CLAIM_DUTY):
-        promotion = group.promotion
-        if promotion.nonce != event.record.nonce or promotion.token:
-            continue
-        if event.outcome is WriteOutcome.WRITTEN:
-            effects += use_claim(state, group, event.revision, now)
-        elif event.outcome is WriteOutcome.CONFLICT:
-            effects += give_up(state, group, 'another VM claimed the duty', now)
+    return settle_duty(state, duty.take_written(state, event, now), now)
+
+
+def settle_duty(state: PoolerState, step: duty.DutyStep, now: float) -> list:
+    """Let the promotions that wait for the duty go on or end."""
+    effects: list = list(step.effects)
+    for group in find_waiting(state) if step.is_settled else []:
+        if step.refusal:
+            effects.extend(give_up(state, group, step.refusal, now))
         else:
-            effects.append(ReadDuty())
+            effects.extend(use_claim(state, group, now))
     return effects
 
 
-def use_claim(state: PoolerState, group: GroupView, token: int, now: float) -> list:
+def run_duty_step(state: PoolerState, group: GroupView, promotion: Promotion, now: float) -> list:
+    """Go on with the claim that this VM holds, or ask for the duty."""
+    if duty.is_claim_valid(state, now):
+        return use_claim(state, group, now)
+    return duty.request_duty(state, now)
+
+
+def use_claim(state: PoolerState, group: GroupView, now: float) -> list:
     """Begin with the targets once the duty is held."""
     promotion = group.promotion
-    promotion.token = token
+    promotion.token = state.duty.token
     monitor = group.monitor
     if is_obsolete(group, now):
         return give_up(state, group, 'the primary is in charge again', now)
@@ -192,7 +145,7 @@
             'group': group.name,
             'cause': promotion.cause,
             'term': promotion.term,
-            'fencing': token,
+            'fencing': promotion.token,
             'planned': promotion.planned,
             'primary': promotion.old_primary,
         },
@@ -309,6 +262,7 @@
 
 
 STEPS = {
+    PromotionStage.AWAIT_DUTY: run_duty_step,
     PromotionStage.DEMOTE: run_demote_step,
     PromotionStage.CATCH_UP: run_catch_up_step,
     PromotionStage.FENCE: run_fence_step,
@@ -357,17 +311,21 @@
 def call_platform(state: PoolerState, group: GroupView, now: float) -> list:
     """Call the platform while the claim is valid, and claim again otherwise."""
     promotion = group.promotion
-    if now - promotion.claimed_at > CLAIM_VALID_S:
+    if not duty.is_claim_valid(state, now):
         promotion.token = 0
-        enter_stage(promotion, PromotionStage.READ_DUTY, now)
-        return [ReadDuty()]
+        enter_stage(promotion, PromotionStage.AWAIT_DUTY, now)
+        return duty.request_duty(state, now)
+    promotion.token = state.duty.token
     promotion.sent_at = now
+    state.duty.calls += 1
+    state.duty.called_at = now
     return [CallPromotion(group.name, promotion.chosen, state.vm, promotion.token)]
 
 
 @handles(PromotionAnswered)
 def handle_platform_answer(state: PoolerState, event: PromotionAnswered, now: float) -> list:
     """Wait for the promoted target, or try again."""
+    state.duty.calls -= 1
     group = state.groups.get(event.group)
     promotion = group.promotion if group else None
     if promotion is None or promotion.chosen != event.target:
@@ -415,7 +373,7 @@
         {'group': group.name, 'outcome': 'given_up', 'cause': reason},
     )
     group.retry_promotion_at = now + RETRY_PAUSE_S * (1 + state.rng.random())
-    return [log, *leave_promotion(state, group)]
+    return [log, *leave_promotion(state, group, now)]
 
 
 def end_promotion(state: PoolerState, group: GroupView, now: float) -> list:
@@ -433,17 +391,12 @@
     )
     group.demote_until = now + DEMOTE_FORMER_S
     group.cause_since = None
-    return [log, *leave_promotion(state, group)]
+    return [log, *leave_promotion(state, group, now)]
 
 
-def leave_promotion(state: PoolerState, group: GroupView) -> list:
+def leave_promotion(state: PoolerState, group: GroupView, now: float) -> list:
     """Forget an attempt and release the duty when this VM holds it for nothing else."""
-    held = group.promotion.token
     group.promotion = None
-    others = any(
-        other.promotion is not None and other.promotion.nonce for other in state.groups.values()
-    )
-    record = state.duty.record
-    if not held or others or record is None or record.holder != state.vm:
+    if any(other.promotion is not None for other in state.groups.values()):
         return []
-    return [WriteDuty(DutyRecord(state.vm, record.nonce, released=True), state.duty.revision)]
+    return duty.release_duty(state, now)
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -230,8 +230,7 @@
 class PromotionStage(enum.Enum):
     """Step of a promotion."""
 
-    READ_DUTY = 'read_duty'
-    CLAIM_DUTY = 'claim_duty'
+    AWAIT_DUTY = 'await_duty'
     DEMOTE = 'demote'
     FENCE = 'fence'
     CATCH_UP = 'catch_up'
@@ -250,14 +249,12 @@
         stage: Current step.
         stage_at: Time at which the step began.
         sent_at: Time at which the messages of the step were last sent.
-        claimed_at: Time at which the claim of the duty was sent.
-        token: Fencing token, or 0 before the claim succeeded.
+        token: Fencing token, or 0 before this daemon holds the duty.
         term: Term of the fences.
         old_primary: Primary to replace, or ''.
         final: Last position of a demoted primary, or None.
         grants: Position per target that granted the fence.
         chosen: Target to promote, or ''.
-        nonce: Unique id of the claim of the duty, or ''.
     """
 
     cause: str
@@ -266,14 +263,12 @@
     stage: PromotionStage
     stage_at: float
     sent_at: float = -1
-    claimed_at: float = 0
     token: int = 0
     term: int = 0
     old_primary: str = ''
     final: LogPosition | None = None
     grants: dict[str, LogPosition] = field(default_factory=dict)
     chosen: str = ''
-    nonce: str = ''
 
 
 @dataclass(slots=True)
@@ -321,17 +316,29 @@
 
 @dataclass(slots=True)
 class DutyView:
-    """What this daemon knows of the duty record.
+    """What this daemon knows of the duty record, and its own claim.
 
     Attributes:
         revision: Revision that was last seen.
         record: Record at that revision, or None.
         seen_at: Time at which the revision was first seen.
+        asked_at: Time at which the read or the claim under way was sent, or None.
+        nonce: Unique id of the claim under way or held, or ''.
+        token: Fencing token of the claim held, or 0.
+        claimed_at: Time at which the claim was sent.
+        calls: Calls of the platform that are not answered yet.
+        called_at: Time of the latest call of the platform.
     """
 
     revision: int = -1
     record: DutyRecord | None = None
     seen_at: float = 0
+    asked_at: float | None = None
+    nonce: str = ''
+    token: int = 0
+    claimed_at: float = 0
+    calls: int = 0
+    called_at: float = 0
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/tests/pooler/test_pooler_duty.py
@@ -0,0 +1,147 @@
+"""The duty to promote: one claim for all groups of a VM, and what loses it."""
+
+import random
+
+import pytest
+
+from cassiaseam.pooler import catalogue, duty, failover, targets, ticks
+from cassiaseam.pooler.events import (
+    DutyRead,
+    DutyReadFailed,
+    DutyRecord,
+    DutyWritten,
+    ReadDuty,
+    StoreContact,
+    TargetsListed,
+    WriteDuty,
+    WriteOutcome,
+)
+from cassiaseam.pooler.model import TargetRecord
+from cassiaseam.pooler.state import PoolerState
+from cassiaseam.reducer.registry import reduce_event
+
+REGISTERED = (catalogue, failover, targets, ticks)
+GROUPS = ('g', 'h')
+
+
+def build_state():
+    """Return the state of a VM whose groups have lost their primaries."""
+    state = PoolerState('vm0', 'p0', random.Random(1))
+    reduce_event(state, StoreContact(True), 0)
+    records = tuple(
+        TargetRecord(f'{group}{number}', group, '10.0.0.1', 1, 'p0', 5, False, number == 0, '1')
+        for group in GROUPS
+        for number in range(3)
+    )
+    reduce_event(state, TargetsListed(records), 0)
+    for name in GROUPS:
+        group = state.groups[name]
+        group.monitor.primary = f'{name}0'
+        group.targets[f'{name}0'].failing_since = 0
+    return state
+
+
+def promote(state, name, now):
+    return failover.start_promotion(state, state.groups[name], 'primary_failed', False, now)
+
+
+def find(effects, kind):
+    return [effect for effect in effects if isinstance(effect, kind)]
+
+
+def claim(state, effects, revision, now):
+    """Answer the read and the claim among effects, and return the effects that follow."""
+    if not find(effects, ReadDuty):
+        return []
+    writes = find(reduce_event(state, DutyRead(revision, state.duty.record), now), WriteDuty)
+    written = DutyWritten(writes[0].record, WriteOutcome.WRITTEN, revision + 1)
+    return reduce_event(state, written, now)
+
+
+def test_groups_of_a_vm_promote_under_one_token():
+    # A second group claimed anew, so that the next call of the first one carried a lower token
+    # than the platform had seen.
+    state = build_state()
+    claim(state, promote(state, 'g', 1), 5, 1)
+    claim(state, promote(state, 'h', 1.5), 6, 1.5)
+    assert [state.groups[name].promotion.token for name in GROUPS] == [6, 6]
+
+
+def test_groups_that_wait_share_the_read_and_the_claim():
+    state = build_state()
+    first = promote(state, 'g', 1)
+    second = promote(state, 'h', 1.01)
+    assert len(find(first, ReadDuty)) == 1
+    assert not find(second, ReadDuty)
+    claim(state, first, 5, 1.02)
+    assert [state.groups[name].promotion.token for name in GROUPS] == [6, 6]
+
+
+OTHER = DutyRecord('vm1', 'n1', released=False)
+CLAIMED = object()
+
+
+@pytest.mark.parametrize(
+    ('news', 'refusal'),
+    [
+        ([DutyRead(5, OTHER)], 'another VM holds the duty'),
+        ([DutyReadFailed()], 'the duty record cannot be read'),
+        ([DutyRead(5, None), WriteOutcome.CONFLICT], 'another VM claimed the duty'),
+        (
+            [DutyRead(5, None), WriteOutcome.UNKNOWN, DutyRead(7, OTHER)],
+            'the claim was not written',
+        ),
+        (
+            [DutyRead(5, None), WriteOutcome.UNKNOWN, DutyReadFailed()],
+            'the duty record cannot be read',
+        ),
+        ([DutyRead(5, None), WriteOutcome.UNKNOWN, CLAIMED], ''),
+        ([DutyRead(5, DutyRecord('vm1', 'n1', released=True)), WriteOutcome.WRITTEN], ''),
+        ([DutyRead(5, DutyRecord('vm0', 'n0', released=False)), WriteOutcome.WRITTEN], ''),
+    ],
+)
+def test_what_gives_and_refuses_the_duty(news, refusal):
+    state = build_state()
+    promote(state, 'g', 1)
+    own = None
+    effects = []
+    for event in news:
+        if isinstance(event, WriteOutcome):
+            event = DutyWritten(own, event, 6 if event is WriteOutcome.WRITTEN else 0)
+        elif event is CLAIMED:
+            event = DutyRead(6, own)
+        effects = reduce_event(state, event, 1.1)
+        own = next((write.record for write in find(effects, WriteDuty)), own)
+    promotion = state.groups['g'].promotion
+    if refusal:
+        assert promotion is None
+        assert refusal in {
+            effect.fields.get('cause') for effect in effects if hasattr(effect, 'fields')
+        }
+    else:
+        assert promotion.token == 6
+
+
+@pytest.mark.parametrize(
+    ('calls', 'waited_s', 'asks'), [(0, 0, True), (1, 0.5, False), (1, 4.0, True)]
+)
+def test_new_claim_waits_for_a_call_under_the_former_token(calls, waited_s, asks):
+    # The call would arrive with a lower token than the platform has seen from the new claim.
+    state = build_state()
+    state.duty.calls = calls
+    state.duty.called_at = 1
+    assert bool(find(duty.request_duty(state, 1 + waited_s), ReadDuty)) is asks
+
+
+@pytest.mark.parametrize(('age_s', 'valid'), [(0, True), (1.9, True), (2.1, False)])
+def test_claim_is_valid_for_a_limited_time(age_s, valid):
+    state = build_state()
+    claim(state, promote(state, 'g', 1), 5, 1)
+    assert duty.is_claim_valid(state, 1 + age_s) is valid
+
+
+@pytest.mark.parametrize(('age_s', 'free'), [(0, False), (2.9, False), (3.1, True)])
+def test_abandoned_claim_of_another_vm_is_taken_over(age_s, free):
+    state = build_state()
+    reduce_event(state, DutyRead(5, OTHER), 1)
+    assert duty.is_duty_free(state, 1 + age_s) is free
