Poll the primary no more than the answers need

Cause: a read of the primary polled the primary too, although its own reply says what the primary holds, and an answer that waited for a poll under way asked for one more after it. Ruled out: sharing polls between VMs; there is no peer protocol in this role. Change: a read of the primary polls replicas only; a poll under way that began late enough is waited for; a sample is renewed at 0.9 of the accepted age instead of 0.7.

--- a/src/cassiaseam/pooler/sending.py
+++ b/src/cassiaseam/pooler/sending.py
@@ -23,7 +23,7 @@
 REFUSAL_MEMORY_S = 0.15
 # Age of the latest sample, as a part of the accepted age, above which it is renewed, and the age
 # of statuses that the new sample may be made of.
-REFRESH_SHARE = 0.7
+REFRESH_SHARE = 0.9
 REUSE_SHARE = 0.2
 # Age in seconds of statuses that are polled again while writes are held back.
 EVIDENCE_AGE_S = 0.05
@@ -117,7 +117,8 @@
 ) -> list:
     """Poll what the answer needs, and what later reads are going to need."""
     if operation.needs_confirmation:
-        return request_evidence(state, group, operation.started_at, now)
+        # The reply of the primary to the read itself says what the primary holds.
+        return poll_replicas(state, group, operation.started_at, now)
     samples = group.monitor.samples
     if operation.floor is None or not samples:
         return []
@@ -129,19 +130,31 @@
 
 def request_evidence(state: PoolerState, group: GroupView, since: float, now: float) -> list:
     """Make sure that a majority is polled at or after `since`."""
-    effects: list = []
+    effects = poll_replicas(state, group, since, now)
+    if group.monitor.primary in group.targets:
+        effects += poll_unless_known(state, group, group.monitor.primary, since, now)
+    return effects
+
+
+def poll_replicas(state: PoolerState, group: GroupView, since: float, now: float) -> list:
+    """Poll the nearest targets that make a majority together with the primary."""
     needed = max(group.size // 2, 1)
     if not group.monitor.primary:
         needed = len(group.targets)
-    names = routing.list_by_distance(state, group, now)
-    for name in names[:needed]:
-        view = group.monitor.targets.get(name)
-        if view is not None and view.status is not None and view.status_started_at >= since:
-            continue
-        effects += connections.submit_status_poll(state, group, name, now)
-    primary = group.targets.get(group.monitor.primary)
-    if primary is not None:
-        view = group.monitor.targets[group.monitor.primary]
-        if view.status_started_at < since:
-            effects += connections.submit_status_poll(state, group, primary.record.name, now)
+    effects: list = []
+    for name in routing.list_by_distance(state, group, now)[:needed]:
+        effects.extend(poll_unless_known(state, group, name, since, now))
     return effects
+
+
+def poll_unless_known(
+    state: PoolerState, group: GroupView, name: str, since: float, now: float
+) -> list:
+    """Poll a target unless a status as of `since` or later is known or under way."""
+    view = group.monitor.targets.get(name)
+    if view is not None and view.status is not None and view.status_started_at >= since:
+        return []
+    job = group.targets[name].status_job
+    if job is not None and job.sent_at is not None and job.sent_at >= since:
+        return []
+    return connections.submit_status_poll(state, group, name, now)
--- /dev/null
+++ b/tests/pooler/test_pooler_polls.py
@@ -0,0 +1,32 @@
+"""How many status polls the answers cost; each takes a slot of a target."""
+
+import pytest
+from pooler_world import World, is_success
+
+from cassiaseam.pooler.commands import StatementKind
+
+READS = 20
+
+
+def count_polls(world):
+    return sum(vm.state.commands_sent.get('ReadStatus', 0) for vm in world.vms.values())
+
+
+@pytest.mark.parametrize(
+    ('database', 'pause_s', 'most'),
+    [('orders', 0.3, READS), ('orders', 0.003, READS), ('prices', 0.1, 6), ('stock', 0.1, 6)],
+)
+def test_reads_poll_no_more_than_their_answers_need(database, pause_s, most):
+    # A read of the primary polled the primary too, and once more while the poll of the replica was
+    # under way: 4,570 polls for 5,116 operations on a calm day of nls.
+    world = World(vms=1)
+    world.run_until(0.5)
+    before = count_polls(world)
+    calls = []
+    for session in range(READS):
+        world.connect('vm0', session, database)
+        calls.append(world.send('vm0', session, StatementKind.READ))
+        world.run_until(world.now + pause_s)
+    world.run_until(world.now + 0.5)
+    assert all(is_success(call) for call in calls)
+    assert count_polls(world) - before <= most
