Refuse at once on a VM that gets no connection to the primary, and keep to few targets

Change: idle connections are kept for 5 s, or 1 s while a target has over 0.9 of its limit in use. A VM without a connection to a full target refuses what needs it after 0.15 s, so that callers try another VM; a target that gives no connection counts as out of reach. A VM prefers targets that it is connected to, spreads over equal ones by a hash, and takes samples from any majority instead of always asking the primary.

--- a/src/cassiaseam/pooler/connections.py
+++ b/src/cassiaseam/pooler/connections.py
@@ -37,14 +37,18 @@
 CONNECTION_STEPS = ((2, 0.9), (4, 0.7), (10, 0.45))
 # Shortest pause in seconds after a target refused a connection because it has too many; the
 # longest is twice that, so that the VMs do not come back together.
-TOO_MANY_PAUSE_S = 0.1
+TOO_MANY_PAUSE_S = 0.2
+# Seconds that statements wait for a connection to a full target; another VM may have one.
+FULL_WAIT_S = 0.15
 # Pause in seconds between attempts to reach a target that cannot be connected to.
 RECONNECT_PAUSE_S = 0.2
-# Time in seconds after which an idle connection is closed while the target has less than a share
-# of its limit in use. A VM hears the number only when it uses the target, so that even the longest
-# time has to be short.
-IDLE_LIMITS = ((0.6, 5.0), (0.8, 1.5), (0.9, 0.3))
-FULL_IDLE_LIMIT_S = 0.05
+# Time in seconds after which an idle connection is closed. A VM hears how full a target is only
+# when it uses the target, so that the time has to be short even while there is room.
+IDLE_LIMIT_S = 5.0
+# The same while the target has more than a share of its limit in use. Every new connection takes a
+# slot of the target for a moment: much shorter times lost more in slots than they gained.
+CROWDED_SHARE = 0.9
+CROWDED_IDLE_LIMIT_S = 1.0
 # Stands for the number of connections of a target that has too many.
 FULL = 10**6
 
@@ -103,6 +107,8 @@
 def note_too_many(target: TargetState, rng: random.Random, now: float) -> None:
     """Remember that a target has no connection left."""
     target.refused_until = now + TOO_MANY_PAUSE_S * (1 + rng.random())
+    if target.full_since is None:
+        target.full_since = now
     target.reported_connections = max(target.reported_connections, FULL)
 
 
@@ -265,6 +271,13 @@
     target.reported_connections = max(target.reported_connections - 1, 0)
 
 
+def is_shut_out(target: TargetState, now: float) -> bool:
+    """Return whether this VM gets no connection to a target because other VMs have them all."""
+    if target.connections or target.full_since is None:
+        return False
+    return now - target.full_since > FULL_WAIT_S
+
+
 def close_idle_connections(state: PoolerState, target: TargetState, now: float) -> list:
     """Close connections that were idle for long, sooner the fuller the target is."""
     idle = [
@@ -274,8 +287,8 @@
     ]
     if not idle:
         return []
-    used = find_used_share(state, target)
-    limit_s = next((seconds for share, seconds in IDLE_LIMITS if used < share), FULL_IDLE_LIMIT_S)
+    crowded = find_used_share(state, target) > CROWDED_SHARE
+    limit_s = CROWDED_IDLE_LIMIT_S if crowded else IDLE_LIMIT_S
     effects: list = []
     for connection in idle:
         if now - connection.idle_since > limit_s:
--- a/src/cassiaseam/pooler/operations.py
+++ b/src/cassiaseam/pooler/operations.py
@@ -180,7 +180,7 @@
         return []
     floor = evidence.find_floor(group, operation, session.last_commit)
     if floor is None:
-        return sending.request_evidence(state, group, operation.started_at, now)
+        return sending.request_sample(state, group, operation.started_at, now)
     operation.tried[job.target] = now
     name = routing.find_read_target(state, group, operation, floor, now)
     if not name:
--- a/src/cassiaseam/pooler/routing.py
+++ b/src/cassiaseam/pooler/routing.py
@@ -1,6 +1,13 @@
-"""Which target serves a statement."""
+"""Which target serves a statement.
+
+A VM keeps to the targets that it has connections to, so that many VMs share the connections of a
+target by each using few targets.
+"""
+
+import zlib
 
 from cassiaseam.group.evidence import count_majority
+from cassiaseam.pooler import connections
 from cassiaseam.pooler.state import GroupView, Operation, PoolerState, TargetState
 from cassiaseam.positions import LogPosition
 
@@ -18,6 +25,9 @@
 # Seconds for which a primary that leaves takes new work; a promotion is over by then, and a
 # target may end seven seconds after its announcement.
 LEAVING_LIMIT_S = 5.0
+# Seconds of expected wait that a connection stands for that has to be opened first: two ways and
+# the time that a target takes for it.
+OPEN_CONNECTION_COST_S = 0.02
 # Expected wait in seconds that a share of failing statements of 1 stands for.
 FAILURE_COST_S = 2.0
 
@@ -37,15 +47,24 @@
     return name if left_s < LEAVING_LIMIT_S else ''
 
 
+def is_shut_out_of_primary(group: GroupView, now: float) -> bool:
+    """Return whether the primary, or what may be the primary, gives this VM no connection."""
+    primary = group.targets.get(group.monitor.primary)
+    suspects = group.targets.values() if primary is None else (primary,)
+    return any(connections.is_shut_out(target, now) for target in suspects)
+
+
 def is_responsive(target: TargetState, now: float) -> bool:
     """Return whether a target may be expected to answer."""
-    if target.failing_since is not None:
+    if target.failing_since is not None or connections.is_shut_out(target, now):
         return False
     return target.silent_since is None or now - target.silent_since < SILENCE_LIMIT_S
 
 
 def is_out_of_reach(target: TargetState, now: float) -> bool:
-    """Return whether a target has not answered for so long that this VM has lost it."""
+    """Return whether this VM has lost a target, or gets no connection to it."""
+    if connections.is_shut_out(target, now):
+        return True
     since = min(
         (at for at in (target.failing_since, target.silent_since) if at is not None),
         default=now,
@@ -80,7 +99,10 @@
     ]
     if not candidates:
         return ''
-    best = min(candidates, key=lambda target: estimate_wait_s(state, target))
+    best = min(
+        candidates,
+        key=lambda target: (estimate_wait_s(state, target), rank_for_vm(state, target)),
+    )
     return best.record.name
 
 
@@ -105,7 +127,19 @@
     waiting = len(target.queue)
     running = sum(connection.job is not None for connection in target.connections.values())
     load = (waiting + running) * target.service_time_s
-    return load + find_distance_cost_s(state, target) + target.failure_rate * FAILURE_COST_S
+    return load + find_reach_cost_s(state, target) + target.failure_rate * FAILURE_COST_S
+
+
+def find_reach_cost_s(state: PoolerState, target: TargetState) -> float:
+    """Return the cost in seconds of the way to a target and of a connection to it."""
+    connected = any(connection.ready for connection in target.connections.values())
+    opening_s = 0 if connected else OPEN_CONNECTION_COST_S
+    return find_distance_cost_s(state, target) + opening_s
+
+
+def rank_for_vm(state: PoolerState, target: TargetState) -> int:
+    """Return a rank that spreads the VMs evenly over targets of equal cost."""
+    return zlib.crc32(f'{state.vm} {target.record.name}'.encode())
 
 
 def find_distance_cost_s(state: PoolerState, target: TargetState) -> float:
@@ -119,12 +153,18 @@
 
 
 def list_by_distance(state: PoolerState, group: GroupView, now: float) -> list[str]:
-    """Return the targets beside the primary, responsive and near ones first."""
-    names = [name for name in group.targets if name != group.monitor.primary]
+    """Return the targets beside the primary, responsive, near and connected ones first."""
+    names = list_by_reach(state, group, now)
+    return [name for name in names if name != group.monitor.primary]
+
+
+def list_by_reach(state: PoolerState, group: GroupView, now: float) -> list[str]:
+    """Return all targets, responsive, near and connected ones first."""
     return sorted(
-        names,
+        group.targets,
         key=lambda name: (
             not is_responsive(group.targets[name], now),
-            find_distance_cost_s(state, group.targets[name]),
+            find_reach_cost_s(state, group.targets[name]),
+            rank_for_vm(state, group.targets[name]),
         ),
     )
--- a/src/cassiaseam/pooler/sending.py
+++ b/src/cassiaseam/pooler/sending.py
@@ -5,6 +5,7 @@
 """
 
 from cassiaseam.errors import ErrorKind
+from cassiaseam.group.evidence import count_majority
 from cassiaseam.pooler import connections, endings, evidence, routing
 from cassiaseam.pooler.commands import Begin, Forward, StatementKind
 from cassiaseam.pooler.model import Consistency
@@ -36,6 +37,16 @@
     operation.retry_at = now + RETRY_PAUSE_S
     session = state.sessions[operation.session_id]
     transaction = session.transaction
+    if routing.is_cut_off(group, now) and operation.sent_at is None and not is_pinned(transaction):
+        text = 'fewer targets than a majority are in reach'
+        return endings.refuse(state, operation, ErrorKind.NO_TARGET, text, now)
+    if (
+        operation.needs_primary
+        and not is_pinned(transaction)
+        and routing.is_shut_out_of_primary(group, now)
+    ):
+        text = 'the primary has no connection left'
+        return endings.refuse(state, operation, ErrorKind.OVERLOADED, text, now)
     if is_commit_of_writes(operation, transaction) and not evidence.can_acknowledge(group, now):
         return request_evidence(state, group, now - EVIDENCE_AGE_S, now)
     if transaction is not None and transaction.connection_id:
@@ -44,7 +55,7 @@
     if operation.route.consistency is not Consistency.PRIMARY and not operation.is_write:
         floor = evidence.find_floor(group, operation, session.last_commit)
         if floor is None:
-            return request_evidence(state, group, operation.started_at, now)
+            return request_sample(state, group, operation.started_at, now)
     operation.floor = floor
     name = choose_target(state, group, operation, floor, now)
     if not name:
@@ -125,7 +136,18 @@
     accepted_s = operation.route.max_age_s
     if now - samples[-1].started_at < accepted_s * REFRESH_SHARE:
         return []
-    return request_evidence(state, group, now - accepted_s * REUSE_SHARE, now)
+    return request_sample(state, group, now - accepted_s * REUSE_SHARE, now)
+
+
+def request_sample(state: PoolerState, group: GroupView, since: float, now: float) -> list:
+    """Make sure that some majority is polled at or after `since`, best without new connections."""
+    needed = count_majority(group.monitor) if group.monitor.primary else len(group.targets)
+    names = routing.list_by_reach(state, group, now)
+    names.sort(key=lambda name: not has_status(group, name, since))
+    effects: list = []
+    for name in names[:needed]:
+        effects.extend(poll_unless_known(state, group, name, since, now))
+    return effects
 
 
 def request_evidence(state: PoolerState, group: GroupView, since: float, now: float) -> list:
@@ -147,12 +169,17 @@
     return effects
 
 
+def has_status(group: GroupView, name: str, since: float) -> bool:
+    """Return whether a status of a target as of `since` or later is known."""
+    view = group.monitor.targets.get(name)
+    return view is not None and view.status is not None and view.status_started_at >= since
+
+
 def poll_unless_known(
     state: PoolerState, group: GroupView, name: str, since: float, now: float
 ) -> list:
     """Poll a target unless a status as of `since` or later is known or under way."""
-    view = group.monitor.targets.get(name)
-    if view is not None and view.status is not None and view.status_started_at >= since:
+    if has_status(group, name, since):
         return []
     job = group.targets[name].status_job
     if job is not None and job.sent_at is not None and job.sent_at >= since:
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -197,6 +197,7 @@
         silent_since: Time of the oldest command that is unanswered since the latest reply.
         failing_since: Time since which connections cannot be opened, or None.
         refused_until: Time before which no connection is opened.
+        full_since: Time since which it refuses connections because it has too many, or None.
         missing_since: Time since which its record is missing from the store, or None.
         leaving_since: Time since which it is known to leave, or None.
         distrusted_until: Time before which its statuses prove nothing, after a restart.
@@ -217,6 +218,7 @@
     silent_since: float | None = None
     failing_since: float | None = None
     refused_until: float = 0
+    full_since: float | None = None
     missing_since: float | None = None
     leaving_since: float | None = None
     distrusted_until: float = 0
--- a/src/cassiaseam/pooler/targets.py
+++ b/src/cassiaseam/pooler/targets.py
@@ -56,6 +56,7 @@
     group, target = found
     connection.ready = True
     connection.idle_since = now
+    target.full_since = None
     connections.note_heard(target, now)
     return connections.start_jobs(state, target, now)
 
--- a/src/cassiaseam/pooler/ticks.py
+++ b/src/cassiaseam/pooler/ticks.py
@@ -67,7 +67,8 @@
             continue
         silent = target.silent_since is not None and now - target.silent_since > PROBE_AFTER_S
         unused = name == group.monitor.primary and not target.connections
-        if silent or unused or target.failing_since is not None:
+        lost = target.failing_since is not None or connections.is_shut_out(target, now)
+        if silent or unused or lost:
             target.next_probe_at = now + PROBE_PAUSE_S
             effects += connections.submit_status_poll(state, group, name, now)
     return effects
