Forget the fences of a promotion when its claim is renewed

Change: grants and the last position of the demoted primary are taken anew under the next claim. Test: test_fences_of_an_expired_claim_do_not_count_under_the_next_one, which failed before.

--- a/src/cassiaseam/pooler/failover.py
+++ b/src/cassiaseam/pooler/failover.py
@@ -1,9 +1,8 @@
 """Promotion of another target when the primary leaves, fails or is cut off.
 
 A VM acts while it holds the duty to promote, see `duty`. A primary that answers is demoted first,
-and the promoted target has to hold its whole log. In place of a primary that does not answer,
-enough replicas are fenced that no majority can acknowledge its commits any longer, and the replica
-that holds the most is promoted.
+and a replica has to catch up with it. Then enough targets are fenced that no majority can
+acknowledge commits of an older term any longer, and one that holds the most is promoted.
 """
 
 from cassiaseam.pooler import connections, detection, duty, evidence, routing, steering
@@ -133,6 +132,9 @@
     """Begin with the targets once the duty is held."""
     promotion = group.promotion
     promotion.token = state.duty.token
+    # Fences of an earlier attempt prove nothing under the new term.
+    promotion.grants = {}
+    promotion.final = None
     monitor = group.monitor
     if is_obsolete(group, now):
         return give_up(state, group, 'the primary is in charge again', now)
--- a/tests/pooler/test_pooler_duty.py
+++ b/tests/pooler/test_pooler_duty.py
@@ -175,3 +175,17 @@
     group.promotion.grants = {name: LogPosition(1, held) for name, held in grants.items()}
     now = group.promotion.stage_at + waited_s
     assert failover.choose_most_complete(state, group, group.promotion, now) == chosen
+
+
+def test_fences_of_an_expired_claim_do_not_count_under_the_next_one():
+    state = build_state()
+    claim(state, promote(state, 'g', 1), 5, 1)
+    group = state.groups['g']
+    promotion = group.promotion
+    promotion.grants = {'g1': LogPosition(1, 7), 'g2': LogPosition(1, 7)}
+    promotion.chosen = 'g1'
+    state.duty.token = 0
+    effects = failover.call_platform(state, group, 4)
+    claim(state, effects, 6, 4)
+    assert promotion.token == 7
+    assert promotion.grants == {}
