--- a/features/environment.py
+++ b/features/environment.py
@@ -1,4 +1,6 @@
 import asyncio
+import sys
+import traceback
 
 from support.world import World
 
@@ -32,6 +34,13 @@
     context.runner.run(context.world.heal())
 
 
+def after_step(context, step):
+    # The reports leave out exceptions without a message, such as time limits.
+    if step.exception is not None:
+        lines = traceback.format_exception(step.exception)
+        sys.__stderr__.write(f'{step.name}\n{"".join(lines)}')
+
+
 def after_scenario(context, scenario):
     if context.held is not None:
         context.held.close()
