Look a connection up once and give it back in one place

Cause: four handlers repeated the lookup of a connection, its group and its target, and three places decided whether a connection is released or closed after a reply. Change: targets.find_connection and connections.reuse_connection serve all of them; unused arguments and two stale lines of docstrings go. Behaviour is the same. Ruled out: deriving Promotion.token from the stage, which the tests of the duty assert on; sharing names of the platform between the adapter and the stand-ins, which check the adapter independently. Tests: unchanged but for the shorter call of choose_most_complete; tests of pooler, platform and soak pass.

--- a/src/cassiaseam/pooler/connections.py
+++ b/src/cassiaseam/pooler/connections.py
@@ -14,8 +14,10 @@
     Forward,
     Prepare,
     ReadStatus,
+    SessionState,
     SetVariable,
     StatementKind,
+    TargetReply,
 )
 from cassiaseam.pooler.events import CloseTarget, OpenTarget, SendCommands
 from cassiaseam.pooler.state import (
@@ -258,6 +260,19 @@
     return start_jobs(state, target, now)
 
 
+def reuse_connection(
+    state: PoolerState,
+    target: TargetState,
+    connection: Connection,
+    reply: TargetReply,
+    now: float,
+) -> list:
+    """Make a connection available again, or close it when the reply leaves a transaction open."""
+    if reply.session_state is not SessionState.IDLE:
+        return close_connection(state, target, connection)
+    return release_connection(state, target, connection, now)
+
+
 def close_connection(state: PoolerState, target: TargetState, connection: Connection) -> list:
     """Close a connection; a target rolls its transaction back."""
     drop_connection(state, target, connection)
--- a/src/cassiaseam/pooler/detection.py
+++ b/src/cassiaseam/pooler/detection.py
@@ -22,15 +22,14 @@
     """Poll all targets while the primary is unknown or lost, or a newer term shows."""
     monitor = group.monitor
     primary = group.targets.get(monitor.primary)
-    known = primary is not None and monitor.known_term <= monitor.term
     note_fences(group, now)
     pause_s = SURVEY_PAUSE_S
-    if known:
+    if primary is not None and monitor.known_term <= monitor.term:
         group.without_primary_since = None
         if group.fenced_since is None:
+            pause_s = LOST_PRIMARY_PAUSE_S
             if not routing.is_out_of_reach(primary, now):
                 return []
-            pause_s = LOST_PRIMARY_PAUSE_S
     elif group.without_primary_since is None and primary is None:
         group.without_primary_since = now
     if now - group.survey_at < pause_s:
--- a/src/cassiaseam/pooler/endings.py
+++ b/src/cassiaseam/pooler/endings.py
@@ -30,7 +30,7 @@
             },
         )
     ]
-    cancel_jobs(state, operation)
+    cancel_jobs(operation)
     finish(state, operation)
     count(state, operation, kind.value)
     if session.transaction is not None:
@@ -52,7 +52,7 @@
         group.operations.remove(operation)
 
 
-def cancel_jobs(state: PoolerState, operation: Operation) -> None:
+def cancel_jobs(operation: Operation) -> None:
     """Drop what still waits or runs for an operation."""
     for job in operation.jobs:
         job.cancelled = True
@@ -135,7 +135,7 @@
     if session.current is not None:
         operation = session.current
         effects.append(WriteLog('caller_left', sessions.describe_operation(operation, now)))
-        cancel_jobs(state, operation)
+        cancel_jobs(operation)
         finish(state, operation)
     effects += abandon_transaction(state, session, now)
     state.sessions.pop(event.session_id, None)
--- a/src/cassiaseam/pooler/events.py
+++ b/src/cassiaseam/pooler/events.py
@@ -210,7 +210,6 @@
         signature: Signature of the target, or '' for an answer of the pooler itself.
         error: Reason why there is no result.
         session_state: State of the session.
-        position: Text form is left to the adapter.
     """
 
     session_id: int
--- a/src/cassiaseam/pooler/failover.py
+++ b/src/cassiaseam/pooler/failover.py
@@ -225,7 +225,7 @@
 def run_fence_step(state: PoolerState, group: GroupView, promotion: Promotion, now: float) -> list:
     """Fence the replicas and tell the former primary to step down."""
     if len(promotion.grants) >= evidence.count_needed_grants(group):
-        chosen = choose_most_complete(state, group, promotion, now)
+        chosen = choose_most_complete(group, promotion, now)
         if chosen:
             return promote(state, group, chosen, now)
     if now - promotion.stage_at > FENCE_LIMIT_S:
@@ -295,9 +295,7 @@
     return not target.record.leaving and target.failing_since is None
 
 
-def choose_most_complete(
-    state: PoolerState, group: GroupView, promotion: Promotion, now: float
-) -> str:
+def choose_most_complete(group: GroupView, promotion: Promotion, now: float) -> str:
     """Return the fenced target that holds all that any fenced target holds, or ''.
 
     A target that leaves or is the former primary is only chosen when no other one is complete
--- a/src/cassiaseam/pooler/operations.py
+++ b/src/cassiaseam/pooler/operations.py
@@ -65,12 +65,12 @@
         error = RequestError(ErrorKind.UNKNOWN_DATABASE, f'no database {session.database!r}')
         return sessions.answer_error(session, error)
     if kind is StatementKind.BEGIN:
-        return begin_transaction(state, session, statement, route, now)
+        return begin_transaction(session, statement, route, now)
     return start_operation(state, session, statement, route, now)
 
 
 def begin_transaction(
-    state: PoolerState, session: CallerSession, statement: Statement, route: Route, now: float
+    session: CallerSession, statement: Statement, route: Route, now: float
 ) -> list:
     """Open a transaction; it gets a connection with its first statement."""
     session.transaction = TransactionState(statement, route, now, last_used_at=now)
--- a/src/cassiaseam/pooler/replies.py
+++ b/src/cassiaseam/pooler/replies.py
@@ -31,7 +31,8 @@
     if job in operation.jobs:
         operation.jobs.remove(job)
     if job.cancelled or operation.done:
-        return drop_stale_reply(state, group, connection, job, reply, now)
+        target = group.targets[connection.target]
+        return connections.reuse_connection(state, target, connection, reply, now)
     if job.purpose is Purpose.BEGIN:
         return handle_begin_reply(state, group, connection, job, reply, now)
     if reply.failure is None:
@@ -39,21 +40,6 @@
     return handle_failure(state, group, connection, operation, reply, now)
 
 
-def drop_stale_reply(
-    state: PoolerState,
-    group: GroupView,
-    connection: Connection,
-    job: Job,
-    reply: TargetReply,
-    now: float,
-) -> list:
-    """Make the connection of a reply that nobody waits for available again."""
-    target = group.targets[connection.target]
-    if reply.session_state is not SessionState.IDLE:
-        return connections.close_connection(state, target, connection)
-    return connections.release_connection(state, target, connection, now)
-
-
 def handle_begin_reply(
     state: PoolerState,
     group: GroupView,
@@ -99,7 +85,7 @@
     committed = operation.statement.kind is StatementKind.COMMIT and transaction.has_written
     if committed or (transaction is None and operation.is_write):
         operation.commit = reply.position
-    endings.cancel_jobs(state, operation)
+    endings.cancel_jobs(operation)
     return effects + conclude(state, group, operation, now)
 
 
@@ -200,11 +186,8 @@
     transaction = session.transaction
     note_failure(state, group, operation, connection.target, reply, now)
     if transaction is not None and transaction.connection_id == connection.connection_id:
-        return handle_transaction_failure(state, group, connection, operation, reply, now)
-    if reply.session_state is SessionState.IDLE:
-        effects = connections.release_connection(state, target, connection, now)
-    else:
-        effects = connections.close_connection(state, target, connection)
+        return handle_transaction_failure(state, connection, operation, reply, now)
+    effects = connections.reuse_connection(state, target, connection, reply, now)
     if operation.jobs or operation.reply is not None:
         return effects
     repeatable = not operation.is_write
@@ -252,7 +235,6 @@
 
 def handle_transaction_failure(
     state: PoolerState,
-    group: GroupView,
     connection: Connection,
     operation: Operation,
     reply: TargetReply,
--- a/src/cassiaseam/pooler/routing.py
+++ b/src/cassiaseam/pooler/routing.py
@@ -94,7 +94,7 @@
         target
         for name, target in group.targets.items()
         if name not in operation.tried
-        and may_serve_read(group, target, floor, now)
+        and may_serve_read(target, floor, now)
         and is_responsive(target, now)
     ]
     if not candidates:
@@ -111,9 +111,7 @@
     return target.missing_since is not None and now - target.missing_since > RETURN_LIMIT_S
 
 
-def may_serve_read(
-    group: GroupView, target: TargetState, floor: LogPosition | None, now: float
-) -> bool:
+def may_serve_read(target: TargetState, floor: LogPosition | None, now: float) -> bool:
     """Return whether a target takes reads and may hold the floor."""
     if target.record.leaving or is_gone(target, now):
         return False
--- a/src/cassiaseam/pooler/targets.py
+++ b/src/cassiaseam/pooler/targets.py
@@ -5,7 +5,6 @@
     CONTROL_COMMANDS,
     ReadStatus,
     Rollback,
-    SessionState,
     TargetFailure,
     TargetReply,
 )
@@ -36,24 +35,26 @@
 CONTROL_LIMIT_S = 1.0
 
 
-def find_target(
-    state: PoolerState, connection: Connection
-) -> tuple[GroupView, TargetState] | None:
-    """Return the group and the state of the target of a connection."""
+def find_connection(
+    state: PoolerState, connection_id: int
+) -> tuple[Connection, GroupView, TargetState] | None:
+    """Return a connection with the group and the state of its target, or None if one is gone."""
+    connection = state.connections.get(connection_id)
+    if connection is None:
+        return None
     group = state.groups.get(state.target_groups.get(connection.target, ''))
     if group is None or connection.target not in group.targets:
         return None
-    return group, group.targets[connection.target]
+    return connection, group, group.targets[connection.target]
 
 
 @handles(ConnectionReady)
 def use_connection(state: PoolerState, event: ConnectionReady, now: float) -> list:
     """Start a job that waited for a connection."""
-    connection = state.connections.get(event.connection_id)
-    found = find_target(state, connection) if connection else None
+    found = find_connection(state, event.connection_id)
     if found is None:
         return []
-    group, target = found
+    connection, group, target = found
     connection.ready = True
     connection.idle_since = now
     target.full_since = None
@@ -65,11 +66,10 @@
 @handles(ConnectionRefused)
 def handle_refused_connection(state: PoolerState, event: ConnectionRefused, now: float) -> list:
     """Give up on jobs that no connection can serve."""
-    connection = state.connections.get(event.connection_id)
-    found = find_target(state, connection) if connection else None
+    found = find_connection(state, event.connection_id)
     if found is None:
         return []
-    group, target = found
+    connection, group, target = found
     connections.drop_connection(state, target, connection)
     log = WriteLog(
         'target_connection_refused',
@@ -112,11 +112,10 @@
 @handles(ConnectionLost)
 def handle_lost_connection(state: PoolerState, event: ConnectionLost, now: float) -> list:
     """Decide on the job of a connection that ended."""
-    connection = state.connections.get(event.connection_id)
-    found = find_target(state, connection) if connection else None
+    found = find_connection(state, event.connection_id)
     if found is None:
         return []
-    group, target = found
+    connection, group, target = found
     connections.drop_connection(state, target, connection)
     if not target.connections:
         target.lost_at = now
@@ -145,11 +144,10 @@
 @handles(CommandAnswered)
 def handle_reply(state: PoolerState, event: CommandAnswered, now: float) -> list:
     """Take the reply to the oldest command on a connection."""
-    connection = state.connections.get(event.connection_id)
-    found = find_target(state, connection) if connection else None
+    found = find_connection(state, event.connection_id)
     if found is None:
         return []
-    group, target = found
+    connection, group, target = found
     job = connection.job
     if job is None:
         return connections.close_connection(state, target, connection)
@@ -206,9 +204,9 @@
     now: float,
 ) -> list:
     """Make the connection of a transaction that was rolled back available."""
-    if reply.failure is not None or reply.session_state is not SessionState.IDLE:
+    if reply.failure is not None:
         return connections.close_connection(state, target, connection)
-    return connections.release_connection(state, target, connection, now)
+    return connections.reuse_connection(state, target, connection, reply, now)
 
 
 def handle_control_reply(
--- a/src/cassiaseam_soak/callers.py
+++ b/src/cassiaseam_soak/callers.py
@@ -30,7 +30,6 @@
     Attributes:
         acknowledged: Time of the acknowledgement per item.
         denied: Items that were promised not to be kept.
-        sent: Items that were sent, with their number of attempts.
         texts: Text per request id.
         broken: Broken promises.
         outcomes: Number of statements per outcome.
--- a/tests/pooler/test_pooler_duty.py
+++ b/tests/pooler/test_pooler_duty.py
@@ -176,7 +176,7 @@
         group.targets[name].record = dataclasses.replace(record, leaving=True)
     group.promotion.grants = {name: LogPosition(1, held) for name, held in grants.items()}
     now = group.promotion.stage_at + waited_s
-    assert failover.choose_most_complete(state, group, group.promotion, now) == chosen
+    assert failover.choose_most_complete(group, group.promotion, now) == chosen
 
 
 def test_fences_of_an_expired_claim_do_not_count_under_the_next_one():
