Move the virtual VM of the pooler tests into a module of its own

Cause: tests/pooler/pooler_world.py had 462 lines, half of them the effects of one VM. No assertion changes; the tests of pooler, platform and soak pass.

--- a/tests/pooler/test_pooler_reach.py
+++ b/tests/pooler/test_pooler_reach.py
@@ -3,11 +3,12 @@
 import pytest
 from fake_target import GROUP
 from pooler_world import World, get_error, is_success
+from virtual_vm import EXECUTORS
 
 from cassiaseam.errors import ErrorKind
 from cassiaseam.pooler import ticks
 from cassiaseam.pooler.commands import StatementKind, TargetFailure, TargetReply
-from cassiaseam.pooler.events import ConnectionRefused, PoolerStopping
+from cassiaseam.pooler.events import ConnectionRefused, OpenTarget, PoolerStopping
 
 CUT_S = 8.0
 
@@ -82,8 +83,6 @@
             opened(effect)
 
     opened = vm.open_target
-    from pooler_world import EXECUTORS, OpenTarget
-
     original = EXECUTORS[OpenTarget]
     EXECUTORS[OpenTarget] = lambda it, effect: refuse(effect)
     try:
--- /dev/null
+++ b/tests/pooler/virtual_vm.py
@@ -0,0 +1,181 @@
+"""One VM of the virtual deployment: its reducer, and effects as messages in virtual time."""
+
+import random
+
+from fake_target import Backlog
+
+from cassiaseam.pooler.commands import Forward, TargetFailure, TargetReply
+from cassiaseam.pooler.events import (
+    AcceptCaller,
+    AnswerCaller,
+    CallPromotion,
+    CloseCaller,
+    CloseTarget,
+    CommandAnswered,
+    ConnectionLost,
+    ConnectionReady,
+    ConnectionRefused,
+    DutyRead,
+    DutyReadFailed,
+    DutyWritten,
+    OpenTarget,
+    PoolerTick,
+    ReadDuty,
+    RefuseCaller,
+    SendCommands,
+    WriteDuty,
+    WriteLog,
+    WriteOutcome,
+)
+from cassiaseam.pooler.state import PoolerState
+from cassiaseam.reducer.registry import reduce_event
+
+LATENCY_S = 0.004
+RUN_S = 0.005
+TICK_S = 0.02
+
+
+class Vm:
+    """One daemon: its state and its connections to targets."""
+
+    def __init__(self, world, name, place):
+        self.world = world
+        self.name = name
+        self.state = PoolerState(name, place, random.Random(f'{name}-{world.seed}'))
+        self.links = {}
+        self.frozen_until = 0
+        self.store_cut = False
+        self.last_tick = 0
+
+    def dispatch(self, event):
+        """Reduce an event now, or when the VM runs again."""
+        world = self.world
+        if world.now < self.frozen_until:
+            world.at(self.frozen_until, lambda: self.dispatch(event))
+            return
+        for effect in reduce_event(self.state, event, world.now):
+            EXECUTORS[type(effect)](self, effect)
+
+    def tick(self):
+        world = self.world
+        if world.now < self.frozen_until:
+            world.at(self.frozen_until, self.tick)
+            return
+        late_s = world.now - self.last_tick - TICK_S
+        self.last_tick = world.now
+        self.dispatch(PoolerTick(suspended_s=late_s))
+        world.after(TICK_S, self.tick)
+
+    def open_target(self, effect):
+        world = self.world
+        target = world.targets[effect.record.name]
+        number = effect.connection_id
+        if target.down:
+            refused = ConnectionRefused(number, 'refused')
+            world.after(LATENCY_S, lambda: self.dispatch(refused))
+        elif target.mute or (self.name, target.name) in world.cuts:
+            refused = ConnectionRefused(number, 'timed out')
+            world.after(1.0, lambda: self.dispatch(refused))
+        elif world.count_connections(target) >= target.max_connections:
+            full = TargetReply(failure=TargetFailure.TOO_MANY_CONNECTIONS, message='full')
+            world.refused_connections += 1
+            refused = ConnectionRefused(number, 'full', full)
+            world.after(2 * LATENCY_S, lambda: self.dispatch(refused))
+        else:
+            self.links[number] = (target, Backlog(), target.born)
+            world.opened_connections += 1
+            ready = ConnectionReady(number, TargetReply(position=target.visible))
+            world.after(2 * LATENCY_S, lambda: self.dispatch(ready))
+
+    def send_commands(self, effect):
+        for command in effect.commands:
+            self.world.after(LATENCY_S, lambda it=command: self.deliver(effect, it))
+
+    def deliver(self, effect, command):
+        """Run a command at its target and send the reply."""
+        world = self.world
+        number = effect.connection_id
+        link = self.links.get(number)
+        if link is None:
+            return
+        target, connection, born = link
+        if target.down or target.born != born:
+            self.lose(number)
+            return
+        if target.mute or (self.name, target.name) in world.cuts:
+            return
+        answer = target.run(connection, command)
+        if isinstance(command, Forward) and target.drop_answers > 0:
+            target.drop_answers -= 1
+            return
+        if not world.is_lossy(self.name, target.name):
+            answered = CommandAnswered(number, answer)
+            world.after(LATENCY_S + RUN_S, lambda: self.answer(number, answered, target))
+
+    def answer(self, number, event, target):
+        if number in self.links and (self.name, target.name) not in self.world.cuts:
+            self.dispatch(event)
+
+    def lose(self, number):
+        if self.links.pop(number, None) is not None:
+            self.dispatch(ConnectionLost(number, 'reset'))
+
+    def close_target(self, effect):
+        self.links.pop(effect.connection_id, None)
+
+    def read_duty(self, effect):
+        world = self.world
+        if self.store_cut:
+            world.after(0.5, lambda: self.dispatch(DutyReadFailed()))
+            return
+        found = DutyRead(world.duty_revision, world.duty)
+        world.after(LATENCY_S, lambda: self.dispatch(found))
+
+    def write_duty(self, effect):
+        world = self.world
+        if self.store_cut:
+            lost = DutyWritten(effect.record, WriteOutcome.UNKNOWN)
+            world.after(0.5, lambda: self.dispatch(lost))
+            return
+        if effect.revision != world.duty_revision:
+            answer = DutyWritten(effect.record, WriteOutcome.CONFLICT)
+        else:
+            world.duty_revision = next(world.revisions)
+            world.duty = effect.record
+            answer = DutyWritten(effect.record, WriteOutcome.WRITTEN, world.duty_revision)
+        world.after(LATENCY_S, lambda: self.dispatch(answer))
+
+    def call_promotion(self, effect):
+        world = self.world
+        world.promotion_calls.append((world.now, effect))
+        world.after(LATENCY_S, lambda: world.accept_promotion(self, effect))
+
+    def answer_caller(self, effect):
+        self.world.note_answer(self, effect)
+
+    def ignore(self, effect):
+        """Take an effect that the tests do not look at."""
+
+    def close_caller(self, effect):
+        self.world.closed.append((self.name, effect.session_id))
+
+    def refuse_caller(self, effect):
+        self.world.refused.append((self.name, effect.session_id, effect.error.kind))
+
+    def write_log(self, effect):
+        self.world.lines.append((round(self.world.now, 3), self.name, effect.kind, effect.fields))
+
+
+EXECUTORS = {
+    OpenTarget: Vm.open_target,
+    SendCommands: Vm.send_commands,
+    CloseTarget: Vm.close_target,
+    ReadDuty: Vm.read_duty,
+    WriteDuty: Vm.write_duty,
+    CallPromotion: Vm.call_promotion,
+    AnswerCaller: Vm.answer_caller,
+    AcceptCaller: Vm.ignore,
+    RefuseCaller: Vm.refuse_caller,
+    CloseCaller: Vm.close_caller,
+    WriteLog: Vm.write_log,
+}
