Connect to targets on demand and keep idle connections by how full a target is

Cause: each VM polled all targets when it heard of them and again after each promotion.

Change: a target is asked for its role when the group is in use on the VM; a VM that does not use a group only doubts what it knew. An idle connection lives 20 to 0.3 s, by the share in use. Stale answers of the store never bring back older records.

--- a/src/cassiaseam/daemon/main.py
+++ b/src/cassiaseam/daemon/main.py
@@ -4,6 +4,7 @@
 arrives while the daemon starts must not end it.
 """
 
+import gc
 import sys
 from typing import Any
 
@@ -56,6 +57,7 @@
         sys.stderr.write(f'{loaded.err_value}\n')
         return EXIT_BAD_SETTINGS
     start_logging(loaded.ok_value.log_level)
+    resume_garbage_collection()
     return run_pooler(loaded.ok_value, path, signals)
 
 
@@ -85,6 +87,7 @@
         return EXIT_BAD_SETTINGS
     supervisor = DaemonSupervisor(reactor, loop, runtime_settings)
     supervisor.schedule()
+    resume_garbage_collection()
     # The reactor handles signals itself from its start on.
     if signals.take_stop():
         reactor.callWhenRunning(reactor.stop)
@@ -108,8 +111,17 @@
     """Run the daemon as the program of this process."""
     signals = PendingSignals()
     signals.install()
+    # Imports create many objects that stay; looking through them again and again takes a fifth of
+    # the time of a start.
+    gc.disable()
     return main(signals=signals)
 
 
+def resume_garbage_collection() -> None:
+    """Collect garbage from now on, but not what the start has created."""
+    gc.freeze()
+    gc.enable()
+
+
 if __name__ == '__main__':
     sys.exit(run_program())
--- a/src/cassiaseam/pooler/catalogue.py
+++ b/src/cassiaseam/pooler/catalogue.py
@@ -97,20 +97,31 @@
     if record.leaving and not known.leaving:
         effects.append(describe_target('target_leaving', record))
     if record.is_primary != known.is_primary or record.leaving != known.leaving:
-        effects += connections.submit_status_poll(state, group, record.name, now)
+        effects += check_role(state, group, target, now)
     return effects
 
 
+def check_role(state: PoolerState, group: GroupView, target: TargetState, now: float) -> list:
+    """Ask a target for its role, or only doubt the known primary while nobody needs it.
+
+    Load pattern: after a promotion all VMs hear of the new primary at the same moment. If each of
+    them connected to it at once, its connections would be used up by VMs without a statement.
+    """
+    name = target.record.name
+    if target.connections or group.operations or group.promotion is not None:
+        return connections.submit_status_poll(state, group, name, now)
+    if target.record.is_primary != (name == group.monitor.primary):
+        group.monitor.primary = ''
+    return []
+
+
 def add_target(state: PoolerState, group: GroupView, record: TargetRecord, now: float) -> list:
     """Begin to use a target."""
     group.targets[record.name] = TargetState(record)
     note_leaving(group.targets[record.name], now)
     state.target_groups[record.name] = group.name
     evidence.refresh_members(group, now)
-    return [
-        describe_target('target_added', record),
-        *connections.submit_status_poll(state, group, record.name, now),
-    ]
+    return [describe_target('target_added', record)]
 
 
 def note_leaving(target: TargetState, now: float) -> None:
@@ -125,13 +136,16 @@
     """Drop what belongs to an earlier start of a target."""
     name = target.record.name
     effects = [describe_target('target_restarted', target.record)]
+    was_in_use = bool(target.connections)
     effects += close_connections(state, group, target, 'target restarted', now)
     fresh = TargetState(target.record)
     note_leaving(fresh, now)
     fresh.distrusted_until = now + evidence.RESTART_DISTRUST_S
     group.targets[name] = fresh
     evidence.forget_status(group, name)
-    return effects + connections.submit_status_poll(state, group, name, now)
+    if was_in_use or group.operations:
+        effects += connections.submit_status_poll(state, group, name, now)
+    return effects
 
 
 def mark_missing(state: PoolerState, name: str, now: float) -> list:
--- a/src/cassiaseam/pooler/connections.py
+++ b/src/cassiaseam/pooler/connections.py
@@ -44,13 +44,11 @@
 FULL_WAIT_S = 0.15
 # Pause in seconds between attempts to reach a target that cannot be connected to.
 RECONNECT_PAUSE_S = 0.2
-# Time in seconds after which an idle connection is closed. A VM hears how full a target is only
-# when it uses the target, so that the time has to be short even while there is room.
-IDLE_LIMIT_S = 5.0
-# The same while the target has more than a share of its limit in use. Every new connection takes a
-# slot of the target for a moment: much shorter times lost more in slots than they gained.
-CROWDED_SHARE = 0.9
-CROWDED_IDLE_LIMIT_S = 1.0
+# Time in seconds after which an idle connection is closed, by the share of the connections of the
+# target that are in use: a new connection costs a slot of the target for a moment, and a full
+# target refuses the VMs that come last.
+IDLE_STEPS = ((0.5, 20.0), (0.7, 5.0), (0.85, 1.0))
+SHORTEST_IDLE_S = 0.3
 # Stands for the number of connections of a target that has too many.
 FULL = 10**6
 
@@ -302,8 +300,7 @@
     ]
     if not idle:
         return []
-    crowded = find_used_share(state, target) > CROWDED_SHARE
-    limit_s = CROWDED_IDLE_LIMIT_S if crowded else IDLE_LIMIT_S
+    limit_s = find_idle_limit_s(find_used_share(state, target))
     effects: list = []
     for connection in idle:
         if now - connection.idle_since > limit_s:
@@ -311,6 +308,17 @@
     return effects
 
 
+def find_idle_limit_s(used_share: float) -> float:
+    """Return after how many seconds an idle connection is closed.
+
+    Load pattern: more VMs than a target has connections, each with a statement in a few seconds.
+    """
+    for share, limit_s in IDLE_STEPS:
+        if used_share < share:
+            return limit_s
+    return SHORTEST_IDLE_S
+
+
 def submit_status_poll(state: PoolerState, group: GroupView, name: str, now: float) -> list:
     """Poll the status of a target unless a poll is waiting to be sent."""
     target = group.targets[name]
--- a/src/cassiaseam/pooler/detection.py
+++ b/src/cassiaseam/pooler/detection.py
@@ -14,6 +14,8 @@
 ABANDONED_FENCE_S = 2.5
 # Pause in seconds between polls of all targets while the primary is not known.
 SURVEY_PAUSE_S = 0.15
+# Seconds without a primary after which all targets are polled, not only a majority.
+SURVEY_ALL_AFTER_S = 0.1
 # The same while the known primary is out of reach; most VMs learn of the new one from the store.
 LOST_PRIMARY_PAUSE_S = 0.3
 
@@ -30,17 +32,41 @@
             pause_s = LOST_PRIMARY_PAUSE_S
             if not routing.is_out_of_reach(primary, now):
                 return []
+    elif not is_in_use(group):
+        group.without_primary_since = None
+        return []
     elif group.without_primary_since is None and primary is None:
         group.without_primary_since = now
     if now - group.survey_at < pause_s:
         return []
     group.survey_at = now
     effects: list = []
-    for name in group.targets:
+    for name in list_surveyed(state, group, now):
         effects.extend(connections.submit_status_poll(state, group, name, now))
     return effects
 
 
+def is_in_use(group: GroupView) -> bool:
+    """Return whether this VM needs to know the primary of a group.
+
+    Load pattern: many VMs that start together. A VM that polled all targets of all groups at its
+    start would take a connection of each of them, more than they have.
+    """
+    if group.operations or group.waiting_vms or group.promotion is not None:
+        return True
+    return any(target.connections for target in group.targets.values())
+
+
+def list_surveyed(state: PoolerState, group: GroupView, now: float) -> list[str]:
+    """Return the targets to poll: those that make a majority with the announced primary first."""
+    since = group.without_primary_since
+    if since is None or now - since > SURVEY_ALL_AFTER_S:
+        return list(group.targets)
+    names = routing.list_by_reach(state, group, now)
+    names.sort(key=lambda name: not group.targets[name].record.is_primary)
+    return names[: count_majority(group.monitor)]
+
+
 def note_fences(group: GroupView, now: float) -> None:
     """Remember since when some target is fenced above the term in charge."""
     monitor = group.monitor
--- a/src/cassiaseam/pooler/sharing.py
+++ b/src/cassiaseam/pooler/sharing.py
@@ -96,11 +96,10 @@
     if not group.waiting_vms:
         return []
     samples = group.monitor.samples
-    newest = samples[-1].started_at if samples else -1
     effects: list = []
     still_waiting = []
     for waiting in group.waiting_vms:
-        if newest >= waiting.since:
+        if samples and samples[-1].started_at >= waiting.since:
             effects.append(build_offer(group, waiting, now))
         elif now < waiting.until:
             still_waiting.append(waiting)
--- a/src/cassiaseam/pooler/storewatch.py
+++ b/src/cassiaseam/pooler/storewatch.py
@@ -47,6 +47,19 @@
     vms: str
 
 
+def select_news(changes: tuple[Change, ...], revision: int) -> tuple[Change, ...]:
+    """Return the changes after a revision.
+
+    An answer that may be late can repeat older ones, which would bring back a target that has
+    left. The revision of a deleted object is the one of its last content.
+    """
+    return tuple(
+        change
+        for change in changes
+        if change.deleted or not change.revision or change.revision > revision
+    )
+
+
 class StoreWatcher:
     """Keeps one list and one watch per kind going.
 
@@ -124,9 +137,10 @@
                 self.log('store_history_gone', kind=kind, revision=revision)
                 return
             listing: Listing = seen.ok_value
+            news = select_news(listing.changes, revision)
             revision = max(revision, listing.revision)
-            if listing.changes:
-                changed(listing.changes)
+            if news:
+                changed(news)
                 await self.wait_for_more(kind)
 
     async def wait_for_more(self, kind: str) -> None:
--- a/src/cassiaseam/pooler/ticks.py
+++ b/src/cassiaseam/pooler/ticks.py
@@ -23,7 +23,7 @@
 TICK_S = 0.02
 # The same while nothing is under way, and between two looks at a group without work.
 QUIET_TICK_S = 0.1
-QUIET_SWEEP_S = 0.1
+QUIET_SWEEP_S = 0.08
 # Seconds by which a tick may be late before silence of the targets proves nothing.
 OWN_PAUSE_S = 0.4
 # Seconds without a reply after which a target is asked for its status, and the pause between two
--- /dev/null
+++ b/tests/check_guards.py
@@ -0,0 +1,115 @@
+"""Removes each guard of the pooler role once, in a copy, and tells which tests notice.
+
+Run by hand: `python tests/check_guards.py`. A guard that no test notices is printed as MISSED, and
+the exit code is then 1.
+"""
+
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).parents[1]
+# Seconds after which a run counts as having noticed: a guard may also end an endless loop.
+RUN_LIMIT_S = 180
+
+
+@dataclass(frozen=True)
+class Guard:
+    """One edit that removes a guard.
+
+    Attributes:
+        module: Module under `src/cassiaseam`.
+        text: Text that is replaced; it occurs once.
+        without: Text without the guard.
+    """
+
+    module: str
+    text: str
+    without: str
+
+
+GUARDS = [
+    Guard('pooler/evidence.py', 'RESTART_DISTRUST_S = 3.0', 'RESTART_DISTRUST_S = 0.0'),
+    Guard('pooler/evidence.py', 'SHRINK_DELAY_S = 10.0', 'SHRINK_DELAY_S = 0.0'),
+    Guard(
+        'pooler/evidence.py', 'return group.size - count_majority(group.monitor) + 1', 'return 1'
+    ),
+    Guard(
+        'pooler/evidence.py',
+        'view.status is not None and started_at < view.status_started_at',
+        'False',
+    ),
+    Guard(
+        'pooler/evidence.py', 'max(reported.fenced_term, reported.term)', 'reported.fenced_term'
+    ),
+    Guard('pooler/catalogue.py', 'event.config.version <= state.config.version', 'False'),
+    Guard('pooler/duty.py', 'now - duty.claimed_at <= CLAIM_VALID_S', 'True'),
+    Guard(
+        'pooler/duty.py', 'if is_calling(state, now):\n        return []\n    if duty', 'if duty'
+    ),
+    Guard(
+        'pooler/endings.py',
+        'connection is None or connection.pinned_to != session.session_id',
+        'connection is None',
+    ),
+    Guard('pooler/sharing.py', 'event.group_size < group.size', 'False'),
+    Guard('pooler/sharing.py', 'question.nonce != event.nonce', 'False'),
+    Guard('pooler/sharing.py', 'question.sent_at - aged.age_s', 'now - aged.age_s'),
+    Guard(
+        'pooler/storewatch.py',
+        'news = select_news(listing.changes, revision)',
+        'news = listing.changes',
+    ),
+    Guard('pooler/ticks.py', 'except Exception:', 'except ZeroDivisionError:'),
+]
+
+
+def list_failures(guard: Guard) -> list[str] | None:
+    """Return the tests that fail without a guard, or None when the run did not end."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(folder)
+        for name in ('src', 'tests', 'deploy', 'pyproject.toml'):
+            source = ROOT / name
+            if source.is_dir():
+                shutil.copytree(source, copy / name, ignore=shutil.ignore_patterns('__pycache__'))
+            else:
+                shutil.copy(source, copy / name)
+        module = copy / 'src' / 'cassiaseam' / guard.module
+        source_text = module.read_text()
+        if source_text.count(guard.text) != 1:
+            raise SystemExit(f'{guard.module}: {guard.text!r} does not occur once')
+        module.write_text(source_text.replace(guard.text, guard.without))
+        command = [sys.executable, '-m', 'pytest', '-q', '-p', 'no:cacheprovider']
+        try:
+            ended = subprocess.run(
+                [*command, 'tests/pooler', 'tests/platform'],
+                cwd=copy,
+                env={'PYTHONPATH': 'src', 'PATH': '/usr/bin:/bin'},
+                capture_output=True,
+                text=True,
+                timeout=RUN_LIMIT_S,
+                check=False,
+            )
+        except subprocess.TimeoutExpired:
+            return None
+    return [line.split()[1] for line in ended.stdout.splitlines() if line.startswith('FAILED')]
+
+
+def main() -> int:
+    """Check all guards, or those whose text contains an argument."""
+    missed = 0
+    for guard in GUARDS:
+        if len(sys.argv) > 1 and not any(word in guard.text for word in sys.argv[1:]):
+            continue
+        failed = list_failures(guard)
+        missed += failed == []
+        noticed = 'no end' if failed is None else ', '.join(failed) or 'MISSED'
+        print(f'{guard.module}: {guard.text!r}: {noticed}', flush=True)
+    return int(missed > 0)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/tests/pooler/test_pooler_connections.py
+++ b/tests/pooler/test_pooler_connections.py
@@ -103,8 +103,12 @@
 
 
 def test_vm_without_callers_notices_that_the_primary_has_failed():
+    # The connection to the primary is left over from its last caller.
     world = World(vms=1)
+    world.connect('vm0', 1, 'orders')
+    world.send('vm0', 1, StatementKind.READ)
     world.run_until(0.5)
+    world.leave('vm0', 1)
     world.crash('t0', 10)
     world.run_until(3.5)
     assert world.find_primary().name != 't0'
--- a/tests/pooler/test_pooler_polls.py
+++ b/tests/pooler/test_pooler_polls.py
@@ -20,6 +20,8 @@
     # A read of the primary polled the primary too, and once more while the poll of the replica was
     # under way: 4,570 polls for 5,116 operations on a calm day of nls.
     world = World(vms=1)
+    world.connect('vm0', READS, database)
+    world.send('vm0', READS, StatementKind.READ)
     world.run_until(0.5)
     before = count_polls(world)
     calls = []
--- a/tests/pooler/test_pooler_sharing.py
+++ b/tests/pooler/test_pooler_sharing.py
@@ -41,6 +41,8 @@
     polls = {}
     for shared in (False, True):
         world = World(vms=VMS, shared=shared)
+        world.connect('vm0', 2, 'prices')
+        world.send('vm0', 2, StatementKind.READ)
         world.run_until(0.5)
         before = count_polls(world)
         calls = read_everywhere(world, 'prices', pause_s=2)
--- a/tests/pooler/test_pooler_store_watch.py
+++ b/tests/pooler/test_pooler_store_watch.py
@@ -165,6 +165,23 @@
     assert [it.name for it in events if isinstance(it, TargetRemoved)] == ['i-1', 'i-5']
 
 
+@pytest.mark.parametrize(
+    ('change', 'is_news'),
+    [
+        (Change('i-1', TARGET, False, 5), False),
+        (Change('i-1', TARGET, False, 6), False),
+        (Change('i-1', TARGET, False, 7), True),
+        (Change('i-1', TARGET, True, 5), True),
+    ],
+)
+def test_late_answer_does_not_bring_back_what_the_list_no_longer_has(change, is_news):
+    # A copy of the store that is behind repeats changes: a target that had left was in use again.
+    lists = {'servers': [Ok(Listing((), 6))]}
+    events, *_ = follow(lists, {'servers': [Ok(Listing((change,), 4))]})
+    news = [it for it in events if isinstance(it, TargetChanged | TargetRemoved)]
+    assert bool(news) is is_news
+
+
 @pytest.mark.parametrize(('second', 'expected'), [(4, 4), (3, 3), (2, 3)])
 def test_configuration_never_goes_back(second, expected):
     state = PoolerState('vm', 'p0', random.Random(1))
--- a/tests/pooler/test_pooler_ticks.py
+++ b/tests/pooler/test_pooler_ticks.py
@@ -11,6 +11,8 @@
 def test_error_in_one_group_does_not_stop_the_others(monkeypatch):
     # An exception in a tick ended all ticks of the daemon: nothing expired or was retried then.
     world = World(vms=1)
+    world.connect('vm0', 1, 'orders')
+    world.send('vm0', 1, StatementKind.WRITE, 'a')
     world.run_until(0.5)
     vm = world.vms['vm0']
     broken = type(vm.state.groups[GROUP])('broken', vm.state.groups[GROUP].monitor)
