--- a/src/cassiaseam/pooler/replies.py
+++ b/src/cassiaseam/pooler/replies.py
@@ -248,7 +248,7 @@
 ) -> list:
     """Send a statement that has not run to another target, or again after a pause."""
     if reply.failure is TargetFailure.BUSY and operation.needs_primary:
-        operation.retry_at = now + sending.RETRY_PAUSE_S
+        operation.retry_at = now + sending.find_busy_pause_s(state, operation.attempts)
         return []
     return sending.advance(state, group, operation, now)
 
@@ -265,7 +265,7 @@
     connection.job = None
     still_open = reply.session_state is SessionState.IN_TRANSACTION
     if still_open and reply.failure is TargetFailure.BUSY:
-        operation.retry_at = now + sending.RETRY_PAUSE_S
+        operation.retry_at = now + sending.find_busy_pause_s(state, operation.attempts)
         return [endings.describe_retry(operation, connection.target, reply.failure.value, now)]
     is_commit = operation.statement.kind is StatementKind.COMMIT
     if is_commit and session.transaction.has_written and reply.failure not in NOT_RUN:
--- a/src/cassiaseam/pooler/sending.py
+++ b/src/cassiaseam/pooler/sending.py
@@ -19,6 +19,10 @@
 
 # Pause in seconds before a statement that did not run is tried again.
 RETRY_PAUSE_S = 0.03
+# Factor by which the pause grows with each refusal by a busy target, and the longest pause in
+# seconds: a quarter of the shortest latency objective of the deployments.
+BUSY_GROWTH = 1.5
+LONGEST_BUSY_PAUSE_S = 0.1
 # Time in seconds that a refusal by a target keeps an operation from going there again.
 REFUSAL_MEMORY_S = 0.15
 # Age in seconds of statuses that are polled again while writes are held back.
@@ -52,6 +56,17 @@
     return effects + send_to_target(state, group, operation, name, floor, now)
 
 
+def find_busy_pause_s(state: PoolerState, attempts: int) -> float:
+    """Return after how many seconds a statement is sent again to a primary that was busy.
+
+    Load pattern: a burst, or a primary that turned slow. Statements that come back at fixed short
+    times arrive many times each and keep every VM busy with refusals. The spread keeps those that
+    were refused together from returning together.
+    """
+    pause_s = RETRY_PAUSE_S * BUSY_GROWTH ** min(max(attempts - 1, 0), 10)
+    return min(pause_s, LONGEST_BUSY_PAUSE_S) * (0.75 + state.rng.random() / 2)
+
+
 def find_refusal(
     group: GroupView, operation: Operation, now: float
 ) -> tuple[ErrorKind, str] | None:
