Keep VMs in rotation while targets are only full, and tell truly that a statement has not run

Cause: after a primary had crashed, two targets were left for all VMs of one group of the large site. A statement that had only found busy targets was answered as timed out; the caller of a write must not send that again.

Change: only targets that do not answer count as lost. Writes are refused at once while a majority is lost or full, reads while every target is. A statement without an attempt under way is refused as not run at its limit. A group without a known primary is asked for it when the first statement arrives, the announced primary and near targets first.

--- a/src/cassiaseam/pooler/detection.py
+++ b/src/cassiaseam/pooler/detection.py
@@ -2,7 +2,7 @@
 
 from cassiaseam.group.evidence import count_majority
 from cassiaseam.messages import TargetRole
-from cassiaseam.pooler import connections, evidence, routing
+from cassiaseam.pooler import connections, evidence, routing, sampling
 from cassiaseam.pooler.state import GroupView, PoolerState, TargetState
 
 # Seconds without a reply, or of refused connections, after which a primary counts as failed.
@@ -14,8 +14,6 @@
 ABANDONED_FENCE_S = 2.5
 # Pause in seconds between polls of all targets while the primary is not known.
 SURVEY_PAUSE_S = 0.15
-# Seconds without a primary after which all targets are polled, not only a majority.
-SURVEY_ALL_AFTER_S = 0.1
 # The same while the known primary is out of reach; most VMs learn of the new one from the store.
 LOST_PRIMARY_PAUSE_S = 0.3
 
@@ -41,7 +39,7 @@
         return []
     group.survey_at = now
     effects: list = []
-    for name in list_surveyed(state, group, now):
+    for name in sampling.list_without_primary(state, group, now):
         effects.extend(connections.submit_status_poll(state, group, name, now))
     return effects
 
@@ -57,16 +55,6 @@
     return any(target.connections for target in group.targets.values())
 
 
-def list_surveyed(state: PoolerState, group: GroupView, now: float) -> list[str]:
-    """Return the targets to poll: those that make a majority with the announced primary first."""
-    since = group.without_primary_since
-    if since is None or now - since > SURVEY_ALL_AFTER_S:
-        return list(group.targets)
-    names = routing.list_by_reach(state, group, now)
-    names.sort(key=lambda name: not group.targets[name].record.is_primary)
-    return names[: count_majority(group.monitor)]
-
-
 def note_fences(group: GroupView, now: float) -> None:
     """Remember since when some target is fenced above the term in charge."""
     monitor = group.monitor
--- a/src/cassiaseam/pooler/operations.py
+++ b/src/cassiaseam/pooler/operations.py
@@ -6,7 +6,16 @@
 """
 
 from cassiaseam.errors import ErrorKind, RequestError
-from cassiaseam.pooler import endings, evidence, replies, routing, sending, sessions, sharing
+from cassiaseam.pooler import (
+    detection,
+    endings,
+    evidence,
+    replies,
+    routing,
+    sending,
+    sessions,
+    sharing,
+)
 from cassiaseam.pooler.commands import (
     SessionState,
     Statement,
@@ -113,7 +122,10 @@
             state, operation, ErrorKind.OVERLOADED, 'too many statements wait', now
         )
     group.operations.append(operation)
-    return sending.advance(state, group, operation, now)
+    effects = sending.advance(state, group, operation, now)
+    if operation.needs_primary and not group.monitor.primary:
+        effects += detection.survey_targets(state, group, now)
+    return effects
 
 
 def expire_operations(state: PoolerState, group: GroupView, now: float) -> list:
@@ -154,10 +166,11 @@
         return endings.refuse(
             state, operation, ErrorKind.TRANSACTION_ABORTED, 'no answer in time', now
         )
-    if operation.sent_at is not None:
+    if is_sent(operation):
         return endings.refuse(
             state, operation, ErrorKind.STATEMENT_TIMEOUT, 'no answer in time', now
         )
+    # Every target that it was sent to has said that it has not run.
     return endings.refuse(state, operation, ErrorKind.OVERLOADED, 'no target in time', now)
 
 
--- a/src/cassiaseam/pooler/routing.py
+++ b/src/cassiaseam/pooler/routing.py
@@ -63,8 +63,11 @@
 
 def is_out_of_reach(target: TargetState, now: float) -> bool:
     """Return whether this VM has lost a target, or gets no connection to it."""
-    if connections.is_shut_out(target, now):
-        return True
+    return connections.is_shut_out(target, now) or is_lost(target, now)
+
+
+def is_lost(target: TargetState, now: float) -> bool:
+    """Return whether a target has not answered to this VM for long."""
     since = min(
         (at for at in (target.failing_since, target.silent_since) if at is not None),
         default=now,
@@ -75,13 +78,30 @@
 def is_cut_off(group: GroupView, now: float) -> bool:
     """Return whether this VM reaches no majority of a group.
 
-    Another VM may reach it, so callers are better served there.
+    Another VM may reach it, so callers are better served there. A target that is only full at the
+    moment is not lost: with one of three targets down, VMs that left for that sent their callers to
+    VMs that were shut out as well, while a replica could have served their reads.
     """
-    lost = sum(is_out_of_reach(target, now) for target in group.targets.values())
+    lost = sum(is_lost(target, now) for target in group.targets.values())
+    return lacks_majority(group, lost)
+
+
+def is_shut_out_of_majority(group: GroupView, now: float) -> bool:
+    """Return whether this VM cannot ask a majority whether it holds a commit."""
+    return lacks_majority(group, sum(is_out_of_reach(it, now) for it in group.targets.values()))
+
+
+def lacks_majority(group: GroupView, lost: int) -> bool:
+    """Return whether a group has no majority without a number of its known targets."""
     missing = max(group.size - len(group.targets), 0)
     return group.size - lost - missing < count_majority(group.monitor)
 
 
+def is_shut_out_of_all(group: GroupView, now: float) -> bool:
+    """Return whether no target of a group gives this VM a connection."""
+    return all(is_out_of_reach(target, now) for target in group.targets.values())
+
+
 def find_read_target(
     state: PoolerState,
     group: GroupView,
--- a/src/cassiaseam/pooler/sampling.py
+++ b/src/cassiaseam/pooler/sampling.py
@@ -4,6 +4,9 @@
 from cassiaseam.pooler import connections, routing
 from cassiaseam.pooler.state import GroupView, PoolerState
 
+# Seconds without a primary after which all targets are polled, not only a majority.
+POLL_ALL_AFTER_S = 0.1
+
 
 def poll_sample(state: PoolerState, group: GroupView, since: float, now: float) -> list:
     """Make sure that some majority is polled at or after `since`, best without new connections."""
@@ -24,13 +27,24 @@
     return effects
 
 
+def list_without_primary(state: PoolerState, group: GroupView, now: float) -> list[str]:
+    """Return the targets to poll for a primary: a majority with the announced one, later all."""
+    since = group.without_primary_since
+    if since is None or now - since > POLL_ALL_AFTER_S:
+        return list(group.targets)
+    names = routing.list_by_reach(state, group, now)
+    names.sort(key=lambda name: not group.targets[name].record.is_primary)
+    return names[: count_majority(group.monitor)]
+
+
 def poll_replicas(state: PoolerState, group: GroupView, since: float, now: float) -> list:
     """Poll the nearest targets that make a majority together with the primary."""
-    needed = max(group.size // 2, 1)
-    if not group.monitor.primary:
-        needed = len(group.targets)
+    if group.monitor.primary:
+        names = routing.list_by_distance(state, group, now)[: max(group.size // 2, 1)]
+    else:
+        names = list_without_primary(state, group, now)
     effects: list = []
-    for name in routing.list_by_distance(state, group, now)[:needed]:
+    for name in names:
         effects.extend(poll_unless_known(state, group, name, since, now))
     return effects
 
--- a/src/cassiaseam/pooler/sending.py
+++ b/src/cassiaseam/pooler/sending.py
@@ -78,6 +78,11 @@
         return ErrorKind.NO_TARGET, 'fewer targets than a majority are in reach'
     if operation.needs_primary and routing.is_shut_out_of_primary(group, now):
         return ErrorKind.OVERLOADED, 'the primary has no connection left'
+    if operation.sent_at is None and operation.needs_primary:
+        if routing.is_shut_out_of_majority(group, now):
+            return ErrorKind.OVERLOADED, 'a majority has no connection left'
+    if operation.sent_at is None and routing.is_shut_out_of_all(group, now):
+        return ErrorKind.OVERLOADED, 'no target has a connection left'
     return None
 
 
--- a/tests/pooler/test_pooler_waiting.py
+++ b/tests/pooler/test_pooler_waiting.py
@@ -4,8 +4,9 @@
 from collections import Counter
 
 import pytest
-from pooler_world import World, is_success
+from pooler_world import World, get_error, is_success
 
+from cassiaseam.errors import ErrorKind
 from cassiaseam.pooler import sending
 from cassiaseam.pooler.commands import StatementKind
 from cassiaseam.pooler.state import PoolerState
@@ -49,3 +50,27 @@
     primary.busy = 0
     world.run_until(1.75)
     assert all(is_success(call) for call in calls)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'busy', 'expected'),
+    [
+        (StatementKind.WRITE, 10**6, ErrorKind.OVERLOADED),
+        (StatementKind.READ, 10**6, ErrorKind.OVERLOADED),
+        (StatementKind.WRITE, 0, ErrorKind.OUTCOME_UNKNOWN),
+        (StatementKind.READ, 0, ErrorKind.STATEMENT_TIMEOUT),
+    ],
+)
+def test_statement_that_no_target_ran_is_told_so_at_its_time_limit(kind, busy, expected):
+    # A write that had only found busy targets was answered as timed out, so that its caller could
+    # not send it again (grown telon, trouble-1, 16 s).
+    world = World(vms=1)
+    world.connect('vm0', 1, 'orders')
+    world.send('vm0', 1, StatementKind.WRITE, 'first')
+    world.run_until(1)
+    for target in world.targets.values():
+        target.busy = busy
+        target.drop_answers = 0 if busy else 10
+    call = world.send('vm0', 1, kind, 'second')
+    world.run_until(2.1)
+    assert get_error(call) is expected
