--- a/src/cassiaseam/pooler/routing.py
+++ b/src/cassiaseam/pooler/routing.py
@@ -79,8 +79,8 @@
     """Return whether this VM reaches no majority of a group.
 
     Another VM may reach it, so callers are better served there. A target that is only full at the
-    moment is not lost: with one of three targets down, VMs that left for that sent their callers to
-    VMs that were shut out as well, while a replica could have served their reads.
+    moment is not lost: VMs that left rotation for that sent their callers to VMs that were shut
+    out as well, while a replica could have served their reads.
     """
     lost = sum(is_lost(target, now) for target in group.targets.values())
     return lacks_majority(group, lost)
--- a/src/cassiaseam/pooler/sending.py
+++ b/src/cassiaseam/pooler/sending.py
@@ -74,14 +74,15 @@
 
     Another VM may have the connections that this one lacks, so callers are told at once.
     """
-    if operation.sent_at is None and routing.is_cut_off(group, now):
-        return ErrorKind.NO_TARGET, 'fewer targets than a majority are in reach'
     if operation.needs_primary and routing.is_shut_out_of_primary(group, now):
         return ErrorKind.OVERLOADED, 'the primary has no connection left'
-    if operation.sent_at is None and operation.needs_primary:
-        if routing.is_shut_out_of_majority(group, now):
-            return ErrorKind.OVERLOADED, 'a majority has no connection left'
-    if operation.sent_at is None and routing.is_shut_out_of_all(group, now):
+    if operation.sent_at is not None:
+        return None
+    if routing.is_cut_off(group, now):
+        return ErrorKind.NO_TARGET, 'fewer targets than a majority are in reach'
+    if operation.needs_primary and routing.is_shut_out_of_majority(group, now):
+        return ErrorKind.OVERLOADED, 'a majority has no connection left'
+    if routing.is_shut_out_of_all(group, now):
         return ErrorKind.OVERLOADED, 'no target has a connection left'
     return None
 
