--- a/src/cassiaseam/daemon/main.py
+++ b/src/cassiaseam/daemon/main.py
@@ -15,7 +15,7 @@
 
 def parse_arguments(arguments: list[str] | None = None) -> Any:
     """Return the command line arguments."""
-    import argparse  # noqa: PLC0415
+    import argparse
 
     parser = argparse.ArgumentParser(prog='cassiaseamd', description='Database proxy daemon.')
     parser.add_argument('--settings', required=True, metavar='FILE', help='YAML settings file')
@@ -34,9 +34,9 @@
     parsed = parse_arguments(arguments)
     if parsed.role == 'pooler':
         return run_pooler_role(parsed.settings, signals)
-    from result import Err  # noqa: PLC0415
+    from result import Err
 
-    from cassiaseam.daemon.settings_file import read_settings_file  # noqa: PLC0415
+    from cassiaseam.daemon.settings_file import read_settings_file
 
     read = read_settings_file(parsed.settings)
     if isinstance(read, Err):
@@ -47,10 +47,10 @@
 
 def run_pooler_role(path: str, signals: PendingSignals) -> int:
     """Run a daemon that routes callers straight to the targets; see docs/platform.md."""
-    from result import Err  # noqa: PLC0415
+    from result import Err
 
-    from cassiaseam.pooler.runtime import run_pooler  # noqa: PLC0415
-    from cassiaseam.pooler.settings import load_pooler_settings  # noqa: PLC0415
+    from cassiaseam.pooler.runtime import run_pooler
+    from cassiaseam.pooler.settings import load_pooler_settings
 
     loaded = load_pooler_settings(path)
     if isinstance(loaded, Err):
@@ -67,17 +67,17 @@
     The reactor is installed before other modules are imported, because several of them import
     the reactor, which would install the default one.
     """
-    import asyncio  # noqa: PLC0415
+    import asyncio
 
-    from twisted.internet import asyncioreactor  # noqa: PLC0415
+    from twisted.internet import asyncioreactor
 
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
     asyncioreactor.install(loop)
-    from twisted.internet import reactor  # noqa: PLC0415
+    from twisted.internet import reactor
 
-    from cassiaseam.daemon.runtime_settings import build_runtime_settings  # noqa: PLC0415
-    from cassiaseam.daemon.supervision import DaemonSupervisor  # noqa: PLC0415
+    from cassiaseam.daemon.runtime_settings import build_runtime_settings
+    from cassiaseam.daemon.supervision import DaemonSupervisor
 
     start_logging(settings.log_level)
     try:
@@ -97,9 +97,9 @@
 
 def start_logging(level: str) -> None:
     """Send log lines of at least `level` to the standard error output."""
-    from absl import flags, logging  # noqa: PLC0415
+    from absl import flags, logging
 
-    from cassiaseam.observability.logs import set_log_level  # noqa: PLC0415
+    from cassiaseam.observability.logs import set_log_level
 
     # Without parsed flags absl prints a warning and drops all lines below warnings.
     flags.FLAGS.mark_as_parsed()
