--- a/src/cassiaseam/pooler/ticks.py
+++ b/src/cassiaseam/pooler/ticks.py
@@ -84,7 +84,9 @@
     """Return whether a group has something under way that a tick may have to end or repeat."""
     if group.operations or group.waiting_vms or group.promotion is not None:
         return True
-    if group.question is not None or group.without_primary_since is not None:
+    if group.question is not None and not group.question.expired:
+        return True
+    if group.without_primary_since is not None:
         return True
     return any(
         target.queue or target.silent_since is not None or target.failing_since is not None
--- a/tests/pooler/test_pooler_ticks.py
+++ b/tests/pooler/test_pooler_ticks.py
@@ -6,6 +6,7 @@
 
 from cassiaseam.pooler import ticks
 from cassiaseam.pooler.commands import StatementKind
+from cassiaseam.pooler.state import SampleQuestion
 
 
 def test_error_in_one_group_does_not_stop_the_others(monkeypatch):
@@ -57,3 +58,12 @@
     group = world.vms['vm0'].state.groups[GROUP]
     setattr(group.targets['t0'], field, value)
     assert ticks.is_active(group)
+
+
+@pytest.mark.parametrize(('expired', 'active'), [(False, True), (True, False)])
+def test_question_that_nobody_answers_does_not_keep_a_group_active(expired, active):
+    world = World(vms=1)
+    world.run_until(2)
+    group = world.vms['vm0'].state.groups[GROUP]
+    group.question = SampleQuestion(1, 'vm1', 2.0, expired)
+    assert ticks.is_active(group) is active
