--- a/src/cassiaseam/pooler/connections.py
+++ b/src/cassiaseam/pooler/connections.py
@@ -179,6 +179,7 @@
         if job.operation.sent_at is None:
             job.operation.sent_at = now
         job.operation.attempts += 1
+        job.operation.last_target = job.target
     return [send(state, connection, (command,))]
 
 
--- a/src/cassiaseam/pooler/endings.py
+++ b/src/cassiaseam/pooler/endings.py
@@ -26,6 +26,7 @@
                 **sessions.describe_operation(operation, now),
                 'kind': kind.value,
                 'cause': text,
+                'target': operation.last_target or None,
                 'version': state.config.version if state.config else 0,
             },
         )
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -36,6 +36,7 @@
         needs_primary: Whether only the primary may run it.
         needs_confirmation: Whether its answer waits until the primary is confirmed in charge.
         attempts: How often it was sent to a target.
+        last_target: Target of the latest attempt, or ''.
         tried: Targets that could not run it, with the time of the refusal.
         jobs: Jobs that wait or run for it; more than one while a read is sent twice.
         retry_at: Time of the next attempt while none is under way, or None.
@@ -58,6 +59,7 @@
     needs_primary: bool = False
     needs_confirmation: bool = False
     attempts: int = 0
+    last_target: str = ''
     tried: dict[str, float] = field(default_factory=dict)
     jobs: list['Job'] = field(default_factory=list)
     retry_at: float | None = None
