Ask a majority, not all targets, when the first statement of a group arrives

Cause: the evidence for a write was asked for before the survey had noted that the primary is unknown, so that all three targets were asked and connected to.

Change: without that note a majority is asked, the announced primary first. A known primary that is out of reach still leads to all targets. The test fails on the code before for writes.

Figures: two connections instead of three for the first write of a VM in a group (test).

--- a/src/cassiaseam/pooler/detection.py
+++ b/src/cassiaseam/pooler/detection.py
@@ -39,7 +39,9 @@
         return []
     group.survey_at = now
     effects: list = []
-    for name in sampling.list_without_primary(state, group, now):
+    unknown = primary is None
+    names = sampling.list_without_primary(state, group, now) if unknown else group.targets
+    for name in names:
         effects.extend(connections.submit_status_poll(state, group, name, now))
     return effects
 
--- a/src/cassiaseam/pooler/sampling.py
+++ b/src/cassiaseam/pooler/sampling.py
@@ -30,7 +30,7 @@
 def list_without_primary(state: PoolerState, group: GroupView, now: float) -> list[str]:
     """Return the targets to poll for a primary: a majority with the announced one, later all."""
     since = group.without_primary_since
-    if since is None or now - since > POLL_ALL_AFTER_S:
+    if since is not None and now - since > POLL_ALL_AFTER_S:
         return list(group.targets)
     names = routing.list_by_reach(state, group, now)
     names.sort(key=lambda name: not group.targets[name].record.is_primary)
--- a/tests/pooler/test_pooler_polls.py
+++ b/tests/pooler/test_pooler_polls.py
@@ -12,6 +12,26 @@
     return sum(vm.state.commands_sent.get('ReadStatus', 0) for vm in world.vms.values())
 
 
+@pytest.mark.parametrize(
+    ('database', 'kind'),
+    [
+        ('orders', StatementKind.READ),
+        ('orders', StatementKind.WRITE),
+        ('stock', StatementKind.WRITE),
+    ],
+)
+def test_first_statement_of_a_group_asks_a_majority(database, kind):
+    # 195 VMs that asked every target of every group took more connections than the targets have.
+    world = World(vms=1)
+    world.run_until(3)
+    assert count_polls(world) == 0
+    world.connect('vm0', 1, database)
+    call = world.send('vm0', 1, kind, 'a')
+    world.run_until(3.2)
+    assert is_success(call)
+    assert len(world.vms['vm0'].state.connections) == 2
+
+
 @pytest.mark.parametrize(
     ('database', 'pause_s', 'most'),
     [('orders', 0.3, READS), ('orders', 0.003, READS), ('prices', 0.1, 6), ('stock', 0.1, 6)],
