Leave SIGINT of the owner role to the reactor

The reactor takes SIGINT over only when it has its first handler; the early handlers kept it, so that an interrupted daemon of the owner role went on. The test starts both roles and ends them by each of the two signals.

--- a/src/cassiaseam/daemon/main.py
+++ b/src/cassiaseam/daemon/main.py
@@ -89,6 +89,7 @@
     supervisor.schedule()
     resume_garbage_collection()
     # The reactor handles signals itself from its start on.
+    signals.hand_over()
     if signals.take_stop():
         reactor.callWhenRunning(reactor.stop)
     reactor.run()
--- a/src/cassiaseam/daemon/signals.py
+++ b/src/cassiaseam/daemon/signals.py
@@ -25,6 +25,10 @@
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, self.note)
 
+    def hand_over(self) -> None:
+        """Leave SIGINT to Twisted, which takes only signals over that have their first handler."""
+        signal.signal(signal.SIGINT, signal.default_int_handler)
+
     def note(self, number: int, frame: Any) -> None:
         """Remember a signal."""
         if number == signal.SIGHUP:
--- a/tests/daemon/test_signals.py
+++ b/tests/daemon/test_signals.py
@@ -110,3 +110,16 @@
     daemon.send_while_reading_settings(signal.SIGTERM)
     daemon.process.stdout.read()
     assert daemon.process.wait(START_LIMIT_S) == 0
+
+
+@pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGINT])
+def test_started_daemon_ends_orderly(daemon, number):
+    # A handler of SIGINT that was installed before the reactor kept the reactor from its own.
+    with os.fdopen(daemon.wait_for_reader(), 'w') as pipe:
+        pipe.write(daemon.document)
+    for line in daemon.process.stdout:
+        if STARTED in line:
+            break
+    daemon.process.send_signal(number)
+    daemon.process.stdout.read()
+    assert daemon.process.wait(START_LIMIT_S) == 0
