--- a/src/cassiaseam/owner/routing.py
+++ b/src/cassiaseam/owner/routing.py
@@ -4,6 +4,7 @@
 
 from cassiaseam.errors import ErrorKind
 from cassiaseam.group import view as group_view
+from cassiaseam.group.detection import UNKNOWN_GRACE_S
 from cassiaseam.group.failover import PLANNED_WAIT_S
 from cassiaseam.owner.pool import accepts_new_work, has_free_slot, request_connections
 from cassiaseam.owner.state import TargetPool, TimerKind, Turn, Work, schedule_timer
@@ -168,6 +169,10 @@
     elapsed_s = turn.now - blocked_at
     if elapsed_s >= WRITE_WAIT_LIMIT_S:
         return None
+    heard = any(view.status is not None for view in turn.group.targets.values())
+    if not heard and elapsed_s < UNKNOWN_GRACE_S:
+        # This daemon has just taken the database over; its first poll tells the primary.
+        return SHORTEST_EXPECTED_WAIT_S
     gap_s = turn.group.last_failover_gap_s
     expected_s = EXPECTED_GAP_S if gap_s is None else min(gap_s, WRITE_WAIT_LIMIT_S)
     if turn.group.failover is not None and turn.group.failover.planned:
