Forget VMs that no longer wait for a sample

While no target answered, each question of another VM was kept until the next status. They are forgotten at their limit now.

--- a/src/cassiaseam/pooler/sharing.py
+++ b/src/cassiaseam/pooler/sharing.py
@@ -59,8 +59,12 @@
     return sampling.poll_sample(state, group, now - max_age_s * REUSE_SHARE, now)
 
 
-def expire_question(state: PoolerState, group: GroupView, now: float) -> None:
-    """Go on alone when the asked VM does not answer; a late answer is still used."""
+def expire_questions(state: PoolerState, group: GroupView, now: float) -> None:
+    """Forget VMs that wait no longer, and go on alone when the asked VM does not answer.
+
+    A late answer is still used.
+    """
+    group.waiting_vms = [waiting for waiting in group.waiting_vms if now < waiting.until]
     question = group.question
     if question is None or question.expired or now - question.sent_at < ANSWER_LIMIT_S:
         return
--- a/src/cassiaseam/pooler/ticks.py
+++ b/src/cassiaseam/pooler/ticks.py
@@ -65,7 +65,7 @@
         effects += targets.close_stuck_connections(state, group, target, now)
         effects += connections.start_jobs(state, target, now)
         effects += connections.close_idle_connections(state, target, now)
-    sharing.expire_question(state, group, now)
+    sharing.expire_questions(state, group, now)
     effects += operations.expire_operations(state, group, now)
     effects += probe_targets(state, group, now)
     effects += failover.check_primary(state, group, now)
--- a/tests/pooler/test_pooler_sharing.py
+++ b/tests/pooler/test_pooler_sharing.py
@@ -8,7 +8,13 @@
 
 from cassiaseam.pooler import peers, sharing
 from cassiaseam.pooler.commands import StatementKind
-from cassiaseam.pooler.events import AgedPosition, PeerRecord, PeersListed, SampleOffered
+from cassiaseam.pooler.events import (
+    AgedPosition,
+    PeerRecord,
+    PeersListed,
+    SampleAsked,
+    SampleOffered,
+)
 from cassiaseam.pooler.state import PeerState, PoolerState, SampleQuestion
 from cassiaseam.positions import LogPosition
 from cassiaseam.reducer.registry import reduce_event
@@ -146,3 +152,18 @@
     world = World(vms=2, shared=True)
     world.run_until(0.5)
     assert offer(world, 0.1, group_size, nonce) == (False, [])
+
+
+def test_vms_that_wait_no_longer_are_forgotten():
+    # While no target answers, each question of the others would be kept.
+    world = World(vms=2, shared=True)
+    world.run_until(3)
+    sampling_vm = world.vms[max(world.vms, key=lambda name: peers.rank_vm(name, GROUP))]
+    for target in world.targets:
+        world.mute(target, 60)
+    for _ in range(5):
+        sampling_vm.dispatch(SampleAsked('vm9', 0, 1, GROUP, 0))
+    group = sampling_vm.state.groups[GROUP]
+    assert len(group.waiting_vms) == 5
+    world.run_until(3.3)
+    assert not group.waiting_vms
