--- a/tests/pooler/test_pooler_connections.py
+++ b/tests/pooler/test_pooler_connections.py
@@ -4,9 +4,10 @@
 
 import pytest
 from pooler_world import ROUTES, World, get_error, is_success
+from test_pooler_evidence import build_group
 
 from cassiaseam.errors import ErrorKind
-from cassiaseam.pooler import connections
+from cassiaseam.pooler import connections, routing
 from cassiaseam.pooler.commands import StatementKind
 from cassiaseam.pooler.model import TargetRecord
 from cassiaseam.pooler.state import TargetState
@@ -112,3 +113,40 @@
     world.crash('t0', 10)
     world.run_until(3.5)
     assert world.find_primary().name != 't0'
+
+
+LOST = {'failing_since': 1.0}
+FULL = {'full_since': 1.0}
+
+
+@pytest.mark.parametrize(
+    ('targets', 'cut_off', 'write_refused', 'read_refused'),
+    [
+        ([{}, {}, {}], False, False, False),
+        ([LOST, {}, {}], False, False, False),
+        ([LOST, FULL, {}], False, True, False),
+        ([LOST, FULL, FULL], False, True, True),
+        ([LOST, LOST, {}], True, True, False),
+        ([FULL, FULL, FULL], False, True, True),
+    ],
+)
+def test_full_targets_do_not_take_a_vm_out_of_rotation(
+    targets, cut_off, write_refused, read_refused
+):
+    # With one target down, VMs that a second one refused refused reads that the third could serve
+    # and left rotation, so that their callers met VMs that were refused as well (large esoviz,
+    # trouble-1, 8 to 14 s).
+    group = build_group([])
+    for target, fields in zip(group.targets.values(), targets, strict=True):
+        for name, since in fields.items():
+            setattr(target, name, since)
+    assert routing.is_cut_off(group, 10.0) is cut_off
+    assert routing.is_shut_out_of_majority(group, 10.0) is write_refused
+    assert routing.is_shut_out_of_all(group, 10.0) is read_refused
+
+
+@pytest.mark.parametrize(
+    ('used_share', 'limit_s'), [(0, 20), (0.49, 20), (0.5, 5), (0.7, 1), (0.85, 0.3), (3, 0.3)]
+)
+def test_idle_connections_live_shorter_the_fuller_the_target(used_share, limit_s):
+    assert connections.find_idle_limit_s(used_share) == limit_s
