--- a/src/cassiaseam/platform/environment.py
+++ b/src/cassiaseam/platform/environment.py
@@ -8,7 +8,7 @@
 from cassiaseam.platform.targets import TargetConnector
 from cassiaseam.pooler.environments import Environment, registers_environment
 from cassiaseam.pooler.settings import PoolerSettings
-from cassiaseam.pooler.storewatch import WatchedKinds
+from cassiaseam.pooler.storewatch import StoreKinds
 
 READINESS_PATH = '/readiness'
 
@@ -23,7 +23,7 @@
         targets=TargetConnector(reactor, settings.vm, dispatch),
         store=PlatformStore(reactor, settings.store.host, settings.store.port),
         promotions=PromotionCaller(reactor, settings.promotions.host, settings.promotions.port),
-        kinds=WatchedKinds(
+        kinds=StoreKinds(
             records.CONFIG_KIND, records.CONFIG_NAME, records.TARGETS_KIND, records.VMS_KIND
         ),
         decode_config=records.decode_config,
--- a/src/cassiaseam/pooler/directory.py
+++ b/src/cassiaseam/pooler/directory.py
@@ -11,10 +11,10 @@
 
 from result import Err
 from twisted.internet.defer import Deferred, ensureDeferred
-from twisted.internet.task import deferLater
 
 from cassiaseam.pooler.events import PeerRecord, PeersListed, WriteOutcome
 from cassiaseam.pooler.storeport import Change
+from cassiaseam.pooler.storewatch import sleep_with_spread
 
 # Pauses in seconds before the first lists of a daemon: the VMs of a deployment start together, and
 # each of them registers after its first list. The last pause repeats.
@@ -118,6 +118,5 @@
             self.log('vm_record_deleted', vm_name=change.name, cause=cause)
 
     def sleep(self, seconds: float) -> Deferred[None]:
-        """Wait for a time with some spread, so that the VMs do not call together."""
-        spread = seconds * (0.5 + self.rng.random())
-        return deferLater(self.reactor, spread, lambda: None)
+        """Wait for a time with some spread."""
+        return sleep_with_spread(self.reactor, self.rng, seconds)
--- a/src/cassiaseam/pooler/environments.py
+++ b/src/cassiaseam/pooler/environments.py
@@ -9,7 +9,7 @@
 
 from cassiaseam.pooler.events import PeerRecord
 from cassiaseam.pooler.model import RoutingConfig, TargetRecord
-from cassiaseam.pooler.storewatch import WatchedKinds
+from cassiaseam.pooler.storewatch import StoreKinds
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,7 +32,7 @@
     targets: Any
     store: Any
     promotions: Any
-    kinds: WatchedKinds
+    kinds: StoreKinds
     decode_config: Callable[[Any], Result[RoutingConfig, str]]
     decode_target: Callable[[str, Any], Result[TargetRecord, str]]
     decode_vm: Callable[[str, Any], Result[PeerRecord, str]]
--- a/src/cassiaseam/pooler/storewatch.py
+++ b/src/cassiaseam/pooler/storewatch.py
@@ -31,14 +31,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class WatchedKinds:
-    """Names of the objects that are followed.
+class StoreKinds:
+    """Names of the kinds of objects that a daemon reads.
 
     Attributes:
-        config: Kind of the configuration.
+        config: Kind of the configuration, which is watched.
         config_name: Name of the object that holds the configuration.
-        targets: Kind of the target records.
-        vms: Kind of the records of VMs, which are listed only.
+        targets: Kind of the target records, which are watched.
+        vms: Kind of the records of VMs, which are listed now and then.
     """
 
     config: str
@@ -47,6 +47,11 @@
     vms: str
 
 
+def sleep_with_spread(reactor: Any, rng: random.Random, seconds: float) -> Deferred[None]:
+    """Wait for half to one and a half of a time, so that the VMs do not call together."""
+    return deferLater(reactor, seconds * (0.5 + rng.random()), lambda: None)
+
+
 def select_news(changes: tuple[Change, ...], revision: int) -> tuple[Change, ...]:
     """Return the changes after a revision.
 
@@ -157,9 +162,8 @@
         self.dispatch(StoreContact(any(self.reachable.values())))
 
     def sleep(self, seconds: float) -> Deferred[None]:
-        """Wait for a time with some spread, so that the VMs do not call together."""
-        spread = seconds * (0.5 + self.rng.random())
-        return deferLater(self.reactor, spread, lambda: None)
+        """Wait for a time with some spread."""
+        return sleep_with_spread(self.reactor, self.rng, seconds)
 
     def read_config(self, changes: tuple[Change, ...]) -> None:
         """Decode the newest configuration among the changes."""
--- a/tests/pooler/test_pooler_store_watch.py
+++ b/tests/pooler/test_pooler_store_watch.py
@@ -21,10 +21,10 @@
 from cassiaseam.pooler.model import RoutingConfig
 from cassiaseam.pooler.state import PoolerState
 from cassiaseam.pooler.storeport import Change, HistoryGone, Listing, StoreError
-from cassiaseam.pooler.storewatch import StoreWatcher, WatchedKinds
+from cassiaseam.pooler.storewatch import StoreKinds, StoreWatcher
 from cassiaseam.reducer.registry import reduce_event
 
-KINDS = WatchedKinds('config', 'main', 'servers', 'vms')
+KINDS = StoreKinds('config', 'main', 'servers', 'vms')
 TARGET = {
     'service': 'g',
     'address': '10.0.0.1:80',
