Let the daemons of the soak ask each other for samples, and keep seed 7004

The soak gives each daemon a port for questions. Seed 7004, in which a SIGHUP during the start ended a daemon, is kept as a regression case with five daemons, so that two places have a sampler and one that asks it.

--- a/src/cassiaseam_soak/installation.py
+++ b/src/cassiaseam_soak/installation.py
@@ -140,7 +140,7 @@
         proxy = FaultyProxy(lambda: self.store.port)
         await proxy.start()
         self.store_proxies.append(proxy)
-        callers_port, readiness_port = find_free_ports(2)
+        callers_port, readiness_port, peers_port = find_free_ports(3)
         settings = self.folder / f'vm-{index}.yaml'
         regions = ''.join(f'  {place}: {place}\n' for place in PLACES)
         settings.write_text(
@@ -151,6 +151,7 @@
             'listen:\n'
             f'  callers: 127.0.0.1:{callers_port}\n'
             f'  readiness: 127.0.0.1:{readiness_port}\n'
+            f'  peers: 127.0.0.1:{peers_port}\n'
             f'store: 127.0.0.1:{proxy.port}\n'
             f'promotions: 127.0.0.1:{proxy.port}\n'
             f'stop_limit: {STOP_LIMIT_S:g}s\n'
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,6 +15,9 @@
     (1, SoakShape(daemons=2, callers=2)),
     # A promotion whose answer was lost went on with another target and lost acknowledged writes.
     (202, SoakShape()),
+    # SIGHUP during the start of a daemon ended it. With more daemons than places, some of them ask
+    # others for samples.
+    (7004, SoakShape(daemons=5)),
 ]
 
 
