--- a/src/cassiaseam/pooler/peers.py
+++ b/src/cassiaseam/pooler/peers.py
@@ -7,7 +7,8 @@
 import zlib
 
 from cassiaseam.pooler.events import PeersListed
-from cassiaseam.pooler.state import PeerState, PoolerState
+from cassiaseam.pooler.peer_state import PeerState
+from cassiaseam.pooler.state import PoolerState
 from cassiaseam.reducer.registry import handles
 
 # Seconds for which a VM that did not answer is not asked again; they double with each further
--- a/src/cassiaseam/pooler/sharing.py
+++ b/src/cassiaseam/pooler/sharing.py
@@ -19,7 +19,8 @@
     SampleAsked,
     SampleOffered,
 )
-from cassiaseam.pooler.state import GroupView, PoolerState, SampleQuestion, WaitingVm
+from cassiaseam.pooler.peer_state import SampleQuestion, WaitingVm
+from cassiaseam.pooler.state import GroupView, PoolerState
 from cassiaseam.reducer.registry import handles
 
 # Seconds after which a VM takes the sample itself: two ways inside a place and a poll of targets
--- a/tests/pooler/test_pooler_sharing.py
+++ b/tests/pooler/test_pooler_sharing.py
@@ -15,7 +15,8 @@
     SampleAsked,
     SampleOffered,
 )
-from cassiaseam.pooler.state import PeerState, PoolerState, SampleQuestion
+from cassiaseam.pooler.peer_state import PeerState, SampleQuestion
+from cassiaseam.pooler.state import PoolerState
 from cassiaseam.positions import LogPosition
 from cassiaseam.reducer.registry import reduce_event
 
--- a/tests/pooler/test_pooler_ticks.py
+++ b/tests/pooler/test_pooler_ticks.py
@@ -6,7 +6,7 @@
 
 from cassiaseam.pooler import ticks
 from cassiaseam.pooler.commands import StatementKind
-from cassiaseam.pooler.state import SampleQuestion
+from cassiaseam.pooler.peer_state import SampleQuestion
 
 
 def test_error_in_one_group_does_not_stop_the_others(monkeypatch):
