End a daemon of the pooler role whose port is taken, and serve without the one for other VMs

Cause: an exception while the ports were opened left a process without ticks, signals and an exit code: it neither served nor ended.

Change: a taken port is logged and the daemon ends with code 1, so that it is started again; a taken port for other VMs is logged and the daemon samples for itself. Tests with real processes.

--- a/src/cassiaseam/pooler/runtime.py
+++ b/src/cassiaseam/pooler/runtime.py
@@ -8,6 +8,7 @@
 
 from result import Err
 from twisted.internet.defer import ensureDeferred
+from twisted.internet.error import CannotListenError
 
 from cassiaseam.daemon.node import Node, executes
 from cassiaseam.daemon.signals import PendingSignals
@@ -64,6 +65,7 @@
 WATCH_SHARE = 0.85
 # Seconds of the stop limit kept for the end of the process itself.
 STOP_MARGIN_S = 0.4
+EXIT_START_FAILED = 1
 METRICS_PATH = '/metrics'
 METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 
@@ -82,6 +84,7 @@
         environment: Connections to callers, targets and the store.
         output: Log lines.
         signals: Signals that the next tick acts on.
+        exit_code: Exit code of the process.
     """
 
     def __init__(self, settings: PoolerSettings, path: str, reactor: Any, signals: PendingSignals):
@@ -109,6 +112,7 @@
         self.ticker: Any = None
         self.next_tick_at = read_clock()
         self.finished = False
+        self.exit_code = 0
 
     def build_directory(self, rng: random.Random) -> VmDirectory | None:
         """Return what finds the other VMs, or None when this one does not talk to them."""
@@ -140,21 +144,46 @@
         self.log('task_failed', cause=failure.getTraceback(), level='error')
 
     def start(self) -> None:
-        """Open the sockets and begin to follow the store."""
+        """Open the sockets and begin to follow the store; without its ports the daemon ends."""
+        try:
+            self.open_ports()
+        except CannotListenError as error:
+            self.log('daemon_start_failed', cause=str(error), level='error')
+            self.exit_code = EXIT_START_FAILED
+            self.finished = True
+            self.reactor.stop()
+            return
+        self.watcher.start()
+        self.join_peers()
+        self.node.after_dispatch = self.hasten_tick
+        self.schedule_tick(ticks.TICK_S)
+        listen = self.settings.listen
+        self.log('daemon_started', place=self.settings.place, callers=str(listen.callers))
+
+    def open_ports(self) -> None:
+        """Accept callers, the load balancer and readers of the metrics.
+
+        Raises:
+            CannotListenError: A port is taken.
+        """
         listen = self.settings.listen
         self.listen(listen.callers, self.environment.callers)
         server = HttpServerFactory(self.respond)
         self.listen(listen.readiness, server)
         if listen.metrics is not None:
             self.listen(listen.metrics, server)
-        self.watcher.start()
-        if self.directory is not None:
-            peers_at = self.directory.own
-            self.reactor.listenUDP(peers_at.port, self.peers, interface=peers_at.host)
-            self.directory.start()
-        self.node.after_dispatch = self.hasten_tick
-        self.schedule_tick(ticks.TICK_S)
-        self.log('daemon_started', place=self.settings.place, callers=str(listen.callers))
+
+    def join_peers(self) -> None:
+        """Talk to the other VMs; a daemon that cannot serves all the same."""
+        if self.directory is None:
+            return
+        own = self.directory.own
+        try:
+            self.reactor.listenUDP(own.port, self.peers, interface=own.host)
+        except CannotListenError as error:
+            self.log('peers_unavailable', cause=str(error), level='error')
+            return
+        self.directory.start()
 
     def listen(self, address: Any, factory: Any) -> None:
         """Accept connections at an address."""
@@ -234,7 +263,7 @@
     runtime = PoolerRuntime(settings, path, reactor, signals)
     reactor.callWhenRunning(runtime.start)
     reactor.run(installSignalHandlers=False)
-    return 0
+    return runtime.exit_code
 
 
 def get_session(node: Node, session_id: int) -> Any:
--- /dev/null
+++ b/tests/daemon/test_pooler_start.py
@@ -0,0 +1,43 @@
+"""Start of a daemon in the pooler role when a port is taken."""
+
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+import yaml
+from test_signals import START_LIMIT_S, STARTED, write_pooler_settings
+
+
+def start(path):
+    command = [sys.executable, '-m', 'cassiaseam.daemon.main', '--role', 'pooler']
+    return subprocess.Popen([*command, '--settings', str(path)], stdout=subprocess.PIPE)
+
+
+@pytest.mark.parametrize('listener', ['callers', 'readiness'])
+def test_daemon_without_its_port_ends_with_an_error(tmp_path, listener):
+    # It stayed without ticks, ports and an exit code.
+    path = write_pooler_settings(tmp_path)
+    port = yaml.safe_load(path.read_text())['listen'][listener].rpartition(':')[2]
+    with socket.create_server(('127.0.0.1', int(port))), start(path) as process:
+        output = process.stdout.read()
+        assert process.wait(START_LIMIT_S) == 1
+    assert b'event=daemon_start_failed' in output
+
+
+def test_daemon_serves_without_the_port_for_other_vms(tmp_path):
+    path = write_pooler_settings(tmp_path)
+    document = yaml.safe_load(path.read_text())
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+        taken.bind(('127.0.0.1', 0))
+        document['listen']['peers'] = f'127.0.0.1:{taken.getsockname()[1]}'
+        path.write_text(yaml.safe_dump(document))
+        with start(path) as process:
+            lines = []
+            while not lines or STARTED not in lines[-1]:
+                lines.append(process.stdout.readline())
+            process.send_signal(signal.SIGTERM)
+            process.stdout.read()
+            assert process.wait(START_LIMIT_S) == 0
+    assert any(b'event=peers_unavailable' in line for line in lines)
