Log claims, releases and calls of the duty to promote with their token and age

The logs told when a promotion was considered, started and answered, but neither when the duty was claimed and released, nor when the platform was called and under which token, and an answer that came after the attempt had ended was not logged at all.

duty_claimed and duty_released carry the token, promotion_called the token and the age of the claim, promotion_answered the token and whether the target may be promoted, always; promotion_considered says over how many targets the VM counts majorities. A promotion writes three lines more.

--- a/src/cassiaseam/pooler/duty.py
+++ b/src/cassiaseam/pooler/duty.py
@@ -14,6 +14,7 @@
     DutyWritten,
     ReadDuty,
     WriteDuty,
+    WriteLog,
     WriteOutcome,
 )
 from cassiaseam.pooler.state import PoolerState
@@ -78,7 +79,7 @@
         return DutyStep()
     if duty.nonce:
         if event.record is not None and event.record.nonce == duty.nonce:
-            return hold_duty(state, event.revision)
+            return hold_duty(state, event.revision, now)
         return lose_claim(state, 'the claim was not written')
     if not is_duty_free(state, now):
         return lose_claim(state, 'another VM holds the duty')
@@ -108,17 +109,19 @@
         return DutyStep()
     duty.asked_at = None
     if event.outcome is WriteOutcome.WRITTEN:
-        return hold_duty(state, event.revision)
+        return hold_duty(state, event.revision, now)
     if event.outcome is WriteOutcome.CONFLICT:
         return lose_claim(state, 'another VM claimed the duty')
     duty.asked_at = now
     return DutyStep((ReadDuty(),))
 
 
-def hold_duty(state: PoolerState, token: int) -> DutyStep:
+def hold_duty(state: PoolerState, token: int, now: float) -> DutyStep:
     """Use the revision of the claim as the fencing token."""
     state.duty.token = token
-    return DutyStep(is_settled=True)
+    took_ms = round((now - state.duty.claimed_at) * 1000)
+    log = WriteLog('duty_claimed', {'fencing': token, 'took_ms': took_ms})
+    return DutyStep((log,), is_settled=True)
 
 
 def lose_claim(state: PoolerState, reason: str) -> DutyStep:
@@ -139,9 +142,11 @@
     """Let another VM take the duty at once, unless a call may still arrive at the platform."""
     duty = state.duty
     held = duty.token and duty.record is not None and duty.record.holder == state.vm
+    token = duty.token
     nonce = duty.nonce
     duty.token = 0
     duty.nonce = ''
     if not held or is_calling(state, now):
         return []
-    return [WriteDuty(DutyRecord(state.vm, nonce, released=True), duty.revision)]
+    log = WriteLog('duty_released', {'fencing': token})
+    return [log, WriteDuty(DutyRecord(state.vm, nonce, released=True), duty.revision)]
--- a/src/cassiaseam/pooler/events.py
+++ b/src/cassiaseam/pooler/events.py
@@ -234,6 +234,7 @@
         accepted: Whether the platform promotes it.
         reason: Why it does not.
         may_have_run: Whether it may be promoted although the call was not accepted.
+        fencing_token: Token that the call carried.
     """
 
     group: str
@@ -241,6 +242,7 @@
     accepted: bool
     reason: str = ''
     may_have_run: bool = False
+    fencing_token: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiaseam/pooler/failover.py
+++ b/src/cassiaseam/pooler/failover.py
@@ -78,6 +78,7 @@
             'primary': group.monitor.primary,
             'term': group.monitor.term,
             'targets': len(group.targets),
+            'group_size': group.size,
         },
     )
     return [log, *run_duty_step(state, group, group.promotion, now)]
@@ -341,7 +342,16 @@
     promotion.sent_at = now
     state.duty.calls += 1
     state.duty.called_at = now
-    return [CallPromotion(group.name, promotion.chosen, state.vm, promotion.token)]
+    log = WriteLog(
+        'promotion_called',
+        {
+            'group': group.name,
+            'target': promotion.chosen,
+            'fencing': promotion.token,
+            'claim_age_ms': round((now - state.duty.claimed_at) * 1000),
+        },
+    )
+    return [log, CallPromotion(group.name, promotion.chosen, state.vm, promotion.token)]
 
 
 @handles(PromotionAnswered)
@@ -352,10 +362,6 @@
     not be promoted on them, so the same one is called again.
     """
     state.duty.calls -= 1
-    group = state.groups.get(event.group)
-    promotion = group.promotion if group else None
-    if promotion is None or promotion.chosen != event.target:
-        return []
     log = WriteLog(
         'promotion_answered',
         {
@@ -363,8 +369,14 @@
             'target': event.target,
             'accepted': event.accepted,
             'cause': event.reason,
+            'fencing': event.fencing_token,
+            'may_have_run': event.accepted or event.may_have_run,
         },
     )
+    group = state.groups.get(event.group)
+    promotion = group.promotion if group else None
+    if promotion is None or promotion.chosen != event.target:
+        return [log]
     if event.accepted and promotion.stage is PromotionStage.PROMOTE:
         enter_stage(promotion, PromotionStage.AWAIT, now)
     elif not event.accepted and not event.may_have_run:
--- a/src/cassiaseam/pooler/runtime.py
+++ b/src/cassiaseam/pooler/runtime.py
@@ -384,10 +384,20 @@
         if isinstance(answer, Err):
             failure = answer.err_value
             event = PromotionAnswered(
-                effect.group, effect.target, False, failure.reason, failure.may_have_run
+                effect.group,
+                effect.target,
+                accepted=False,
+                reason=failure.reason,
+                may_have_run=failure.may_have_run,
+                fencing_token=effect.fencing_token,
             )
         else:
-            event = PromotionAnswered(effect.group, effect.target, True)
+            event = PromotionAnswered(
+                effect.group,
+                effect.target,
+                accepted=True,
+                fencing_token=effect.fencing_token,
+            )
         node.dispatch(event)
 
     run_coroutine(node, call())
