--- a/tests/pooler/test_pooler_duty.py
+++ b/tests/pooler/test_pooler_duty.py
@@ -208,3 +208,37 @@
     promotion.grants.setdefault('g0', LogPosition(1, 7))
     effects = failover.advance_promotion(state, group, 1.5)
     assert [call.target for call in find(effects, CallPromotion)] == [next_target]
+
+
+def finish_promotion(state, name, now):
+    """Let the platform accept the call for a group, and the promoted target lead."""
+    group = state.groups[name]
+    group.promotion.grants = {f'{name}1': LogPosition(1, 7), f'{name}2': LogPosition(1, 7)}
+    calls = find(failover.promote(state, group, f'{name}1', now), CallPromotion)
+    reduce_event(state, PromotionAnswered(name, f'{name}1', accepted=True), now)
+    group.monitor.primary = f'{name}1'
+    failover.advance_promotion(state, group, now)
+    return calls
+
+
+@pytest.mark.parametrize(
+    ('record', 'waited_s', 'claims'),
+    [
+        (DutyRecord('vm1', 'n1', released=True), 0.5, False),
+        (DutyRecord('vm1', 'n1', released=True), 2.9, False),
+        (DutyRecord('vm1', 'n1', released=True), 3.1, True),
+        (None, 0.5, True),
+    ],
+    ids=['at once', 'within the lease', 'after the lease', 'nobody in between'],
+)
+def test_vm_does_not_take_the_duty_back_while_its_lease_would_run(record, waited_s, claims):
+    # Promotions by vm0, vm1 and vm0 reached the platform within 2.3 s: two VMs acted in turn.
+    state = build_state()
+    claim(state, promote(state, 'g', 1), 5, 1)
+    assert finish_promotion(state, 'g', 1.2)
+    own = dataclasses.replace(state.duty.record, released=True)
+    now = 1.2 + waited_s
+    asked = promote(state, 'h', now)
+    assert find(asked, ReadDuty)
+    effects = reduce_event(state, DutyRead(9, record or own), now)
+    assert bool(find(effects, WriteDuty)) is claims
