Do not take the duty to promote back from another VM within the lifetime of a claim

A write could meet three changes of primary within 2.3 s.

Cause: a VM released the duty as soon as its promotion was done and could claim it again at any time. Each call had a fresh and higher token, so that the order of tokens, which the tests checked, was never wrong.

Change: a VM that called the platform leaves the duty to others for 3 s once another VM has held it. The present holder may go on, and so may every VM that did not act lately, so that a failover does not wait for one VM.

The state of the duty has a module of its own now.

--- a/src/cassiaseam/pooler/duty.py
+++ b/src/cassiaseam/pooler/duty.py
@@ -2,8 +2,9 @@
 
 It is held by a conditional write of a record in the store; the revision of that write is the
 fencing token. A holder acts for `CLAIM_VALID_S` after it sent the claim; others take the duty over
-when the record has not changed for `CLAIM_LIFETIME_S`. One claim serves the promotions of all
-groups of a VM, so that their calls never carry a lower token than an earlier one.
+when the record has not changed for `CLAIM_LIFETIME_S`, or as soon as it was released. A VM whose
+successor has held the duty does not take it back for `RETURN_PAUSE_S`. One claim serves the
+promotions of all groups of a VM, so that their calls never carry a lower token than earlier ones.
 """
 
 from dataclasses import dataclass
@@ -23,6 +24,9 @@
 CLAIM_LIFETIME_S = 3.0
 # Seconds after sending its claim for which a holder calls the platform.
 CLAIM_VALID_S = 2.0
+# Seconds after its own latest call for which a VM does not take the duty back from another VM. Two
+# VMs that act in turn within the lifetime of a claim cannot be told from two holders.
+RETURN_PAUSE_S = 3.0
 # Seconds after which a read, a claim or a call without a result is not waited for any longer;
 # above the time limits of these calls.
 ASK_LIMIT_S = 3.0
@@ -83,6 +87,8 @@
         return lose_claim(state, 'the claim was not written')
     if not is_duty_free(state, now):
         return lose_claim(state, 'another VM holds the duty')
+    if was_replaced_lately(state, now):
+        return lose_claim(state, 'another VM held the duty after this one')
     duty.nonce = f'{state.rng.getrandbits(64):016x}'
     duty.claimed_at = now
     duty.asked_at = now
@@ -138,6 +144,17 @@
     return now - state.duty.seen_at > CLAIM_LIFETIME_S
 
 
+def was_replaced_lately(state: PoolerState, now: float) -> bool:
+    """Return whether another VM has held the duty since this one called the platform lately.
+
+    That VM and all others may act meanwhile.
+    """
+    duty = state.duty
+    if duty.acted_at is None or duty.record is None or duty.record.holder == state.vm:
+        return False
+    return now - duty.acted_at <= RETURN_PAUSE_S
+
+
 def release_duty(state: PoolerState, now: float) -> list:
     """Let another VM take the duty at once, unless a call may still arrive at the platform."""
     duty = state.duty
--- /dev/null
+++ b/src/cassiaseam/pooler/duty_state.py
@@ -0,0 +1,34 @@
+"""What a VM knows of the duty to promote."""
+
+from dataclasses import dataclass
+
+from cassiaseam.pooler.events import DutyRecord
+
+
+@dataclass(slots=True)
+class DutyView:
+    """What this daemon knows of the duty record, and its own claim.
+
+    Attributes:
+        revision: Revision that was last seen.
+        record: Record at that revision, or None.
+        seen_at: Time at which the revision was first seen.
+        asked_at: Time at which the read or the claim under way was sent, or None.
+        nonce: Unique id of the claim under way or held, or ''.
+        token: Fencing token of the claim held, or 0.
+        claimed_at: Time at which the claim was sent.
+        calls: Calls of the platform that are not answered yet.
+        called_at: Time of the latest call of the platform.
+        acted_at: Time at which a call of the platform was last sent or answered, or None.
+    """
+
+    revision: int = -1
+    record: DutyRecord | None = None
+    seen_at: float = 0
+    asked_at: float | None = None
+    nonce: str = ''
+    token: int = 0
+    claimed_at: float = 0
+    calls: int = 0
+    called_at: float = 0
+    acted_at: float | None = None
--- a/src/cassiaseam/pooler/failover.py
+++ b/src/cassiaseam/pooler/failover.py
@@ -342,6 +342,7 @@
     promotion.sent_at = now
     state.duty.calls += 1
     state.duty.called_at = now
+    state.duty.acted_at = now
     log = WriteLog(
         'promotion_called',
         {
@@ -362,6 +363,7 @@
     not be promoted on them, so the same one is called again.
     """
     state.duty.calls -= 1
+    state.duty.acted_at = now
     log = WriteLog(
         'promotion_answered',
         {
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -7,7 +7,7 @@
 
 from cassiaseam.group.state import GroupState
 from cassiaseam.pooler.commands import Command, SessionState, Statement, TargetReply
-from cassiaseam.pooler.events import DutyRecord
+from cassiaseam.pooler.duty_state import DutyView
 from cassiaseam.pooler.metrics import Histogram
 from cassiaseam.pooler.model import Route, RoutingConfig, TargetRecord
 from cassiaseam.pooler.peer_state import PeerState, SampleQuestion, WaitingVm
@@ -329,33 +329,6 @@
     waiting_vms: list[WaitingVm] = field(default_factory=list)
 
 
-@dataclass(slots=True)
-class DutyView:
-    """What this daemon knows of the duty record, and its own claim.
-
-    Attributes:
-        revision: Revision that was last seen.
-        record: Record at that revision, or None.
-        seen_at: Time at which the revision was first seen.
-        asked_at: Time at which the read or the claim under way was sent, or None.
-        nonce: Unique id of the claim under way or held, or ''.
-        token: Fencing token of the claim held, or 0.
-        claimed_at: Time at which the claim was sent.
-        calls: Calls of the platform that are not answered yet.
-        called_at: Time of the latest call of the platform.
-    """
-
-    revision: int = -1
-    record: DutyRecord | None = None
-    seen_at: float = 0
-    asked_at: float | None = None
-    nonce: str = ''
-    token: int = 0
-    claimed_at: float = 0
-    calls: int = 0
-    called_at: float = 0
-
-
 @dataclass(slots=True)
 class PoolerState:
     """State of the pooler role of one daemon.
