Let a call to promote leave and arrive only while its claim holds

Cause: whether the claim holds was asked when the call was decided. The call then waited up to 1.0 s for its connection and stayed in the buffer of the transport until the next turn of the reactor, and its bytes could be resent for 3 s. Others took over 3.0 s after the claim, of which the decision alone could use 2.0 s. A call that was given up after 1.5 s counted as over, so that the VM released the duty or claimed it anew while the call could still arrive. A claim that was confirmed after it had expired was used.

Change: the claim is asked about again when the connection stands, and the whole call goes to the kernel at that moment or not at all (CallPromotion.send_by). The kernel ends the connection when the call is not acknowledged within 0.5 s, also while the process is paused. A call that was sent and not answered keeps the duty for 3 s: no release, no new claim. Others take over after 3.5 s: 2.0 s in which the holder acts, 0.5 s for the delivery, 1.0 s until a promotion takes effect (the longest on the users' sheets).

--- a/src/cassiaseam/httpio.py
+++ b/src/cassiaseam/httpio.py
@@ -43,15 +43,21 @@
     body: bytes
 
 
-def watch_for_silence(transport: Any) -> None:
-    """Make the kernel end a connection whose other side is out of reach."""
+def watch_for_silence(transport: Any, unacknowledged_ms: int = UNACKNOWLEDGED_LIMIT_MS) -> None:
+    """Make the kernel end a connection whose other side is out of reach.
+
+    Args:
+        transport: Connection.
+        unacknowledged_ms: Milliseconds after which bytes without acknowledgement end it. The
+            kernel keeps this limit also while the process does not run.
+    """
     transport.setTcpNoDelay(True)
     transport.setTcpKeepAlive(True)
     handle = transport.getHandle()
     handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
 
 
 class _ClientProtocol(Protocol):
@@ -65,17 +71,17 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Send the call that waits for the connection."""
-        watch_for_silence(self.transport)
+        watch_for_silence(self.transport, self.client.unacknowledged_ms)
         self.client.use_connection(self)
 
-    def send_call(self, method: str, path: str, headers: list, body: bytes) -> None:
-        """Write a call."""
+    def encode_call(self, method: str, path: str, headers: list, body: bytes) -> bytes:
+        """Return the bytes of a call, which has to be written next."""
         request = h11.Request(method=method, target=path, headers=headers)
         parts = [self.http.send(request)]
         if body:
             parts.append(self.http.send(h11.Data(data=body)))
         parts.append(self.http.send(h11.EndOfMessage()))
-        self.transport.write(b''.join(part for part in parts if part))
+        return b''.join(part for part in parts if part)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read an answer."""
@@ -131,15 +137,24 @@
 
     Attributes:
         calls: Calls that were sent.
+        unacknowledged_ms: Milliseconds after which bytes without acknowledgement end a connection.
     """
 
-    def __init__(self, reactor: Any, host: str, port: int):
+    def __init__(
+        self,
+        reactor: Any,
+        host: str,
+        port: int,
+        unacknowledged_ms: int = UNACKNOWLEDGED_LIMIT_MS,
+    ):
         self.reactor = reactor
         self.host = host
         self.port = port
+        self.unacknowledged_ms = unacknowledged_ms
         self.calls = 0
         self.protocol: _ClientProtocol | None = None
         self.pending: tuple[str, str, list, bytes] | None = None
+        self.may_send: Callable[[], bool] | None = None
         self.waiter: Deferred[HttpAnswer] | None = None
         self.timer: Any = None
         self.sent = False
@@ -151,6 +166,7 @@
         timeout_s: float,
         body: bytes = b'',
         headers: tuple[tuple[str, str], ...] = (),
+        may_send: Callable[[], bool] | None = None,
     ) -> Deferred[HttpAnswer]:
         """Make a call; at most one is under way.
 
@@ -160,6 +176,8 @@
             timeout_s: Seconds until the call is given up.
             body: JSON text, or nothing.
             headers: Further headers.
+            may_send: Asked right before the bytes leave, which may be long after this function was
+                called; the call fails unsent when it returns False.
 
         Returns:
             The answer, or a failure of type `HttpCallFailed`.
@@ -172,6 +190,7 @@
         self.waiter = Deferred()
         self.sent = False
         self.pending = (method, path, fields, body)
+        self.may_send = may_send
         self.timer = self.reactor.callLater(timeout_s, self._time_out)
         waiter = self.waiter
         if self.protocol is None:
@@ -187,11 +206,18 @@
             protocol.transport.abortConnection()
             return
         self.protocol = protocol
-        method, path, headers, body = self.pending
+        encoded = protocol.encode_call(*self.pending)
         self.pending = None
+        if self.may_send is None:
+            protocol.transport.write(encoded)
+        else:
+            unsent = self._send_at_once(protocol, encoded, self.may_send)
+            if unsent:
+                self._drop_connection()
+                self._finish().errback(HttpCallFailed(unsent, may_have_arrived=False))
+                return
         self.sent = True
         self.calls += 1
-        protocol.send_call(method, path, headers, body)
 
     def end_call(self, protocol: _ClientProtocol, answer: HttpAnswer, reusable: bool) -> None:
         """Hand an answer to whoever made the call."""
@@ -214,6 +240,19 @@
         if self.waiter is not None and not self.sent:
             self._finish().errback(HttpCallFailed(message, may_have_arrived=False))
 
+    def _send_at_once(
+        self, protocol: _ClientProtocol, encoded: bytes, may_send: Callable[[], bool]
+    ) -> str:
+        """Hand a whole call to the kernel if it may still be sent; return why not, or ''.
+
+        Bytes that the transport buffers leave in a later turn of the reactor, and much later when
+        the process is paused in between.
+        """
+        if not may_send():
+            return 'expired before it was sent'
+        written = protocol.transport.writeSomeData(encoded)
+        return '' if written == len(encoded) else 'not sent whole'
+
     def close(self) -> None:
         """Close the connection; no call may be under way."""
         self._drop_connection()
--- a/src/cassiaseam/platform/store.py
+++ b/src/cassiaseam/platform/store.py
@@ -1,6 +1,7 @@
 """Calls to the platform's store and to its promotion API."""
 
 import json
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote
 
@@ -22,6 +23,10 @@
 READ_LIMIT_S = 2.0
 WRITE_LIMIT_S = 1.5
 PROMOTION_LIMIT_S = 1.5
+# Milliseconds after which the kernel ends a connection to the promotion API whose bytes were not
+# acknowledged, so that a call does not arrive after another VM has taken the duty over; see
+# `CLAIM_LIFETIME_S` of `pooler.duty`.
+PROMOTION_DELIVERY_MS = 500
 # Seconds beyond its waiting time that a watch may take.
 WATCH_MARGIN_S = 2.0
 # Lets the store answer from a copy that may be seconds old.
@@ -188,21 +193,38 @@
         self.address = (host, port)
 
     async def promote(
-        self, group: str, target: str, holder: str, fencing_token: int
+        self,
+        group: str,
+        target: str,
+        holder: str,
+        fencing_token: int,
+        may_send: Callable[[], bool],
     ) -> Result[None, PromotionFailure]:
-        """Promote a target; the error says whether it may be promoted nevertheless."""
-        client = HttpClient(self.reactor, *self.address)
+        """Promote a target; the error says whether it may be promoted nevertheless.
+
+        Args:
+            group: Database group.
+            target: Target to promote.
+            holder: Name of the VM that holds the duty.
+            fencing_token: Token of its claim.
+            may_send: Asked right before the call leaves, when its connection stands.
+        """
+        client = HttpClient(self.reactor, *self.address, PROMOTION_DELIVERY_MS)
         headers = (('Duty-Holder', holder), ('Fencing-Token', str(fencing_token)))
         body = _encode({'service': group, 'id': target})
         try:
-            answer = await client.run_call('POST', '/promotion', PROMOTION_LIMIT_S, body, headers)
+            answer = await client.run_call(
+                'POST', '/promotion', PROMOTION_LIMIT_S, body, headers, may_send
+            )
         except HttpCallFailed as failure:
-            return Err(PromotionFailure(str(failure), failure.may_have_arrived))
+            unknown = failure.may_have_arrived
+            return Err(PromotionFailure(str(failure), may_have_run=unknown, may_arrive=unknown))
         finally:
             client.close()
         if answer.status // 100 == 2:
             return Ok(None)
-        return Err(PromotionFailure(f'status {answer.status}', answer.status >= _SERVER_ERROR))
+        failed = answer.status >= _SERVER_ERROR
+        return Err(PromotionFailure(f'status {answer.status}', may_have_run=failed))
 
 
 def _encode(document: dict[str, Any]) -> bytes:
--- a/src/cassiaseam/pooler/duty.py
+++ b/src/cassiaseam/pooler/duty.py
@@ -20,16 +20,21 @@
 )
 from cassiaseam.pooler.state import PoolerState
 
-# Seconds after which an unchanged claim of another VM counts as abandoned.
-CLAIM_LIFETIME_S = 3.0
-# Seconds after sending its claim for which a holder calls the platform.
+# Seconds after sending its claim for which a holder acts: fences, demotes and sends calls.
 CLAIM_VALID_S = 2.0
+# Seconds after which an unchanged claim of another VM counts as abandoned. Beyond the time for
+# which the holder acts, its last call may take 0.5 s to be delivered and the promotion 1.0 s to
+# take effect.
+CLAIM_LIFETIME_S = 3.5
 # Seconds after its own latest call for which a VM does not take the duty back from another VM. Two
 # VMs that act in turn within the lifetime of a claim cannot be told from two holders.
 RETURN_PAUSE_S = 3.0
 # Seconds after which a read, a claim or a call without a result is not waited for any longer;
 # above the time limits of these calls.
 ASK_LIMIT_S = 3.0
+# Seconds after it was sent for which a call without an answer may still reach the platform. Its
+# connection ends before that, but an API that is slow may hold a call that it has received.
+UNANSWERED_CALL_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +73,8 @@
 
 def is_calling(state: PoolerState, now: float) -> bool:
     """Return whether a call of the platform under the present token may still arrive there."""
-    return state.duty.calls > 0 and now - state.duty.called_at < ASK_LIMIT_S
+    duty = state.duty
+    return now < duty.unanswered_until or (duty.calls > 0 and now - duty.called_at < ASK_LIMIT_S)
 
 
 def take_record(state: PoolerState, event: DutyRead, now: float) -> DutyStep:
@@ -122,8 +128,28 @@
     return DutyStep((ReadDuty(),))
 
 
+def note_call(state: PoolerState, now: float) -> float:
+    """Remember a call of the platform, and return the time until which it may be sent."""
+    duty = state.duty
+    duty.calls += 1
+    duty.called_at = now
+    duty.acted_at = now
+    return duty.claimed_at + CLAIM_VALID_S
+
+
+def note_call_ended(state: PoolerState, may_arrive: bool, now: float) -> None:
+    """Remember that a call was answered or given up; one without an answer may still arrive."""
+    duty = state.duty
+    duty.calls -= 1
+    duty.acted_at = now
+    if may_arrive:
+        duty.unanswered_until = duty.called_at + UNANSWERED_CALL_S
+
+
 def hold_duty(state: PoolerState, token: int, now: float) -> DutyStep:
-    """Use the revision of the claim as the fencing token."""
+    """Use the revision of the claim as the fencing token, unless the claim has expired."""
+    if now - state.duty.claimed_at > CLAIM_VALID_S:
+        return lose_claim(state, 'the claim expired before it was confirmed')
     state.duty.token = token
     took_ms = round((now - state.duty.claimed_at) * 1000)
     log = WriteLog('duty_claimed', {'fencing': token, 'took_ms': took_ms})
--- a/src/cassiaseam/pooler/duty_state.py
+++ b/src/cassiaseam/pooler/duty_state.py
@@ -19,6 +19,7 @@
         claimed_at: Time at which the claim was sent.
         calls: Calls of the platform that are not answered yet.
         called_at: Time of the latest call of the platform.
+        unanswered_until: Time until which a call that got no answer may still reach the platform.
         acted_at: Time at which a call of the platform was last sent or answered, or None.
     """
 
@@ -31,4 +32,5 @@
     claimed_at: float = 0
     calls: int = 0
     called_at: float = 0
+    unanswered_until: float = 0
     acted_at: float | None = None
--- a/src/cassiaseam/pooler/events.py
+++ b/src/cassiaseam/pooler/events.py
@@ -234,6 +234,7 @@
         accepted: Whether the platform promotes it.
         reason: Why it does not.
         may_have_run: Whether it may be promoted although the call was not accepted.
+        may_arrive: Whether the call was sent and not answered, and may reach the platform later.
         fencing_token: Token that the call carried.
     """
 
@@ -242,6 +243,7 @@
     accepted: bool
     reason: str = ''
     may_have_run: bool = False
+    may_arrive: bool = False
     fencing_token: int = 0
 
 
@@ -343,12 +345,15 @@
         target: Target to promote.
         holder: Name of the VM that holds the duty.
         fencing_token: Grows with every change of the holder.
+        send_by: Time after which the call must not be sent any more, because the claim may have
+            been taken over when it arrives.
     """
 
     group: str
     target: str
     holder: str
     fencing_token: int
+    send_by: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiaseam/pooler/failover.py
+++ b/src/cassiaseam/pooler/failover.py
@@ -340,9 +340,7 @@
         return duty.request_duty(state, now)
     promotion.token = state.duty.token
     promotion.sent_at = now
-    state.duty.calls += 1
-    state.duty.called_at = now
-    state.duty.acted_at = now
+    send_by = duty.note_call(state, now)
     log = WriteLog(
         'promotion_called',
         {
@@ -352,7 +350,8 @@
             'claim_age_ms': round((now - state.duty.claimed_at) * 1000),
         },
     )
-    return [log, CallPromotion(group.name, promotion.chosen, state.vm, promotion.token)]
+    call = CallPromotion(group.name, promotion.chosen, state.vm, promotion.token, send_by)
+    return [log, call]
 
 
 @handles(PromotionAnswered)
@@ -362,8 +361,7 @@
     A call without an answer may have been carried out, which ends the fences: another target must
     not be promoted on them, so the same one is called again.
     """
-    state.duty.calls -= 1
-    state.duty.acted_at = now
+    duty.note_call_ended(state, event.may_arrive, now)
     log = WriteLog(
         'promotion_answered',
         {
@@ -373,6 +371,7 @@
             'cause': event.reason,
             'fencing': event.fencing_token,
             'may_have_run': event.accepted or event.may_have_run,
+            'may_arrive': event.may_arrive,
         },
     )
     group = state.groups.get(event.group)
--- a/src/cassiaseam/pooler/runtime.py
+++ b/src/cassiaseam/pooler/runtime.py
@@ -379,7 +379,11 @@
     async def call() -> None:
         promotions = node.services[Environment].promotions
         answer = await promotions.promote(
-            effect.group, effect.target, effect.holder, effect.fencing_token
+            effect.group,
+            effect.target,
+            effect.holder,
+            effect.fencing_token,
+            may_send=lambda: node.clock() <= effect.send_by,
         )
         if isinstance(answer, Err):
             failure = answer.err_value
@@ -389,6 +393,7 @@
                 accepted=False,
                 reason=failure.reason,
                 may_have_run=failure.may_have_run,
+                may_arrive=failure.may_arrive,
                 fencing_token=effect.fencing_token,
             )
         else:
--- a/src/cassiaseam/pooler/storeport.py
+++ b/src/cassiaseam/pooler/storeport.py
@@ -58,8 +58,10 @@
 
     Attributes:
         reason: Why, for the log.
-        may_have_run: Whether the target may be promoted nevertheless, because no answer arrived.
+        may_have_run: Whether the target may be promoted nevertheless.
+        may_arrive: Whether the call was sent and may reach the platform later.
     """
 
     reason: str
     may_have_run: bool
+    may_arrive: bool = False
