Run the timers of the pooler role on the clock of its decisions

What callers saw: a VM whose time of day was set back by 3 s ran no tick for 3 s, so nothing expired, was retried or probed, and time limits of calls and connects were 3 s too long. When it was set ahead, pending time limits ended at once.

Cause: the default reactor of Twisted takes `seconds`, on which callLater, reset and delay work, from time.time. The decisions use CLOCK_BOOTTIME.

Evidence: a real daemon in which the time of day is set while 20 ms timers wait. The bounds are the 20 ms of a tick, and that plus the 0.4 s after which a late tick counts as a pause.

Change: an epoll reactor whose `seconds` is read_clock, installed by run_pooler. The clock and the reactor are in pooler/clock.py. The reactor passes `seconds` to each DelayedCall, so reset and delay follow. Waiting itself is bounded by the kernel, which does not use the time of day.

By reading: time limits that run out while a machine is suspended still fire when it resumes, as before, because CLOCK_BOOTTIME counts that time as the time of day did.

--- a/src/cassiaseam/pooler/runtime.py
+++ b/src/cassiaseam/pooler/runtime.py
@@ -1,7 +1,6 @@
 """Runs a daemon in the pooler role: sockets and timers become events, effects become calls."""
 
 import random
-import time
 import traceback
 from pathlib import Path
 from typing import Any
@@ -25,6 +24,7 @@
     targets,
     ticks,
 )
+from cassiaseam.pooler.clock import install_reactor, read_clock
 from cassiaseam.pooler.datagrams import PeerProtocol
 from cassiaseam.pooler.directory import VmDirectory
 from cassiaseam.pooler.environments import Environment, find_environment
@@ -70,11 +70,6 @@
 METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 
 
-def read_clock() -> float:
-    """Return seconds that go on while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class PoolerRuntime:
     """One daemon in the pooler role.
 
@@ -257,9 +252,12 @@
 
 
 def run_pooler(settings: PoolerSettings, path: str, signals: PendingSignals) -> int:
-    """Run a daemon in the pooler role until it is told to stop."""
-    from twisted.internet import reactor  # noqa: PLC0415
+    """Run a daemon in the pooler role until it is told to stop.
 
+    Raises:
+        ReactorAlreadyInstalledError: A module has imported the default reactor.
+    """
+    reactor = install_reactor()
     runtime = PoolerRuntime(settings, path, reactor, signals)
     reactor.callWhenRunning(runtime.start)
     reactor.run(installSignalHandlers=False)
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -34,6 +34,9 @@
 
 
 GUARDS = [
+    Guard(
+        'pooler/clock.py', 'seconds = staticmethod(read_clock)', 'seconds = EPollReactor.seconds'
+    ),
     Guard('pooler/evidence.py', 'RESTART_DISTRUST_S = 3.0', 'RESTART_DISTRUST_S = 0.0'),
     Guard('pooler/evidence.py', 'SHRINK_DELAY_S = 10.0', 'SHRINK_DELAY_S = 0.0'),
     Guard(
@@ -104,7 +107,7 @@
         command = [sys.executable, '-m', 'pytest', '-q', '-p', 'no:cacheprovider']
         try:
             ended = subprocess.run(
-                [*command, 'tests/pooler', 'tests/platform'],
+                [*command, 'tests/pooler', 'tests/platform', 'tests/daemon/test_pooler_timers.py'],
                 cwd=copy,
                 env={'PYTHONPATH': 'src', 'PATH': '/usr/bin:/bin'},
                 capture_output=True,
