Change targets only while the claim of the duty holds

What callers could see: an acknowledged write that is missing after a failover, or no primary for some seconds.

Cause: the steps of a promotion were timed from their own start, not from the claim. Commands that waited for a connection left even later.

Change: a step that changes targets needs a valid claim, asked about at every advance. Without one the VM drops the commands that wait, claims again and starts from fresh fences. The fence step ends after 1.8 s, within the claim, so that a VM that gives up still lifts its fences while it holds the duty.

--- a/src/cassiaseam/pooler/failover.py
+++ b/src/cassiaseam/pooler/failover.py
@@ -32,7 +32,8 @@
 # Longest duration in seconds of the steps.
 DEMOTE_LIMIT_S = 0.5
 CATCH_UP_LIMIT_S = 1.0
-FENCE_LIMIT_S = 2.5
+# Ends before the claim does, so that a VM that gives up lifts its fences while it holds the duty.
+FENCE_LIMIT_S = 1.8
 AWAIT_LIMIT_S = 2.0
 ATTEMPT_LIMIT_S = 6.0
 # Seconds for which targets that leave are not promoted while others may turn out to be complete.
@@ -162,6 +163,15 @@
     return [log, *advance_promotion(state, group, now)]
 
 
+def renew_claim(state: PoolerState, group: GroupView, now: float) -> list:
+    """Ask for the duty again when the claim has expired; nothing is sent to targets meanwhile."""
+    promotion = group.promotion
+    steering.cancel_unsent_commands(group)
+    promotion.token = 0
+    enter_stage(promotion, PromotionStage.AWAIT_DUTY, now)
+    return duty.request_duty(state, now)
+
+
 def is_obsolete(group: GroupView, now: float) -> bool:
     """Return whether the reason for a promotion is gone."""
     return not detection.find_cause(group, now)[0]
@@ -179,6 +189,8 @@
     promotion = group.promotion
     if now - promotion.started_at > ATTEMPT_LIMIT_S:
         return give_up(state, group, f'timed out at {promotion.stage.value}', now)
+    if promotion.stage in STAGES_UNDER_CLAIM and not duty.is_claim_valid(state, now):
+        return renew_claim(state, group, now)
     step = STEPS.get(promotion.stage)
     return step(state, group, promotion, now) if step else []
 
@@ -281,6 +293,17 @@
 }
 
 
+# Steps that change targets. Another VM may rely on its own fences once the claim has expired.
+STAGES_UNDER_CLAIM = frozenset(
+    (
+        PromotionStage.DEMOTE,
+        PromotionStage.CATCH_UP,
+        PromotionStage.FENCE,
+        PromotionStage.PROMOTE,
+    )
+)
+
+
 def list_candidates(state: PoolerState, group: GroupView, now: float) -> list[str]:
     """Return the targets that may become the primary, near ones first."""
     promotion = group.promotion
@@ -335,9 +358,7 @@
     """Call the platform while the claim is valid, and claim again otherwise."""
     promotion = group.promotion
     if not duty.is_claim_valid(state, now):
-        promotion.token = 0
-        enter_stage(promotion, PromotionStage.AWAIT_DUTY, now)
-        return duty.request_duty(state, now)
+        return renew_claim(state, group, now)
     promotion.token = state.duty.token
     promotion.sent_at = now
     send_by = duty.note_call(state, now)
--- a/src/cassiaseam/pooler/steering.py
+++ b/src/cassiaseam/pooler/steering.py
@@ -1,7 +1,7 @@
 """Commands by which a VM steers targets: fences and demotions."""
 
 from cassiaseam.pooler import connections, evidence
-from cassiaseam.pooler.commands import Command, Demote, LiftFence
+from cassiaseam.pooler.commands import Command, Demote, Fence, LiftFence
 from cassiaseam.pooler.state import GroupView, Job, PoolerState, Purpose
 
 # Pause in seconds between two requests to a former primary to step down.
@@ -15,6 +15,14 @@
     return connections.submit_job(state, group, Job(name, command, Purpose.CONTROL, now), now)
 
 
+def cancel_unsent_commands(group: GroupView) -> None:
+    """Drop the commands that wait for a connection."""
+    for target in group.targets.values():
+        for job in target.queue:
+            if isinstance(job.command, Demote | Fence | LiftFence):
+                job.cancelled = True
+
+
 def lift_fences(state: PoolerState, group: GroupView, now: float) -> list:
     """Let all fenced replicas receive again."""
     effects: list = []
--- a/tests/pooler/test_pooler_duty.py
+++ b/tests/pooler/test_pooler_duty.py
@@ -6,6 +6,7 @@
 import pytest
 
 from cassiaseam.pooler import catalogue, duty, failover, targets, ticks
+from cassiaseam.pooler.commands import Demote, Fence, LiftFence
 from cassiaseam.pooler.events import (
     CallPromotion,
     DutyRead,
@@ -20,7 +21,7 @@
     WriteOutcome,
 )
 from cassiaseam.pooler.model import TargetRecord
-from cassiaseam.pooler.state import PoolerState
+from cassiaseam.pooler.state import PoolerState, PromotionStage
 from cassiaseam.positions import LogPosition
 from cassiaseam.reducer.registry import reduce_event
 
@@ -291,3 +292,32 @@
     reduce_event(state, DutyWritten(write.record, WriteOutcome.WRITTEN, 6), 1 + waited_s)
     assert bool(state.duty.token) is held
     assert (state.groups['g'].promotion is not None) is held
+
+
+@pytest.mark.parametrize('stage', ['DEMOTE', 'CATCH_UP', 'FENCE', 'PROMOTE'])
+@pytest.mark.parametrize(('age_s', 'acts'), [(1.0, True), (2.1, False), (4.0, False)])
+def test_vm_sends_nothing_to_targets_after_its_claim_has_expired(stage, age_s, acts):
+    # A VM that gave its attempt up 4 s after its claim lifted the fences on which its successor
+    # counted; others take over after 3.5 s.
+    state = build_state()
+    claim(state, promote(state, 'g', 1), 5, 1)
+    group = state.groups['g']
+    promotion = group.promotion
+    promotion.final = LogPosition(1, 7)
+    promotion.chosen = 'g1'
+    promotion.sent_at = -1
+    failover.enter_stage(promotion, PromotionStage[stage], 1)
+    effects = failover.advance_promotion(state, group, 1 + age_s)
+    waiting = [job for target in group.targets.values() for job in target.queue]
+    sent = [
+        job.command
+        for job in waiting
+        if isinstance(job.command, Demote | Fence | LiftFence) and not job.cancelled
+    ]
+    if acts:
+        assert promotion.token
+        assert sent
+    else:
+        assert promotion.stage is PromotionStage.AWAIT_DUTY
+        assert find(effects, ReadDuty)
+        assert not sent
