Tell the holder of the duty by its process, not by the name of its VM

What callers could see: a call to promote of a process that was killed arrives after one that its successor on the same VM sent under a higher token (rule ONE).

Cause: a record with the VM's own name counted as free at once, also when an earlier process of the VM or another VM of that name had written it.

Change: nonces begin with a random id of the process, and a record is own only with that id. A restarted VM waits for the former claim like every other VM. The case that expected the claim of a record with the VM's name alone is replaced by three: unknown process, released record, own process.

--- a/src/cassiaseam/pooler/duty.py
+++ b/src/cassiaseam/pooler/duty.py
@@ -95,7 +95,7 @@
         return lose_claim(state, 'another VM holds the duty')
     if was_replaced_lately(state, now):
         return lose_claim(state, 'another VM held the duty after this one')
-    duty.nonce = f'{state.rng.getrandbits(64):016x}'
+    duty.nonce = name_claim(state)
     duty.claimed_at = now
     duty.asked_at = now
     record = DutyRecord(state.vm, duty.nonce, released=False)
@@ -162,10 +162,28 @@
     return DutyStep(is_settled=True, refusal=reason)
 
 
+def name_claim(state: PoolerState) -> str:
+    """Return the nonce of a new claim."""
+    duty = state.duty
+    if not duty.process:
+        duty.process = f'{state.rng.getrandbits(64):016x}'
+    return f'{duty.process}-{state.rng.getrandbits(64):016x}'
+
+
+def is_own_record(state: PoolerState, record: DutyRecord) -> bool:
+    """Return whether this process wrote a record.
+
+    The name of the VM does not tell: an earlier process of this VM may have sent a call that still
+    arrives, and a VM that replaces another one may have its name.
+    """
+    process = state.duty.process
+    return bool(process) and record.nonce.startswith(f'{process}-')
+
+
 def is_duty_free(state: PoolerState, now: float) -> bool:
     """Return whether this VM may claim the duty."""
     record = state.duty.record
-    if record is None or record.released or record.holder == state.vm:
+    if record is None or record.released or is_own_record(state, record):
         return True
     return now - state.duty.seen_at > CLAIM_LIFETIME_S
 
@@ -176,7 +194,7 @@
     That VM and all others may act meanwhile.
     """
     duty = state.duty
-    if duty.acted_at is None or duty.record is None or duty.record.holder == state.vm:
+    if duty.acted_at is None or duty.record is None or is_own_record(state, duty.record):
         return False
     return now - duty.acted_at <= RETURN_PAUSE_S
 
@@ -184,7 +202,7 @@
 def release_duty(state: PoolerState, now: float) -> list:
     """Let another VM take the duty at once, unless a call may still arrive at the platform."""
     duty = state.duty
-    held = duty.token and duty.record is not None and duty.record.holder == state.vm
+    held = duty.token and duty.record is not None and is_own_record(state, duty.record)
     token = duty.token
     nonce = duty.nonce
     duty.token = 0
--- a/src/cassiaseam/pooler/duty_state.py
+++ b/src/cassiaseam/pooler/duty_state.py
@@ -10,6 +10,8 @@
     """What this daemon knows of the duty record, and its own claim.
 
     Attributes:
+        process: Random id of this process, with which the nonces of its claims begin, or '' before
+            its first claim.
         revision: Revision that was last seen.
         record: Record at that revision, or None.
         seen_at: Time at which the revision was first seen.
@@ -23,6 +25,7 @@
         acted_at: Time at which a call of the platform was last sent or answered, or None.
     """
 
+    process: str = ''
     revision: int = -1
     record: DutyRecord | None = None
     seen_at: float = 0
--- a/tests/pooler/test_pooler_duty.py
+++ b/tests/pooler/test_pooler_duty.py
@@ -84,6 +84,8 @@
 
 OTHER = DutyRecord('vm1', 'n1', released=False)
 CLAIMED = object()
+PROCESS = 'p0'
+EARLIER_CLAIM = DutyRecord('vm0', f'{PROCESS}-n0', released=False)
 
 
 @pytest.mark.parametrize(
@@ -102,11 +104,16 @@
         ),
         ([DutyRead(5, None), WriteOutcome.UNKNOWN, CLAIMED], ''),
         ([DutyRead(5, DutyRecord('vm1', 'n1', released=True)), WriteOutcome.WRITTEN], ''),
-        ([DutyRead(5, DutyRecord('vm0', 'n0', released=False)), WriteOutcome.WRITTEN], ''),
+        ([DutyRead(5, DutyRecord('vm0', 'n0', released=False))], 'another VM holds the duty'),
+        ([DutyRead(5, DutyRecord('vm0', 'n0', released=True)), WriteOutcome.WRITTEN], ''),
+        ([DutyRead(5, EARLIER_CLAIM), WriteOutcome.WRITTEN], ''),
     ],
 )
 def test_what_gives_and_refuses_the_duty(news, refusal):
+    # A record of an earlier process of the same VM counted as an own one: a call of that process
+    # could still arrive.
     state = build_state()
+    state.duty.process = PROCESS
     promote(state, 'g', 1)
     own = None
     effects = []
