Prefer a target with a record when a primary is replaced

Cause: the target to promote was chosen without a look at its record in the store. One whose record is missing counts as gone, so that the next VM that looked replaced it at once.

Evidence: gyor-a-9 promoted i-6ae8d49320, whose record was missing, at 7.905 s, and gyor-a-5 replaced it at 8.375 s with cause=primary_leaving. Two new cases of the choice fail on the former code.

Change: a target without a record is promoted only when no other complete one can be after 0.5 s, like one that leaves.

--- a/src/cassiaseam/pooler/failover.py
+++ b/src/cassiaseam/pooler/failover.py
@@ -315,15 +315,19 @@
 
 
 def may_lead(target: TargetState) -> bool:
-    """Return whether a target stays long enough to be promoted."""
-    return not target.record.leaving and target.failing_since is None
+    """Return whether a target stays long enough to be promoted.
+
+    One without a record would be replaced as soon as it leads.
+    """
+    in_store = not target.record.leaving and target.missing_since is None
+    return in_store and target.failing_since is None
 
 
 def choose_most_complete(group: GroupView, promotion: Promotion, now: float) -> str:
     """Return the fenced target that holds all that any fenced target holds, or ''.
 
-    A target that leaves or is the former primary is only chosen when no other one is complete
-    after `PREFERENCE_S`: without a primary the others cannot catch up.
+    A target that leaves, has no record or is the former primary is only chosen when no other one
+    is complete after `PREFERENCE_S`: without a primary the others cannot catch up.
     """
     if not promotion.grants:
         return ''
--- a/tests/pooler/test_pooler_duty.py
+++ b/tests/pooler/test_pooler_duty.py
@@ -160,21 +160,25 @@
 
 
 @pytest.mark.parametrize(
-    ('grants', 'leaving', 'waited_s', 'chosen'),
+    ('grants', 'leaving', 'missing', 'waited_s', 'chosen'),
     [
-        ({'g1': 5, 'g2': 7}, (), 0, 'g2'),
-        ({'g1': 7, 'g2': 5}, ('g1',), 0, ''),
-        ({'g1': 7, 'g2': 5}, ('g1',), 1, 'g1'),
-        ({'g0': 7, 'g1': 7}, (), 0, 'g1'),
-        ({'g0': 7, 'g1': 5}, (), 0, ''),
-        ({'g0': 7, 'g1': 5}, (), 1, 'g0'),
-        ({}, (), 1, ''),
+        ({'g1': 5, 'g2': 7}, (), (), 0, 'g2'),
+        ({'g1': 7, 'g2': 5}, ('g1',), (), 0, ''),
+        ({'g1': 7, 'g2': 5}, ('g1',), (), 1, 'g1'),
+        ({'g0': 7, 'g1': 7}, (), (), 0, 'g1'),
+        ({'g0': 7, 'g1': 5}, (), (), 0, ''),
+        ({'g0': 7, 'g1': 5}, (), (), 1, 'g0'),
+        ({}, (), (), 1, ''),
+        ({'g1': 7, 'g2': 7}, (), ('g1',), 0, 'g2'),
+        ({'g1': 7, 'g2': 5}, (), ('g1',), 0, ''),
+        ({'g1': 7, 'g2': 5}, (), ('g1',), 1, 'g1'),
     ],
 )
 def test_target_that_lacks_what_another_fenced_one_holds_is_never_promoted(
-    grants, leaving, waited_s, chosen
+    grants, leaving, missing, waited_s, chosen
 ):
-    # A replica that lagged was promoted when the complete one had announced that it leaves.
+    # A replica that lagged was promoted when the complete one had announced that it leaves; one
+    # without a record was promoted and replaced 0.4 s later.
     state = build_state()
     claim(state, promote(state, 'g', 1), 5, 1)
     group = state.groups['g']
@@ -182,6 +186,8 @@
     for name in leaving:
         record = group.targets[name].record
         group.targets[name].record = dataclasses.replace(record, leaving=True)
+    for name in missing:
+        group.targets[name].missing_since = 0
     group.promotion.grants = {name: LogPosition(1, held) for name, held in grants.items()}
     now = group.promotion.stage_at + waited_s
     assert failover.choose_most_complete(group, group.promotion, now) == chosen
