Let calls to the platform connect, be written and arrive at separate times in the virtual deployment

A call to promote arrived after exactly one latency and was always answered, and the check of the tokens looked at the order of the decisions. A call that arrives after the one of a later holder could not show.

A call now opens a connection, is written when the connection stands and the VM runs, and arrives later; the time limits of the daemon end it. The platform, with the duty record and the promotion API, is a module of its own. The tokens are checked in the order of their arrival. What a target commits under a term older than a promotion that has taken effect must not be acknowledged.

--- a/tests/pooler/fake_target.py
+++ b/tests/pooler/fake_target.py
@@ -178,6 +178,8 @@
         for value in values:
             self.log.append((self.term, value))
             self.world.committed[value] += 1
+            if self.term < self.world.platform.promoted_term:
+                self.world.late_commits.add(value)
         if values:
             self.world.replicate()
 
--- a/tests/pooler/pooler_world.py
+++ b/tests/pooler/pooler_world.py
@@ -11,7 +11,9 @@
 from dataclasses import dataclass
 
 from fake_target import GROUP, FakeTarget
-from virtual_vm import LATENCY_S, TICK_S, Vm
+from virtual_calls import LATENCY_S
+from virtual_platform import VirtualPlatform
+from virtual_vm import TICK_S, Vm
 
 from cassiaseam.errors import ErrorKind
 from cassiaseam.pooler import (
@@ -34,7 +36,6 @@
     ConfigurationRead,
     PeerRecord,
     PeersListed,
-    PromotionAnswered,
     StatementArrived,
     StoreContact,
     TargetChanged,
@@ -49,7 +50,6 @@
 
 REGISTERED = (catalogue, failover, operations, peers, sessions, sharing, targets, ticks)
 REPLICATION_S = 0.006
-PROMOTE_S = 0.3
 STATEMENT_TIMEOUT_S = 1.0
 MAX_AGE_S = 1.5
 ROUTES = {
@@ -91,18 +91,17 @@
         self.now = 0
         self.heap = []
         self.order = itertools.count()
-        self.revisions = itertools.count(1)
-        self.duty = None
-        self.duty_revision = 0
+        self.platform = VirtualPlatform(self)
         self.cuts = set()
         self.lossy = {}
         self.committed = Counter()
+        self.late_commits = set()
         self.runs = []
         self.lines = []
+        self.notes = []
         self.closed = []
         self.refused = []
         self.promotion_calls = []
-        self.lost_promotion_answers = 0
         self.opened_connections = 0
         self.refused_connections = 0
         self.calls = {}
@@ -182,40 +181,13 @@
             if not vm.store_cut:
                 self.after(LATENCY_S, lambda it=vm: it.dispatch(TargetChanged(record)))
 
-    def accept_promotion(self, vm, effect):
-        target = self.targets[effect.target]
-        if target.down:
-            answer = PromotionAnswered(effect.group, effect.target, False, 'not running')
-        else:
-            lost = self.lost_promotion_answers > 0
-            self.lost_promotion_answers -= lost
-            answer = PromotionAnswered(effect.group, effect.target, not lost, '', lost)
-            if not target.is_primary:
-                self.after(PROMOTE_S, lambda: self.promote(target))
-        self.after(LATENCY_S, lambda: vm.dispatch(answer))
-
-    def promote(self, target):
-        if target.down:
-            return
-        newest = max(other.term for other in self.targets.values())
-        target.term = newest + 1
-        target.is_primary = True
-        for other in self.targets.values():
-            other.fenced = 0
-            reachable = (target.name, other.name) not in self.cuts
-            if other is not target and reachable and not other.mute:
-                self.after(1.0, lambda it=other: self.step_down(it, target))
-                if not other.is_primary:
-                    other.term = target.term
-        self.announce(target)
-        self.replicate()
+    def note(self, kind, who, text):
+        """Remember a step of a promotion for the trace of a failed check."""
+        self.notes.append(f'{self.now:.3f} {who} {kind}: {text}')
 
-    def step_down(self, former, successor):
-        if former.is_primary and former.term < successor.term:
-            former.is_primary = False
-            former.applied = 0
-            self.announce(former)
-            self.replicate()
+    def describe_promotions(self):
+        """Return the steps of all promotions, one a line."""
+        return '\n'.join(['', *self.notes])
 
     # faults
 
@@ -264,6 +236,27 @@
     def freeze(self, name, for_s):
         self.vms[name].frozen_until = max(self.vms[name].frozen_until, self.now + for_s)
 
+    def freeze_holder(self, name, moment, for_s):
+        """Freeze a VM at its next claim or promotion call."""
+        self.vms[name].freezes[moment] = for_s
+
+    def hold_promotions(self, name, part, for_s):
+        """Delay the promotion calls of a VM until the fault ends.
+
+        With the part 'connection' their connections stand late, with 'delivery' calls that were
+        written arrive late.
+        """
+        self.vms[name].promotion_holds[part] = self.now + for_s
+
+    def slow_duty_reads(self, name, delay_s, for_s):
+        """Let answers to reads of the duty record take longer."""
+        self.vms[name].read_delay_s = delay_s
+
+        def heal():
+            self.vms[name].read_delay_s = 0
+
+        self.after(for_s, heal)
+
     def cut_store(self, name, for_s):
         vm = self.vms[name]
         vm.store_cut = True
--- a/tests/pooler/test_pooler_promises.py
+++ b/tests/pooler/test_pooler_promises.py
@@ -47,8 +47,6 @@
         target.leaving = True
         world.announce(target)
         world.after(3.0, lambda: return_target(world, target))
-    elif kind == 'lose_promotion_answers':
-        world.lost_promotion_answers += arguments[0]
     elif kind == 'cut_peers':
         name, for_s = arguments
         for other in set(world.vms) - {name}:
@@ -58,7 +56,8 @@
     elif kind == 'drop_answers':
         world.targets[arguments[0]].drop_answers += arguments[1]
     else:
-        getattr(world, kind)(*arguments)
+        owner = world if hasattr(world, kind) else world.platform
+        getattr(owner, kind)(*arguments)
 
 
 def return_target(world, target):
@@ -195,12 +194,22 @@
 
 
 def check_tokens(world):
+    """Check the tokens in the order in which the platform sees them."""
     seen = 0
     holders = {}
-    for _, effect in world.promotion_calls:
-        assert effect.fencing_token >= seen, 'a lower token followed a higher one'
-        seen = effect.fencing_token
-        assert holders.setdefault(seen, effect.holder) == effect.holder
+    for arrival in world.platform.arrivals:
+        lower = f'a lower token followed a higher one: {world.describe_promotions()}'
+        assert arrival.token >= seen, lower
+        seen = arrival.token
+        holder = holders.setdefault(seen, arrival.holder)
+        assert holder == arrival.holder, f'two holders: {world.describe_promotions()}'
+
+
+def check_late_commits(world, callers):
+    """Check that nothing was acknowledged that an old primary committed after a promotion."""
+    late = set(callers.acknowledged) & world.late_commits
+    trace = world.describe_promotions()
+    assert not late, f'committed at the old primary after a promotion: {late} {trace}'
 
 
 @settings(
@@ -223,8 +232,9 @@
 )
 def test_promises_hold_under_faults(faults, seed, shared):
     world, callers = play(faults, seed, shared)
-    check_promises(world, callers)
     check_tokens(world)
+    check_late_commits(world, callers)
+    check_promises(world, callers)
 
 
 @pytest.mark.parametrize('shared', [False, True])
--- /dev/null
+++ b/tests/pooler/virtual_platform.py
@@ -0,0 +1,135 @@
+"""The platform of the virtual deployment: the duty record and the promotion API, with faults."""
+
+import itertools
+from dataclasses import dataclass
+
+from virtual_calls import build_promotion_answer
+
+from cassiaseam.pooler.events import DutyRead, DutyWritten, WriteOutcome
+
+# Seconds after an accepted call until the target leads; the platform says some hundred ms.
+PROMOTE_S = 0.3
+# Seconds after which a former primary that reaches the new one steps down.
+STEP_DOWN_S = 1.0
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A promotion call as the platform saw it."""
+
+    at: float
+    holder: str
+    token: int
+    target: str
+
+
+class VirtualPlatform:
+    """Carries out the calls of the VMs in the order in which they arrive.
+
+    Attributes:
+        duty: The duty record, or None.
+        duty_revision: Revision of the record, 0 without one.
+        arrivals: Promotion calls in the order of their arrival.
+        promoted_term: Newest term of a promotion that has taken effect, or 0.
+        lost_promotion_answers: Answers to promotion calls that get lost.
+        lead_s: Seconds after an accepted call until the target leads.
+    """
+
+    def __init__(self, world):
+        self.world = world
+        self.revisions = itertools.count(1)
+        self.duty = None
+        self.duty_revision = 0
+        self.arrivals = []
+        self.promoted_term = 0
+        self.lost_promotion_answers = 0
+        self.lead_s = PROMOTE_S
+        self.late_writes = []
+
+    def read_duty(self, call):
+        """Return the record as it is now; the answer may take longer."""
+        found = DutyRead(self.duty_revision, self.duty)
+        self.world.after(call.vm.read_delay_s, lambda: call.answer(found))
+
+    def write_duty(self, call, effect):
+        """Write the record, or write it late and without an answer."""
+        if self.late_writes:
+            late_s = self.late_writes.pop()
+            self.world.note('write delayed', call.vm.name, f'by {late_s:.3f} s')
+            self.world.after(late_s, lambda: self.store_duty(call.vm, effect))
+        else:
+            call.answer(self.store_duty(call.vm, effect))
+
+    def store_duty(self, vm, effect):
+        """Write the record if it has the expected revision, and return the outcome."""
+        if effect.revision != self.duty_revision:
+            return DutyWritten(effect.record, WriteOutcome.CONFLICT)
+        self.duty_revision = next(self.revisions)
+        self.duty = effect.record
+        kind = 'released' if effect.record.released else 'claimed'
+        self.world.note(kind, vm.name, f'revision {self.duty_revision}')
+        if not effect.record.released:
+            vm.reach_moment('claimed')
+        return DutyWritten(effect.record, WriteOutcome.WRITTEN, self.duty_revision)
+
+    def accept_promotion(self, call, effect):
+        """Take a promotion call that has arrived."""
+        world = self.world
+        token = effect.fencing_token
+        self.arrivals.append(Arrival(world.now, effect.holder, token, effect.target))
+        world.note('call arrived', effect.holder, f'token {token} {effect.group}/{effect.target}')
+        target = world.targets[effect.target]
+        if target.down:
+            call.answer(build_promotion_answer(effect, False, 'not running'))
+            return
+        lost = self.lost_promotion_answers > 0
+        self.lost_promotion_answers -= lost
+        if not target.is_primary:
+            world.after(self.lead_s, lambda: self.promote(target))
+        call.answer(build_promotion_answer(effect, not lost, may_have_run=lost, answered=not lost))
+
+    def promote(self, target):
+        """Let a target lead the next term."""
+        world = self.world
+        if target.down:
+            return
+        newest = max(other.term for other in world.targets.values())
+        target.term = newest + 1
+        target.is_primary = True
+        self.promoted_term = target.term
+        world.note('promoted', target.name, f'term {target.term}')
+        for other in world.targets.values():
+            other.fenced = 0
+            reachable = (target.name, other.name) not in world.cuts
+            if other is not target and reachable and not other.mute:
+                world.after(STEP_DOWN_S, lambda it=other: self.step_down(it, target))
+                if not other.is_primary:
+                    other.term = target.term
+        world.announce(target)
+        world.replicate()
+
+    def step_down(self, former, successor):
+        """Make a former primary a replica of its successor."""
+        if former.is_primary and former.term < successor.term:
+            former.is_primary = False
+            former.applied = 0
+            self.world.announce(former)
+            self.world.replicate()
+
+    # faults
+
+    def lose_promotion_answers(self, count):
+        self.lost_promotion_answers += count
+
+    def late_duty_writes(self, late_s, count):
+        """Carry the next writes of the record out late and answer none of them."""
+        self.late_writes += [late_s] * count
+
+    def slow_promotions(self, lead_s, for_s):
+        """Let targets whose promotion is accepted meanwhile need longer to lead."""
+        self.lead_s = lead_s
+
+        def heal():
+            self.lead_s = PROMOTE_S
+
+        self.world.after(for_s, heal)
--- a/tests/pooler/virtual_vm.py
+++ b/tests/pooler/virtual_vm.py
@@ -2,7 +2,9 @@
 
 import random
 
+import virtual_calls
 from fake_target import Backlog
+from virtual_calls import LATENCY_S
 
 from cassiaseam.pooler.commands import Forward, TargetFailure, TargetReply
 from cassiaseam.pooler.events import (
@@ -16,7 +18,6 @@
     ConnectionLost,
     ConnectionReady,
     ConnectionRefused,
-    DutyRead,
     DutyReadFailed,
     DutyWritten,
     OfferSample,
@@ -34,13 +35,22 @@
 from cassiaseam.pooler.state import PoolerState
 from cassiaseam.reducer.registry import reduce_event
 
-LATENCY_S = 0.004
 RUN_S = 0.005
 TICK_S = 0.02
+# A process that resumes handles ready connections before expired timers.
+RESUME_S = 0.0001
 
 
 class Vm:
-    """One daemon: its state and its connections to targets."""
+    """One daemon: its state and its connections to targets.
+
+    Attributes:
+        promotion_holds: Time per part of a promotion call until which calls are delayed.
+        read_delay_s: Seconds by which answers to reads of the duty record are late.
+        freezes: Seconds for which the VM stands still at its next moment of a kind: 'claim' (it
+            decides to write the duty record), 'claimed' (its claim is written) or 'call' (it
+            decides on a promotion call).
+    """
 
     def __init__(self, world, name, place):
         self.world = world
@@ -50,6 +60,32 @@
         self.frozen_until = 0
         self.store_cut = False
         self.last_tick = 0
+        self.promotion_holds = {}
+        self.read_delay_s = 0
+        self.freezes = {}
+
+    def run(self, action):
+        """Do something now, or when the VM runs again."""
+        world = self.world
+        if world.now < self.frozen_until:
+            world.at(self.frozen_until, lambda: self.run(action))
+        else:
+            action()
+
+    def run_timer(self, action):
+        """Do what an expired timer asks for, after what is ready when the VM runs again."""
+        world = self.world
+        if world.now < self.frozen_until:
+            world.at(self.frozen_until + RESUME_S, lambda: self.run_timer(action))
+        else:
+            action()
+
+    def reach_moment(self, moment):
+        """Stand still if a fault waits for this moment."""
+        for_s = self.freezes.pop(moment, 0)
+        if for_s:
+            self.world.note('frozen', self.name, f'at {moment} for {for_s:.3f} s')
+            self.world.freeze(self.name, for_s)
 
     def dispatch(self, event):
         """Reduce an event now, or when the VM runs again."""
@@ -128,31 +164,23 @@
         self.links.pop(effect.connection_id, None)
 
     def read_duty(self, effect):
-        world = self.world
         if self.store_cut:
-            world.after(0.5, lambda: self.dispatch(DutyReadFailed()))
+            self.world.after(0.5, lambda: self.dispatch(DutyReadFailed()))
             return
-        found = DutyRead(world.duty_revision, world.duty)
-        world.after(LATENCY_S, lambda: self.dispatch(found))
+        virtual_calls.read_duty(self, effect)
 
     def write_duty(self, effect):
-        world = self.world
+        if not effect.record.released:
+            self.reach_moment('claim')
         if self.store_cut:
             lost = DutyWritten(effect.record, WriteOutcome.UNKNOWN)
-            world.after(0.5, lambda: self.dispatch(lost))
+            self.world.after(0.5, lambda: self.dispatch(lost))
             return
-        if effect.revision != world.duty_revision:
-            answer = DutyWritten(effect.record, WriteOutcome.CONFLICT)
-        else:
-            world.duty_revision = next(world.revisions)
-            world.duty = effect.record
-            answer = DutyWritten(effect.record, WriteOutcome.WRITTEN, world.duty_revision)
-        world.after(LATENCY_S, lambda: self.dispatch(answer))
+        virtual_calls.write_duty(self, effect)
 
     def call_promotion(self, effect):
-        world = self.world
-        world.promotion_calls.append((world.now, effect))
-        world.after(LATENCY_S, lambda: world.accept_promotion(self, effect))
+        virtual_calls.call_promotion(self, effect)
+        self.reach_moment('call')
 
     def ask_sample(self, effect):
         """Send a question to the VM whose name stands for its host."""
