Test what a former holder of the duty may still do when another VM has taken it over

A written promotion call may arrive after the VM has ended it at its time limit, and nothing bounds that. A claim whose result is read after it has expired is used: fences are lifted and the primary is demoted (claim_that_expired_before_its_answer: 3 cases). 5. The demote and fence steps send Demote and LiftFence under an expired claim (step_under_an_expired_claim: demote, fence, fence-ends).

--- /dev/null
+++ b/tests/pooler/test_pooler_handover.py
@@ -0,0 +1,209 @@
+"""Handing the duty over while calls, claims and fences of the former holder are under way."""
+
+import pytest
+from pooler_world import World
+from test_pooler_duty import build_state, find
+from test_pooler_promises import (
+    END_S,
+    Callers,
+    apply_fault,
+    check_fences,
+    check_late_commits,
+    check_promises,
+    check_tokens,
+)
+from virtual_calls import DELIVERY
+
+from cassiaseam.pooler import failover
+from cassiaseam.pooler.commands import Demote, LiftFence, ReportedStatus, StatementKind
+from cassiaseam.pooler.duty import CLAIM_VALID_S
+from cassiaseam.pooler.events import DutyRead, DutyWritten, WriteDuty, WriteOutcome
+from cassiaseam.pooler.evidence import note_status
+from cassiaseam.pooler.state import PromotionStage
+from cassiaseam.positions import LogPosition
+
+# Sessions that write without a pause, so that writes wait for a majority at any moment.
+BUSY_SESSIONS = range(11, 17)
+
+
+def keep_writing(world, callers, vm, session):
+    """Let a session write one value after the other."""
+    if world.now > END_S - 3 or (vm, session) in world.closed:
+        return
+    value = f'{vm}-{session}-{next(callers.numbers)}'
+    call = world.send(vm, session, StatementKind.WRITE, value)
+
+    def go_on():
+        callers.note_outcome(call, [value], [])
+        world.after(0.001, lambda: keep_writing(world, callers, vm, session))
+
+    callers.wait(call, go_on)
+
+
+def play(faults, vms=2, busy=''):
+    """Return a deployment with callers on every VM after faults at given times."""
+    world = World(vms=vms, seed=1)
+    world.run_until(0.5)
+    callers = Callers(world)
+    for session in BUSY_SESSIONS if busy else ():
+        world.connect(busy, session, 'orders')
+        keep_writing(world, callers, busy, session)
+    for fault in faults:
+        world.at(fault[1], lambda it=fault: apply_fault(world, it))
+    world.run_until(END_S)
+    return world, callers
+
+
+# vm0 claims the duty first because vm1 has no contact with the store at that time.
+FIRST_HOLDER = [('cut_store', 1.0, 'vm1', 1.5), ('crash', 1.1, 't0', 9.0)]
+# vm0 fences only t1 and stands still; vm1 takes over, fences t1 and t2 and promotes t2, which
+# holds the most. vm0 goes on before t2 leads. vm2 serves callers by t0 all the while, and t1 is
+# able to receive from t0.
+OVERTAKEN_FENCES = [
+    ('cut_store', 0.9, 'vm2', 10.0),
+    ('cut_store', 0.9, 'vm1', 1.5),
+    ('cut_targets', 1.0, 't0', 't1', 4.0),
+    ('cut_vm', 1.1, 'vm0', 't0', 9.0),
+    ('cut_vm', 1.1, 'vm0', 't2', 9.0),
+    ('cut_vm', 2.0, 'vm1', 't0', 9.0),
+    ('slow_promotions', 1.0, 1.5, 9.0),
+    ('freeze', 2.8, 'vm0', 4.0),
+]
+
+
+@pytest.mark.parametrize(
+    ('faults', 'vms', 'busy'),
+    [
+        # The call arrives seconds after the platform has seen the token of the next holder.
+        pytest.param(
+            [
+                *FIRST_HOLDER,
+                ('hold_promotions', 1.0, 'vm0', DELIVERY, 7.0),
+                ('cut_store', 3.0, 'vm0', 9.0),
+            ],
+            2,
+            '',
+            id='late-call-after-takeover',
+        ),
+        # The first call is held alone; the second one finds its target down, and the fence step
+        # of the attempt that follows ends with the release of the duty.
+        pytest.param(
+            [
+                *FIRST_HOLDER,
+                ('hold_promotions', 1.0, 'vm0', DELIVERY, 6.0),
+                ('hold_promotions', 1.8, 'vm0', DELIVERY, 0.0),
+                ('crash', 1.75, 't1', 3.0),
+            ],
+            2,
+            '',
+            id='late-call-after-release',
+        ),
+        # The connection stands while the VM is suspended; the call is written when it resumes.
+        pytest.param(
+            [*FIRST_HOLDER, ('freeze_holder', 1.0, 'vm0', 'call', 5.0)],
+            2,
+            '',
+            id='frozen-before-call-is-written',
+        ),
+        # The same for a claim whose result is read late.
+        pytest.param(
+            [*FIRST_HOLDER, ('freeze_holder', 1.0, 'vm0', 'claimed', 5.0)],
+            2,
+            '',
+            id='frozen-after-claim',
+        ),
+        # The claim itself is written when the VM resumes.
+        pytest.param(
+            [*FIRST_HOLDER, ('freeze_holder', 1.0, 'vm0', 'claim', 5.0)],
+            2,
+            '',
+            id='frozen-before-claim',
+        ),
+        # The store carries the claim out after the VM has given it up.
+        pytest.param(
+            [*FIRST_HOLDER, ('late_duty_writes', 1.0, 4.0, 1)], 2, '', id='claim-written-late'
+        ),
+        pytest.param(OVERTAKEN_FENCES, 3, '', id='fences-lifted-under-expired-claim'),
+        # A write waits for a majority behind fences of vm1; vm0 lifts one of them, t1 receives
+        # the write, it is acknowledged, and t2 is promoted without it.
+        pytest.param(OVERTAKEN_FENCES, 3, 'vm2', id='write-lost-by-lifted-fences'),
+    ],
+)
+def test_former_holder_does_not_disturb_the_next_one(faults, vms, busy):
+    world, callers = play(faults, vms, busy)
+    assert world.platform.arrivals
+    check_tokens(world)
+    check_fences(world)
+    check_late_commits(world, callers)
+    check_promises(world, callers)
+
+
+def list_steering(state):
+    """Return the kinds of commands to targets that may harm a promotion of another VM."""
+    jobs = [job for target in state.groups['g'].targets.values() for job in target.queue]
+    return {type(job.command) for job in jobs} & {Demote, LiftFence}
+
+
+def claim_late(state, cause, planned, answered_at):
+    """Claim at 1 s and hear of the success later."""
+    group = state.groups['g']
+    failover.start_promotion(state, group, cause, planned, 1)
+    writes = find(failover.handle_duty_record(state, DutyRead(5, None), 1), WriteDuty)
+    written = DutyWritten(writes[0].record, WriteOutcome.WRITTEN, 6)
+    failover.handle_claim_result(state, written, answered_at)
+    return group
+
+
+def fence_targets(state):
+    """Let the replicas show fences above the term in charge since 0 s."""
+    group = state.groups['g']
+    for name in ('g1', 'g2'):
+        status = ReportedStatus(False, 1, LogPosition(1, 5), 2, 0, 0, 1)
+        note_status(group, name, 0.1, status, 0.1)
+    group.fenced_since = 0
+    return group
+
+
+# Another VM may take over 3 s after the claim; a step at this time is under no valid claim.
+EXPIRED_S = 1 + CLAIM_VALID_S + 1.5
+
+
+@pytest.mark.parametrize(
+    ('cause', 'planned'),
+    [('abandoned_fence', True), ('primary_leaving', True), ('primary_failed', False)],
+)
+def test_claim_that_expired_before_its_answer_steers_no_target(cause, planned):
+    # A VM that stood still between its claim and the answer lifted fences of the next holder, or
+    # demoted targets beside it.
+    state = build_state()
+    group = fence_targets(state)
+    if cause != 'primary_failed':
+        group.targets['g0'].failing_since = None
+    claim_late(state, cause, planned, EXPIRED_S)
+    assert list_steering(state) == set()
+
+
+@pytest.mark.parametrize(
+    ('stage', 'began_at'),
+    [
+        (PromotionStage.DEMOTE, 4.4),
+        (PromotionStage.CATCH_UP, 3.0),
+        (PromotionStage.FENCE, 3.5),
+        (PromotionStage.FENCE, 1.5),
+    ],
+    ids=['demote', 'catch-up-ends', 'fence', 'fence-ends'],
+)
+def test_step_under_an_expired_claim_steers_no_target(stage, began_at):
+    # The steps of a planned promotion take up to 4 s, others take over after 3 s.
+    state = build_state()
+    group = fence_targets(state)
+    claim_late(state, 'primary_failed', False, 1.1)
+    for target in group.targets.values():
+        target.queue.clear()
+    if stage is PromotionStage.CATCH_UP:
+        group.promotion.final = LogPosition(1, 9)
+    failover.enter_stage(group.promotion, stage, began_at)
+    failover.advance_promotion(state, group, EXPIRED_S)
+    if group.promotion is not None:
+        failover.advance_promotion(state, group, EXPIRED_S + 0.01)
+    assert list_steering(state) == set()
