--- a/tests/pooler/test_pooler_handover.py
+++ b/tests/pooler/test_pooler_handover.py
@@ -85,6 +85,17 @@
             '',
             id='late-call-after-takeover',
         ),
+        # The VM itself claims again after its calls have ended.
+        pytest.param(
+            [
+                *FIRST_HOLDER,
+                ('hold_promotions', 1.0, 'vm0', DELIVERY, 7.0),
+                ('hold_promotions', 3.9, 'vm0', DELIVERY, 0.0),
+            ],
+            2,
+            '',
+            id='late-call-after-own-claim',
+        ),
         # The first call is held alone; the second one finds its target down, and the fence step
         # of the attempt that follows ends with the release of the duty.
         pytest.param(
