Test a write that waits for a majority while a promotion ends a fence out of its reach

Fails on the present code, without any fault of the duty. vm0 does not reach t0 and promotes t1; t2 does not reach t1.

--- a/tests/pooler/test_pooler_handover.py
+++ b/tests/pooler/test_pooler_handover.py
@@ -139,6 +139,14 @@
         # A write waits for a majority behind fences of vm1; vm0 lifts one of them, t1 receives
         # the write, it is acknowledged, and t2 is promoted without it.
         pytest.param(OVERTAKEN_FENCES, 3, 'vm2', id='write-lost-by-lifted-fences'),
+        # The promotion of t1 ends the fence of t2, which does not reach t1 and receives from t0
+        # again: a write that waits for a majority is acknowledged though t1 leads without it.
+        pytest.param(
+            [('cut_vm', 2.0, 'vm0', 't0', 5.5), ('cut_targets', 2.5, 't1', 't2', 3.0)],
+            3,
+            'vm2',
+            id='write-lost-by-fence-that-ends-out-of-reach',
+        ),
     ],
 )
 def test_former_holder_does_not_disturb_the_next_one(faults, vms, busy):
