--- a/tests/pooler/test_pooler_promises.py
+++ b/tests/pooler/test_pooler_promises.py
@@ -7,13 +7,16 @@
 from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
 from pooler_world import MAX_AGE_S, NO_PROMISE, ROUTES, World, get_error, is_success
+from virtual_calls import CONNECTION, DELIVERY
 
 from cassiaseam.pooler.commands import StatementKind
 from cassiaseam.pooler.model import Consistency
 
 # More examples by hand: POOLER_EXAMPLES=10000.
 EXAMPLES = int(os.environ.get('POOLER_EXAMPLES', '60'))
-END_S = 14.0
+CALLERS_UNTIL_S = 11.0
+# The longest fault ends at 13 s; the VMs have 4 s after it.
+END_S = 17.0
 FAULTS_FROM_S = 1.0
 FAULTS_UNTIL_S = 7.0
 # Time for which a statement may wait beyond its limit because its VM stood still or polled late.
@@ -21,8 +24,17 @@
 
 TIMES = st.floats(FAULTS_FROM_S, FAULTS_UNTIL_S)
 SPANS = st.floats(0.05, 3.0)
+# Longer than the time after which another VM takes the duty over.
+LONG_SPANS = st.floats(0.05, 6.0)
 TARGETS = st.sampled_from(['t0', 't1', 't2'])
 VMS = st.sampled_from(['vm0', 'vm1'])
+MOMENTS = st.sampled_from(['claim', 'claimed', 'call'])
+CALL_PARTS = st.sampled_from([CONNECTION, DELIVERY])
+# The platform carries a write without an answer out at once or seconds later.
+WRITE_DELAYS = st.one_of(st.just(0.0), st.floats(1.0, 6.0))
+READ_DELAYS = st.floats(0.1, 3.0)
+# The platform says some hundred ms; slowed targets need longer.
+LEAD_DELAYS = st.floats(0.3, 1.5)
 FAULTS = st.one_of(
     st.tuples(st.just('crash'), TIMES, TARGETS, SPANS),
     st.tuples(st.just('mute'), TIMES, TARGETS, SPANS),
@@ -35,6 +47,11 @@
     st.tuples(st.just('lose_promotion_answers'), TIMES, st.integers(1, 3)),
     st.tuples(st.just('cut_peers'), TIMES, VMS, SPANS),
     st.tuples(st.just('lose_datagrams'), TIMES, st.integers(1, 20)),
+    st.tuples(st.just('hold_promotions'), TIMES, VMS, CALL_PARTS, LONG_SPANS),
+    st.tuples(st.just('freeze_holder'), TIMES, VMS, MOMENTS, LONG_SPANS),
+    st.tuples(st.just('late_duty_writes'), TIMES, WRITE_DELAYS, st.integers(1, 3)),
+    st.tuples(st.just('slow_duty_reads'), TIMES, VMS, READ_DELAYS, SPANS),
+    st.tuples(st.just('slow_promotions'), TIMES, LEAD_DELAYS, SPANS),
 )
 
 
@@ -47,8 +64,6 @@
         target.leaving = True
         world.announce(target)
         world.after(3.0, lambda: return_target(world, target))
-    elif kind == 'lose_promotion_answers':
-        world.lost_promotion_answers += arguments[0]
     elif kind == 'cut_peers':
         name, for_s = arguments
         for other in set(world.vms) - {name}:
@@ -57,8 +72,12 @@
         world.lost_datagrams += arguments[0]
     elif kind == 'drop_answers':
         world.targets[arguments[0]].drop_answers += arguments[1]
+    elif kind == 'freeze_holder':
+        world.freeze_holder(*arguments)
+        world.at(FAULTS_UNTIL_S, world.vms[arguments[0]].freezes.clear)
     else:
-        getattr(world, kind)(*arguments)
+        owner = world if hasattr(world, kind) else world.platform
+        getattr(owner, kind)(*arguments)
 
 
 def return_target(world, target):
@@ -83,7 +102,8 @@
     def step(self, vm, session, database, own):
         """Send the next statement of a session."""
         world = self.world
-        if world.now > END_S - 3:
+        # A caller whose session was closed goes to another VM.
+        if world.now > CALLERS_UNTIL_S or (vm, session) in world.closed:
             return
         chosen = world.rng.random()
         if chosen < 0.4 and database != 'prices':
@@ -195,12 +215,29 @@
 
 
 def check_tokens(world):
+    """Check the tokens in the order in which the platform sees them."""
     seen = 0
     holders = {}
-    for _, effect in world.promotion_calls:
-        assert effect.fencing_token >= seen, 'a lower token followed a higher one'
-        seen = effect.fencing_token
-        assert holders.setdefault(seen, effect.holder) == effect.holder
+    for arrival in world.platform.arrivals:
+        if arrival.token < seen:
+            pytest.fail(f'a lower token followed a higher one: {world.describe_promotions()}')
+        seen = arrival.token
+        if holders.setdefault(seen, arrival.holder) != arrival.holder:
+            pytest.fail(f'two holders used one token: {world.describe_promotions()}')
+
+
+def check_late_commits(world, callers):
+    """Check that nothing was acknowledged that an old primary committed after a promotion."""
+    late = set(callers.acknowledged) & world.late_commits
+    if late:
+        trace = world.describe_promotions()
+        pytest.fail(f'acknowledged and committed at a replaced primary: {late} {trace}')
+
+
+def check_fences(world):
+    """Check that no VM lifted a fence that the promotion of another VM counted on."""
+    if world.broken_fences:
+        pytest.fail(f'{world.broken_fences} {world.describe_promotions()}')
 
 
 @settings(
@@ -223,8 +260,10 @@
 )
 def test_promises_hold_under_faults(faults, seed, shared):
     world, callers = play(faults, seed, shared)
-    check_promises(world, callers)
     check_tokens(world)
+    check_fences(world)
+    check_late_commits(world, callers)
+    check_promises(world, callers)
 
 
 @pytest.mark.parametrize('shared', [False, True])
--- a/tests/pooler/virtual_vm.py
+++ b/tests/pooler/virtual_vm.py
@@ -2,9 +2,12 @@
 
 import random
 
+import virtual_calls
 from fake_target import Backlog
+from virtual_calls import LATENCY_S
 
-from cassiaseam.pooler.commands import Forward, TargetFailure, TargetReply
+from cassiaseam.pooler import duty
+from cassiaseam.pooler.commands import Forward, LiftFence, TargetFailure, TargetReply
 from cassiaseam.pooler.events import (
     AcceptCaller,
     AnswerCaller,
@@ -16,7 +19,6 @@
     ConnectionLost,
     ConnectionReady,
     ConnectionRefused,
-    DutyRead,
     DutyReadFailed,
     DutyWritten,
     OfferSample,
@@ -34,13 +36,22 @@
 from cassiaseam.pooler.state import PoolerState
 from cassiaseam.reducer.registry import reduce_event
 
-LATENCY_S = 0.004
 RUN_S = 0.005
 TICK_S = 0.02
+# A process that resumes handles ready connections before expired timers.
+RESUME_S = 0.0001
 
 
 class Vm:
-    """One daemon: its state and its connections to targets."""
+    """One daemon: its state and its connections to targets.
+
+    Attributes:
+        promotion_holds: Time per part of a promotion call until which calls are delayed.
+        read_delay_s: Seconds by which answers to reads of the duty record are late.
+        freezes: Seconds for which the VM stands still at its next moment of a kind: 'claim' (it
+            decides to write the duty record), 'claimed' (its claim is written) or 'call' (it
+            decides on a promotion call).
+    """
 
     def __init__(self, world, name, place):
         self.world = world
@@ -50,6 +61,39 @@
         self.frozen_until = 0
         self.store_cut = False
         self.last_tick = 0
+        self.promotion_holds = {}
+        self.read_delay_s = 0
+        self.freezes = {}
+
+    def run(self, action):
+        """Do something now, or when the VM runs again."""
+        world = self.world
+        if world.now < self.frozen_until:
+            world.at(self.frozen_until, lambda: self.run(action))
+        else:
+            action()
+
+    def run_timer(self, action):
+        """Do what an expired timer asks for, after what is ready when the VM runs again."""
+        world = self.world
+        if world.now < self.frozen_until:
+            world.at(self.frozen_until + RESUME_S, lambda: self.run_timer(action))
+        else:
+            action()
+
+    def counts_on(self, target):
+        """Return whether a promotion under a valid claim counts on the fence of a target."""
+        if not duty.is_claim_valid(self.state, self.world.now):
+            return False
+        promotions = [group.promotion for group in self.state.groups.values()]
+        return any(it is not None and target.name in it.grants for it in promotions)
+
+    def reach_moment(self, moment):
+        """Stand still if a fault waits for this moment."""
+        for_s = self.freezes.pop(moment, 0)
+        if for_s:
+            self.world.note('frozen', self.name, f'at {moment} for {for_s:.3f} s')
+            self.world.freeze(self.name, for_s)
 
     def dispatch(self, event):
         """Reduce an event now, or when the VM runs again."""
@@ -108,6 +152,8 @@
             return
         if target.mute or (self.name, target.name) in world.cuts:
             return
+        if isinstance(command, LiftFence):
+            world.note_lift(self, target)
         answer = target.run(connection, command)
         if isinstance(command, Forward) and target.drop_answers > 0:
             target.drop_answers -= 1
@@ -128,31 +174,23 @@
         self.links.pop(effect.connection_id, None)
 
     def read_duty(self, effect):
-        world = self.world
         if self.store_cut:
-            world.after(0.5, lambda: self.dispatch(DutyReadFailed()))
+            self.world.after(0.5, lambda: self.dispatch(DutyReadFailed()))
             return
-        found = DutyRead(world.duty_revision, world.duty)
-        world.after(LATENCY_S, lambda: self.dispatch(found))
+        virtual_calls.read_duty(self, effect)
 
     def write_duty(self, effect):
-        world = self.world
+        if not effect.record.released:
+            self.reach_moment('claim')
         if self.store_cut:
             lost = DutyWritten(effect.record, WriteOutcome.UNKNOWN)
-            world.after(0.5, lambda: self.dispatch(lost))
+            self.world.after(0.5, lambda: self.dispatch(lost))
             return
-        if effect.revision != world.duty_revision:
-            answer = DutyWritten(effect.record, WriteOutcome.CONFLICT)
-        else:
-            world.duty_revision = next(world.revisions)
-            world.duty = effect.record
-            answer = DutyWritten(effect.record, WriteOutcome.WRITTEN, world.duty_revision)
-        world.after(LATENCY_S, lambda: self.dispatch(answer))
+        virtual_calls.write_duty(self, effect)
 
     def call_promotion(self, effect):
-        world = self.world
-        world.promotion_calls.append((world.now, effect))
-        world.after(LATENCY_S, lambda: world.accept_promotion(self, effect))
+        virtual_calls.call_promotion(self, effect)
+        self.reach_moment('call')
 
     def ask_sample(self, effect):
         """Send a question to the VM whose name stands for its host."""
