--- a/tests/pooler/test_pooler_handover.py
+++ b/tests/pooler/test_pooler_handover.py
@@ -12,6 +12,7 @@
     check_late_commits,
     check_promises,
     check_tokens,
+    check_turns,
 )
 from virtual_calls import DELIVERY
 
@@ -153,6 +154,7 @@
     world, callers = play(faults, vms, busy)
     assert world.platform.arrivals
     check_tokens(world)
+    check_turns(world)
     check_fences(world)
     check_late_commits(world, callers)
     check_promises(world, callers)
--- a/tests/pooler/test_pooler_promises.py
+++ b/tests/pooler/test_pooler_promises.py
@@ -1,7 +1,7 @@
 """Promises to callers under random faults, over the reducers of several VMs."""
 
 import os
-from itertools import count
+from itertools import count, groupby
 
 import pytest
 from hypothesis import HealthCheck, example, given, settings
@@ -226,6 +226,20 @@
             pytest.fail(f'two holders used one token: {world.describe_promotions()}')
 
 
+# Seconds within which the users' bench objects to two VMs that promote in turn.
+TURN_S = 3.0
+
+
+def check_turns(world):
+    """Check that no VM promotes again shortly after another one has promoted in between."""
+    arrivals = world.platform.arrivals
+    for index, later in enumerate(arrivals):
+        lately = [it for it in arrivals[:index] if later.at - it.at <= TURN_S]
+        holders = [holder for holder, _ in groupby(it.holder for it in lately)]
+        if holders[-1:] != [later.holder] and later.holder in holders:
+            pytest.fail(f'two VMs promoted in turn: {world.describe_promotions()}')
+
+
 def check_late_commits(world, callers):
     """Check that nothing was acknowledged that an old primary committed after a promotion."""
     late = set(callers.acknowledged) & world.late_commits
@@ -261,6 +275,7 @@
 def test_promises_hold_under_faults(faults, seed, shared):
     world, callers = play(faults, seed, shared)
     check_tokens(world)
+    check_turns(world)
     check_fences(world)
     check_late_commits(world, callers)
     check_promises(world, callers)
--- a/tests/pooler/test_virtual_calls.py
+++ b/tests/pooler/test_virtual_calls.py
@@ -1,6 +1,7 @@
 """The virtual deployment shows calls that arrive late; otherwise the properties prove nothing."""
 
 import dataclasses
+import math
 from types import SimpleNamespace
 
 import pytest
@@ -11,11 +12,11 @@
 
 from cassiaseam.pooler.events import CallPromotion, WriteLog
 
-CALL = CallPromotion(GROUP, 't1', 'vm0', 6)
+CALL = CallPromotion(GROUP, 't1', 'vm0', 6, send_by=math.inf)
 AT_S = 0.5
 
 
-def make_call(monkeypatch, faults=(), send_by=None, limit_s=None):
+def make_call(monkeypatch, faults=(), send_by=math.inf, limit_s=None):
     """Return when a call arrives and what the VM hears of it, and when, after the decision."""
     monkeypatch.setattr(virtual_calls, 'DELIVERY_LIMIT_S', limit_s)
     world = World(vms=1)
@@ -25,9 +26,7 @@
     monkeypatch.setattr(vm, 'dispatch', lambda event: heard.append((world.now - AT_S, event)))
     for kind, *arguments in faults:
         getattr(world, kind)('vm0', *arguments)
-    fields = {field.name: getattr(CALL, field.name) for field in dataclasses.fields(CALL)}
-    effect = SimpleNamespace(**{**fields, 'send_by': send_by})
-    virtual_calls.call_promotion(vm, effect)
+    virtual_calls.call_promotion(vm, dataclasses.replace(CALL, send_by=send_by))
     world.run_until(AT_S + 8)
     answers = [(at, it) for at, it in heard if getattr(it, 'target', '') == 't1']
     answers = [(at, it) for at, it in answers if not isinstance(it, WriteLog)]
--- a/tests/pooler/virtual_calls.py
+++ b/tests/pooler/virtual_calls.py
@@ -9,7 +9,12 @@
 from typing import Any
 
 from cassiaseam.httpio import CONNECT_LIMIT_S
-from cassiaseam.platform.store import PROMOTION_LIMIT_S, READ_LIMIT_S, WRITE_LIMIT_S
+from cassiaseam.platform.store import (
+    PROMOTION_DELIVERY_MS,
+    PROMOTION_LIMIT_S,
+    READ_LIMIT_S,
+    WRITE_LIMIT_S,
+)
 from cassiaseam.pooler.events import (
     DutyReadFailed,
     DutyWritten,
@@ -19,8 +24,8 @@
 
 LATENCY_S = 0.004
 # Seconds after which the kernel of a VM ends a connection whose written promotion call was not
-# delivered; None while the connections of the daemon have no such limit.
-DELIVERY_LIMIT_S = None
+# delivered.
+DELIVERY_LIMIT_S = PROMOTION_DELIVERY_MS / 1000
 # Parts of a promotion call that a fault can delay.
 CONNECTION = 'connection'
 DELIVERY = 'delivery'
@@ -100,11 +105,16 @@
 
 
 def build_promotion_answer(effect, accepted, reason='', may_have_run=False, answered=True):
-    """Return the outcome of a promotion call.
-
-    `answered` says whether the platform has answered at all; the event has no field for it.
-    """
-    return PromotionAnswered(effect.group, effect.target, accepted, reason, may_have_run)
+    """Return the outcome of a promotion call; one that was sent and not answered may arrive."""
+    return PromotionAnswered(
+        effect.group,
+        effect.target,
+        accepted,
+        reason,
+        may_have_run,
+        may_arrive=may_have_run and not answered,
+        fencing_token=effect.fencing_token,
+    )
 
 
 def call_promotion(vm, effect):
@@ -126,8 +136,7 @@
         lambda call: world.platform.accept_promotion(call, effect),
         fail,
         vm.promotion_holds,
-        # Older versions of the effect have no such field.
-        getattr(effect, 'send_by', None),
+        effect.send_by,
         DELIVERY_LIMIT_S,
     ).start()
 
