Keep three examples of late calls to promote in the property of the promises

Each of them shows a call that arrives under a lower token than the platform has seen: check_tokens fails on the code of the incident and passes now.

--- a/tests/pooler/test_pooler_promises.py
+++ b/tests/pooler/test_pooler_promises.py
@@ -272,6 +272,23 @@
     seed=0,
     shared=False,
 )
+# A call of vm1 arrived after its time limit, 0.5 s after the platform had seen a higher token.
+@example(
+    faults=[('leave', 1.65, 't0'), ('hold_promotions', 1.26, 'vm1', 'delivery', 4.29)],
+    seed=757841,
+    shared=True,
+)
+# A VM that stood still before it wrote its call sent it when another VM had promoted.
+@example(
+    faults=[('leave', 3.88, 't0'), ('freeze_holder', 3.56, 'vm0', 'call', 3.49)],
+    seed=396565,
+    shared=True,
+)
+@example(
+    faults=[('mute', 2.89, 't0', 0.58), ('freeze_holder', 2.21, 'vm1', 'call', 4.24)],
+    seed=237589,
+    shared=True,
+)
 def test_promises_hold_under_faults(faults, seed, shared):
     world, callers = play(faults, seed, shared)
     check_tokens(world)
