--- a/src/cassiaseam/pooler/failover.py
+++ b/src/cassiaseam/pooler/failover.py
@@ -5,7 +5,7 @@
 acknowledge commits of an older term any longer, and one that holds the most is promoted.
 """
 
-from cassiaseam.pooler import connections, detection, duty, evidence, routing, steering
+from cassiaseam.pooler import candidates, connections, detection, duty, evidence, steering
 from cassiaseam.pooler.commands import Demote, Fence, TargetReply
 from cassiaseam.pooler.events import (
     CallPromotion,
@@ -21,7 +21,6 @@
     PoolerState,
     Promotion,
     PromotionStage,
-    TargetState,
 )
 from cassiaseam.reducer.registry import handles
 
@@ -36,8 +35,6 @@
 FENCE_LIMIT_S = 1.8
 AWAIT_LIMIT_S = 2.0
 ATTEMPT_LIMIT_S = 6.0
-# Seconds for which targets that leave are not promoted while others may turn out to be complete.
-PREFERENCE_S = 0.5
 # Pause in seconds before a message of a step is sent again.
 RESEND_S = 0.3
 # Pause in seconds between status polls while a step waits for a position or a role.
@@ -46,6 +43,17 @@
 DEMOTE_FORMER_S = 6.0
 
 
+# Steps that change targets. Another VM may rely on its own fences once the claim has expired.
+STAGES_UNDER_CLAIM = frozenset(
+    (
+        PromotionStage.DEMOTE,
+        PromotionStage.CATCH_UP,
+        PromotionStage.FENCE,
+        PromotionStage.PROMOTE,
+    )
+)
+
+
 def check_primary(state: PoolerState, group: GroupView, now: float) -> list:
     """Start a promotion when the primary has to be replaced."""
     effects = detection.survey_targets(state, group, now)
@@ -218,7 +226,7 @@
     Another target may lead a newer term without this VM knowing; the fences exclude that it
     acknowledges commits which the promoted target lacks.
     """
-    for name in list_candidates(state, group, now):
+    for name in candidates.list_candidates(state, group, now):
         status = group.monitor.targets[name].status
         if status is not None and status.last >= promotion.final:
             enter_stage(promotion, PromotionStage.FENCE, now)
@@ -230,7 +238,7 @@
         return []
     promotion.sent_at = now
     effects: list = []
-    for name in list_candidates(state, group, now):
+    for name in candidates.list_candidates(state, group, now):
         effects.extend(connections.submit_status_poll(state, group, name, now))
     return effects
 
@@ -238,7 +246,7 @@
 def run_fence_step(state: PoolerState, group: GroupView, promotion: Promotion, now: float) -> list:
     """Fence the replicas and tell the former primary to step down."""
     if len(promotion.grants) >= evidence.count_needed_grants(group):
-        chosen = choose_most_complete(group, promotion, now)
+        chosen = candidates.choose_most_complete(group, promotion, now)
         if chosen:
             return promote(state, group, chosen, now)
     if now - promotion.stage_at > FENCE_LIMIT_S:
@@ -293,63 +301,6 @@
 }
 
 
-# Steps that change targets. Another VM may rely on its own fences once the claim has expired.
-STAGES_UNDER_CLAIM = frozenset(
-    (
-        PromotionStage.DEMOTE,
-        PromotionStage.CATCH_UP,
-        PromotionStage.FENCE,
-        PromotionStage.PROMOTE,
-    )
-)
-
-
-def list_candidates(state: PoolerState, group: GroupView, now: float) -> list[str]:
-    """Return the targets that may become the primary, near ones first."""
-    promotion = group.promotion
-    return [
-        name
-        for name in routing.list_by_distance(state, group, now)
-        if name != promotion.old_primary and may_lead(group.targets[name])
-    ]
-
-
-def may_lead(target: TargetState) -> bool:
-    """Return whether a target stays long enough to be promoted.
-
-    One without a record would be replaced as soon as it leads.
-    """
-    in_store = not target.record.leaving and target.missing_since is None
-    return in_store and target.failing_since is None
-
-
-def choose_most_complete(group: GroupView, promotion: Promotion, now: float) -> str:
-    """Return the fenced target that holds all that any fenced target holds, or ''.
-
-    A target that leaves, has no record or is the former primary is only chosen when no other one
-    is complete after `PREFERENCE_S`: without a primary the others cannot catch up.
-    """
-    if not promotion.grants:
-        return ''
-    most = max(promotion.grants.values())
-    complete = [
-        name
-        for name, position in promotion.grants.items()
-        if position >= most and name in group.targets
-    ]
-    preferred = [
-        name
-        for name in complete
-        if name != promotion.old_primary and may_lead(group.targets[name])
-    ]
-    if preferred:
-        return preferred[0]
-    if now - promotion.stage_at < PREFERENCE_S:
-        return ''
-    reachable = [name for name in complete if group.targets[name].failing_since is None]
-    return reachable[0] if reachable else ''
-
-
 def promote(state: PoolerState, group: GroupView, name: str, now: float) -> list:
     """Make the platform promote a target."""
     promotion = group.promotion
--- a/tests/pooler/test_pooler_duty.py
+++ b/tests/pooler/test_pooler_duty.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from cassiaseam.pooler import catalogue, duty, failover, targets, ticks
+from cassiaseam.pooler import candidates, catalogue, duty, failover, targets, ticks
 from cassiaseam.pooler.commands import Demote, Fence, LiftFence
 from cassiaseam.pooler.events import (
     CallPromotion,
@@ -190,7 +190,7 @@
         group.targets[name].missing_since = 0
     group.promotion.grants = {name: LogPosition(1, held) for name, held in grants.items()}
     now = group.promotion.stage_at + waited_s
-    assert failover.choose_most_complete(group, group.promotion, now) == chosen
+    assert candidates.choose_most_complete(group, group.promotion, now) == chosen
 
 
 def test_fences_of_an_expired_claim_do_not_count_under_the_next_one():
