Aim soak faults at the hand-over of the duty to promote

Callers saw fencing tokens that went down, and the soak did not: the calls to promote shared the faults of the link to the store, which are short, and the daemons were paused at any moment. With `--handover` a run now also gets series of faults that overlap and crash the primary first:

- the holder of the duty is paused, killed or paused while it connects, at the write of its claim or a moment later;
- the link to the promotion API, which has a proxy of its own in these runs, is broken in every form of LinkFault, for all daemons or for the one that claims the duty;
- the promotion API carries calls out late or never, with or without an answer;
- the store carries conditional writes out 1 to 4 s late, without an answer.

Tokens are checked in the order in which the calls arrive, not in which they are carried out. A second check finds acknowledged writes that a former primary committed after the promotion of its successor had taken effect; it holds in all runs.

The series come from a generator of their own and their kinds are not among those of the other faults, so that known seeds replay the same plans; a test compares the plan of seed 202. In runs with the option the time limit of an answer is longer by the longest pause, 5.5 s, since a paused daemon cannot answer. A seed whose daemons do not get ready is printed as not run and counts as failed, and the next seed follows: twice a port was taken between its choice and the start.

--- a/src/cassiaseam_soak/callers.py
+++ b/src/cassiaseam_soak/callers.py
@@ -33,6 +33,7 @@
         texts: Text per request id.
         broken: Broken promises.
         outcomes: Number of statements per outcome.
+        answer_limit_s: Seconds within which a statement has to be answered.
     """
 
     acknowledged: dict[str, float] = field(default_factory=dict)
@@ -40,6 +41,7 @@
     texts: dict[str, str] = field(default_factory=dict)
     broken: list[str] = field(default_factory=list)
     outcomes: Counter[str] = field(default_factory=Counter)
+    answer_limit_s: float = STATEMENT_LIMIT_S + ANSWER_SLACK_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,7 +156,7 @@
         """Run a statement; an answer that does not come in time is a broken promise."""
         request_id = self.make_id()
         try:
-            async with asyncio.timeout(STATEMENT_LIMIT_S + ANSWER_SLACK_S):
+            async with asyncio.timeout(self.ledger.answer_limit_s):
                 reply = await self.session.run(request_id, text)
         except TimeoutError as error:
             self.ledger.outcomes['hanging'] += 1
--- a/src/cassiaseam_soak/faults.py
+++ b/src/cassiaseam_soak/faults.py
@@ -23,7 +23,10 @@
 
 
 def registers_fault(name: str) -> Callable[[FaultAction], FaultAction]:
-    """Register a coroutine that injects a fault and returns what it hit."""
+    """Register a coroutine that injects a fault and returns what it hit.
+
+    The kinds are drawn from the sorted names: a further one changes the faults of every seed.
+    """
 
     def register(action: FaultAction) -> FaultAction:
         FAULTS[name] = action
--- a/src/cassiaseam_soak/installation.py
+++ b/src/cassiaseam_soak/installation.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from cassiaseam_soak.proxy import LOOPBACK, FaultyProxy
+from cassiaseam_soak.proxy import LOOPBACK, FaultyProxy, HoldingProxy
 from cassiaseam_standin.line_group import LineGroup
 from cassiaseam_standin.line_store import LineStore
 from cassiaseam_standin.line_target import LineTarget
@@ -100,14 +100,22 @@
 
 
 class Installation:
-    """Store, targets, proxies and daemons of one run."""
+    """Store, targets, proxies and daemons of one run.
 
-    def __init__(self, folder: Path, daemons: int):
+    Attributes:
+        store_proxies: Proxy per daemon to the store.
+        promotion_proxies: Proxy per daemon to the promotion API if `separate_promotions` is set;
+            otherwise the one to the store serves it as well, as in the runs of older seeds.
+    """
+
+    def __init__(self, folder: Path, daemons: int, separate_promotions: bool = False):
         self.folder = folder
         self.group = LineGroup(GROUP, PLACES)
         self.store = LineStore({GROUP: self.group})
         self.target_proxies: dict[str, FaultyProxy] = {}
         self.store_proxies: list[FaultyProxy] = []
+        self.promotion_proxies: list[HoldingProxy] = []
+        self.separate_promotions = separate_promotions
         self.daemons: list[Daemon] = []
         self.count = daemons
         self.version = 1
@@ -140,6 +148,11 @@
         proxy = FaultyProxy(lambda: self.store.port)
         await proxy.start()
         self.store_proxies.append(proxy)
+        promotions: FaultyProxy = proxy
+        if self.separate_promotions:
+            promotions = HoldingProxy(lambda: self.store.port)
+            await promotions.start()
+            self.promotion_proxies.append(promotions)
         callers_port, readiness_port, peers_port = find_free_ports(3)
         settings = self.folder / f'vm-{index}.yaml'
         regions = ''.join(f'  {place}: {place}\n' for place in PLACES)
@@ -153,7 +166,7 @@
             f'  readiness: 127.0.0.1:{readiness_port}\n'
             f'  peers: 127.0.0.1:{peers_port}\n'
             f'store: 127.0.0.1:{proxy.port}\n'
-            f'promotions: 127.0.0.1:{proxy.port}\n'
+            f'promotions: 127.0.0.1:{promotions.port}\n'
             f'stop_limit: {STOP_LIMIT_S:g}s\n'
         )
         log = self.folder / f'vm-{index}.log'
@@ -184,7 +197,8 @@
             daemon.send_signal(signal.SIGTERM)
         for daemon in self.daemons:
             await daemon.wait_for_end()
-        for proxy in (*self.target_proxies.values(), *self.store_proxies):
+        proxies = [*self.target_proxies.values(), *self.store_proxies, *self.promotion_proxies]
+        for proxy in proxies:
             proxy.stop()
         for target in self.group.targets.values():
             await target.crash()
--- a/src/cassiaseam_soak/main.py
+++ b/src/cassiaseam_soak/main.py
@@ -18,17 +18,23 @@
     parser.add_argument('--runs', type=int, default=1, help='number of seeds')
     parser.add_argument('--daemons', type=int, default=3, help='daemons per run')
     parser.add_argument('--callers', type=int, default=3, help='callers per database')
-    parser.add_argument('--keep', metavar='FOLDER', help='keep settings and logs here')
+    parser.add_argument(
+        '--handover', action='store_true', help='add faults aimed at daemons that promote'
+    )
+    parser.add_argument('--keep', metavar='FOLDER', help='keep settings, logs and a report here')
     return parser.parse_args(arguments)
 
 
 def run_seed(seed: int, parsed: argparse.Namespace) -> SoakReport:
     """Run one seed in a folder of its own."""
-    shape = SoakShape(parsed.daemons, parsed.callers)
+    shape = SoakShape(parsed.daemons, parsed.callers, parsed.handover)
     if parsed.keep:
         folder = Path(parsed.keep) / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(run_soak(seed, folder, shape))
+        report = asyncio.run(run_soak(seed, folder, shape))
+        lines = (*report.faults, *report.broken, *report.trace)
+        (folder / 'report.txt').write_text('\n'.join(lines))
+        return report
     with tempfile.TemporaryDirectory() as name:
         return asyncio.run(run_soak(seed, Path(name), shape))
 
@@ -38,10 +44,16 @@
     parsed = parse_arguments(arguments)
     failed = []
     for seed in range(parsed.seed, parsed.seed + parsed.runs):
-        report = run_seed(seed, parsed)
+        try:
+            report = run_seed(seed, parsed)
+        except TimeoutError:
+            # Another process may take a port between its choice and the start of the daemon.
+            sys.stdout.write(f'seed={seed} not run: the daemons did not get ready\n')
+            failed.append(seed)
+            continue
         verdict = 'broken' if report.broken else 'kept'
         sys.stdout.write(f'seed={seed} promises={verdict} outcomes={report.outcomes}\n')
-        for line in (*report.faults, *report.broken[:20]) if report.broken else ():
+        for line in (*report.faults, *report.broken[:20], *report.trace) if report.broken else ():
             sys.stdout.write(f'  {line}\n')
         sys.stdout.flush()
         if report.broken:
--- a/src/cassiaseam_soak/proxy.py
+++ b/src/cassiaseam_soak/proxy.py
@@ -1,12 +1,15 @@
-"""Loopback proxy that delays, resets, cuts one way or silences connections."""
+"""Loopback proxies that delay, reset, cut one way, silence or hold connections."""
 
 import asyncio
 import enum
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 
 LOOPBACK = '127.0.0.1'
 CHUNK_BYTES = 65536
+# Connections that wait to be accepted.
+BACKLOG = 100
 POLL_S = 0.02
 
 
@@ -133,3 +136,63 @@
                 await writer.drain()
         except (ConnectionError, OSError):
             return
+
+
+class HoldingProxy(FaultyProxy):
+    """A proxy that can also leave new connections waiting.
+
+    A client that is stopped meanwhile sends only after it goes on, since the kernel completes the
+    connection without it.
+    """
+
+    def __init__(self, server_port: Callable[[], int]):
+        super().__init__(server_port)
+        self.listener = socket.socket()
+        self.is_holding = False
+        self.accepting: asyncio.Task[None] | None = None
+        self.serving: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Accept connections."""
+        self.listener.setblocking(False)
+        self.listener.bind((LOOPBACK, 0))
+        self.port = self.listener.getsockname()[1]
+        self.resume()
+
+    def stop(self) -> None:
+        """End all connections."""
+        super().stop()
+        self.accepting.cancel()
+        self.listener.close()
+
+    def resume(self) -> None:
+        """Accept connections again."""
+        self.listener.listen(BACKLOG)
+        self.is_holding = False
+        self.accepting = asyncio.ensure_future(self.accept())
+
+    async def accept(self) -> None:
+        """Serve connections until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            accepted, _ = await loop.sock_accept(self.listener)
+            streams = await asyncio.open_connection(sock=accepted)
+            task = asyncio.ensure_future(self.serve(*streams))
+            self.serving.add(task)
+            task.add_done_callback(self.serving.discard)
+
+    async def hold_connections(self, for_s: float) -> None:
+        """Leave new connections waiting for some seconds, unless they wait already."""
+        if self.is_holding:
+            return
+        self.is_holding = True
+        self.accepting.cancel()
+        await asyncio.wait((self.accepting,))
+        self.listener.listen(0)
+        # The queue is full with one connection; the kernel drops the first packet of others.
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex((LOOPBACK, self.port))
+        await asyncio.sleep(for_s)
+        filler.close()
+        self.resume()
--- a/src/cassiaseam_soak/run.py
+++ b/src/cassiaseam_soak/run.py
@@ -7,6 +7,13 @@
 
 from cassiaseam_soak.callers import Caller, Ledger, SessionLost
 from cassiaseam_soak.faults import FAULTS, PlannedFault, plan_faults
+from cassiaseam_soak.handover import (
+    HANDOVER_FAULTS,
+    HANDOVER_LIMIT_S,
+    HANDOVER_UNTIL_S,
+    LONGEST_PAUSE_S,
+    plan_handover_faults,
+)
 from cassiaseam_soak.installation import ROUTES, Installation
 
 FAULTS_FROM_S = 1.0
@@ -18,32 +25,45 @@
 
 @dataclass(frozen=True, slots=True)
 class SoakShape:
-    """Size of a run: daemons, and callers per database."""
+    """Size of a run: daemons, callers per database, and whether faults aim at the hand-over."""
 
     daemons: int = 3
     callers: int = 3
+    handover: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class SoakReport:
-    """Result of a run."""
+    """Result of a run.
+
+    Attributes:
+        trace: Calls to promote and promotions, with seconds on the clock of the daemons' logs.
+    """
 
     seed: int
     broken: tuple[str, ...]
     outcomes: dict[str, int]
     faults: tuple[str, ...]
+    trace: tuple[str, ...]
 
 
 async def run_soak(seed: int, folder: Path, shape: SoakShape) -> SoakReport:
     """Run the daemons under faults and check the promises."""
     rng = random.Random(seed)
-    installation = Installation(folder, shape.daemons)
+    installation = Installation(folder, shape.daemons, separate_promotions=shape.handover)
     ledger = Ledger()
     described: list[str] = []
     try:
         await installation.start()
         faults = plan_faults(rng, FAULTS_FROM_S, FAULTS_UNTIL_S)
         end = asyncio.get_running_loop().time() + FAULTS_UNTIL_S + RECOVERY_S
+        if shape.handover:
+            # A generator of its own keeps the other faults of a seed as they are without it.
+            own_rng = random.Random(f'handover-{seed}')
+            faults += plan_handover_faults(own_rng, FAULTS_FROM_S)
+            end += HANDOVER_UNTIL_S - FAULTS_UNTIL_S + HANDOVER_LIMIT_S
+            # A daemon that is paused for longer than the usual slack cannot answer meanwhile.
+            ledger.answer_limit_s += LONGEST_PAUSE_S
         ports = [daemon.callers_port for daemon in installation.daemons]
         callers = [
             Caller(f'{database}{index}', database, ports, ledger, seed)
@@ -56,9 +76,16 @@
         check_log(installation, ledger)
         check_ends(installation, ledger)
         check_tokens(installation, ledger)
+        check_superseded(installation, ledger)
     finally:
         await installation.stop()
-    return SoakReport(seed, tuple(ledger.broken), dict(ledger.outcomes), tuple(described))
+    return SoakReport(
+        seed,
+        tuple(ledger.broken),
+        dict(ledger.outcomes),
+        tuple(described),
+        tuple(describe_promotions(installation)),
+    )
 
 
 async def inject(
@@ -67,8 +94,10 @@
     """Inject one fault at its time."""
     await asyncio.sleep(fault.at)
     own_rng = random.Random(f'{fault.at}')
-    hit = await FAULTS[fault.kind](installation, own_rng, fault.for_s)
-    described.append(f'{fault.at:.2f}s {fault.kind} {fault.for_s:.2f}s {hit}')
+    action = FAULTS.get(fault.kind) or HANDOVER_FAULTS[fault.kind]
+    started = asyncio.get_running_loop().time()
+    hit = await action(installation, own_rng, fault.for_s)
+    described.append(f'{fault.at:.2f}s {fault.kind} {fault.for_s:.2f}s {hit} (t={started:.3f})')
 
 
 async def check_recovery(installation: Installation, ledger: Ledger) -> None:
@@ -135,7 +164,29 @@
     """Check that fencing tokens never go down and belong to one holder each."""
     newest = 0
     holders: dict[int, str] = {}
-    for _, _, holder, token in installation.store.promotions:
-        if token < newest or holders.setdefault(token, holder) != holder:
-            ledger.broken.append(f'token {token} of {holder} after {newest}')
-        newest = max(newest, token)
+    for call in installation.store.promotions:
+        if call.token < newest or holders.setdefault(call.token, call.holder) != call.holder:
+            ledger.broken.append(f'token {call.token} of {call.holder} after {newest}')
+        newest = max(newest, call.token)
+
+
+def check_superseded(installation: Installation, ledger: Ledger) -> None:
+    """Check that no write of a former primary is acknowledged that came after the promotion."""
+    for commit in installation.group.superseded_commits:
+        if commit.text in ledger.acknowledged:
+            ledger.broken.append(
+                f'acknowledged at a former primary: {commit.text} at {commit.target}, term '
+                f'{commit.term} after {commit.newest_term} (t={commit.at:.3f})'
+            )
+
+
+def describe_promotions(installation: Installation) -> list[str]:
+    """Return the calls to promote and the promotions that took effect, in the order of time."""
+    lines = []
+    for call in installation.store.promotions:
+        processed = 'never' if call.processed_at is None else f'{call.processed_at:.3f}'
+        text = f'call token={call.token} holder={call.holder} target={call.target}'
+        lines.append((call.arrived_at, f'{text} processed={processed} accepted={call.accepted}'))
+    for start in installation.group.term_starts:
+        lines.append((start.at, f'promotion of {start.target} took effect, term {start.term}'))
+    return [f't={at:.3f} {text}' for at, text in sorted(lines)]
--- a/src/cassiaseam_standin/line_group.py
+++ b/src/cassiaseam_standin/line_group.py
@@ -7,6 +7,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from cassiaseam_standin.line_target import LineTarget
 
@@ -15,18 +16,42 @@
 STEP_DOWN_S = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class TermStart:
+    """A promotion that took effect, at a time in seconds on the clock of the event loop."""
+
+    at: float
+    target: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class SupersededCommit:
+    """A write committed in a term that was older than the newest promoted one at that time."""
+
+    at: float
+    target: str
+    term: int
+    newest_term: int
+    text: str
+
+
 class LineGroup:
     """One database group.
 
     Attributes:
         announce: Called with a target whose record has changed.
         cuts: Pairs of targets that do not replicate.
+        term_starts: Promotions that took effect, oldest first.
+        superseded_commits: Writes committed by former primaries after their successor's promotion.
     """
 
     def __init__(self, name: str, places: tuple[str, ...], max_connections: int = 60):
         self.name = name
         self.max_connections = max_connections
         self.cuts: set[tuple[str, str]] = set()
+        self.term_starts: list[TermStart] = []
+        self.superseded_commits: list[SupersededCommit] = []
         self.incarnations = itertools.count(1_700_000_000_000)
         self.announce: Callable[[LineTarget], None] = _ignore
         self.targets = {
@@ -70,6 +95,7 @@
         target.term = self.find_newest_term() + 1
         target.is_primary = True
         loop = asyncio.get_running_loop()
+        self.term_starts.append(TermStart(loop.time(), target.name, target.term))
         for other in self.targets.values():
             other.fenced = 0
             if other is target or (target.name, other.name) in self.cuts:
@@ -81,6 +107,14 @@
         self.announce(target)
         self.replicate()
 
+    def note_commit(self, target: LineTarget, text: str) -> None:
+        """Keep a commit of a term that another promotion has ended."""
+        newest = self.term_starts[-1].term if self.term_starts else 0
+        if target.term < newest:
+            now = asyncio.get_running_loop().time()
+            commit = SupersededCommit(now, target.name, target.term, newest, text)
+            self.superseded_commits.append(commit)
+
     def replace(self, former: LineTarget, successor: LineTarget) -> None:
         """Let a former primary that reaches its successor step down."""
         if former.is_primary and former.term < successor.term:
--- a/src/cassiaseam_standin/line_store.py
+++ b/src/cassiaseam_standin/line_store.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import json
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -11,9 +13,30 @@
 
 RETAINED_EVENTS = 500
 PROMOTION_PATH = '/promotion'
+# Longer than any run, in seconds: what waits so long does not happen.
+NEVER_S = 3600.0
 _REASONS = {200: 'OK', 404: 'Not Found', 409: 'Conflict', 410: 'Gone', 503: 'Unavailable'}
 
 
+@dataclass(slots=True)
+class PromotionCall:
+    """A call to promote a target; times in seconds on the clock of the event loop.
+
+    Attributes:
+        arrived_at: When the whole call had been read.
+        processed_at: When it was carried out, or None.
+        accepted: Whether the target was running then.
+    """
+
+    arrived_at: float
+    group: str
+    target: str
+    holder: str
+    token: int
+    processed_at: float | None = None
+    accepted: bool = False
+
+
 class LineStore:
     """Objects by kind and name with one revision counter.
 
@@ -21,8 +44,13 @@
         down: Whether calls are refused.
         silent: Whether calls get no answer.
         lose_writes: Number of writes that are done and not answered.
+        late_write_s: Seconds after which conditional writes are carried out, without an answer; 0
+            for at once, with one.
+        promotion_delay_s: Seconds from the arrival of a call to promote until it is carried out.
+        promotions_unanswered: Whether calls to promote get no answer.
         calls: Calls received.
-        promotions: Calls to promote a target: group, target, holder and token.
+        promotions: Calls to promote a target, in the order of their arrival.
+        write_observers: Called with kind and object at each write, before its answer is sent.
     """
 
     def __init__(self, groups: dict[str, LineGroup]):
@@ -35,8 +63,12 @@
         self.down = False
         self.silent = False
         self.lose_writes = 0
+        self.late_write_s: float = 0
+        self.promotion_delay_s: float = 0
+        self.promotions_unanswered = False
         self.calls = 0
-        self.promotions: list[tuple[str, str, str, int]] = []
+        self.promotions: list[PromotionCall] = []
+        self.write_observers: list[Callable[[str, dict[str, Any]], None]] = []
         self.port = 0
         self.server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -88,6 +120,8 @@
         stored = {'meta': meta, 'spec': spec, 'status': None}
         self.objects[kind][name] = stored
         self.note_event(kind, stored, deleted=False)
+        for observe in list(self.write_observers):
+            observe(kind, stored)
         return stored
 
     def delete(self, kind: str, name: str) -> None:
@@ -138,11 +172,16 @@
             headers[name.lower()] = text.strip()
         body = await reader.readexactly(int(headers.get('content-length', 0)))
         self.calls += 1
+        promotion = note_promotion(body, headers) if target == PROMOTION_PATH else None
+        if promotion is not None:
+            self.promotions.append(promotion)
         if self.silent:
-            await asyncio.sleep(3600)
+            await asyncio.sleep(NEVER_S)
         status, content = 503, {}
-        if not self.down or target == PROMOTION_PATH:
-            status, content = await self.handle(method, target, headers, body)
+        if promotion is not None:
+            status, content = await self.promote(promotion)
+        elif not self.down:
+            status, content = await self.handle(method, target, body)
         if method != 'GET' and self.lose_writes > 0:
             self.lose_writes -= 1
             return False
@@ -152,17 +191,23 @@
         await writer.drain()
         return True
 
-    async def handle(
-        self, method: str, target: str, headers: dict[str, str], body: bytes
-    ) -> tuple[int, Any]:
+    async def handle(self, method: str, target: str, body: bytes) -> tuple[int, Any]:
         """Return status and content of the answer to a call."""
         parts = urlsplit(target)
         query = {name: found[0] for name, found in parse_qs(parts.query).items()}
-        if parts.path == PROMOTION_PATH:
-            return self.promote(json.loads(body), headers)
         names = [unquote(name) for name in parts.path.split('/')[2:]]
         if method == 'GET':
             return await self.read(names, query)
+        if self.late_write_s > 0:
+            await asyncio.sleep(self.late_write_s)
+            self.change(method, names, query, body)
+            await asyncio.sleep(NEVER_S)
+        return self.change(method, names, query, body)
+
+    def change(
+        self, method: str, names: list[str], query: dict[str, str], body: bytes
+    ) -> tuple[int, Any]:
+        """Write or delete an object under its condition."""
         if method == 'DELETE':
             return self.remove(names, query)
         return self.write(names, json.loads(body))
@@ -221,9 +266,25 @@
         self.delete(*names)
         return 200, known
 
-    def promote(self, call: dict[str, str], headers: dict[str, str]) -> tuple[int, Any]:
-        """Promote a target."""
-        token = int(headers['fencing-token'])
-        self.promotions.append((call['service'], call['id'], headers['duty-holder'], token))
-        accepted = self.groups[call['service']].accept_promotion(call['id'])
-        return (200, {}) if accepted else (409, {})
+    async def promote(self, call: PromotionCall) -> tuple[int, Any]:
+        """Promote a target, late or without an answer if told so at the arrival of the call."""
+        unanswered = self.promotions_unanswered
+        if self.promotion_delay_s > 0:
+            await asyncio.sleep(self.promotion_delay_s)
+        call.processed_at = asyncio.get_running_loop().time()
+        call.accepted = self.groups[call.group].accept_promotion(call.target)
+        if unanswered:
+            await asyncio.sleep(NEVER_S)
+        return (200, {}) if call.accepted else (409, {})
+
+
+def note_promotion(body: bytes, headers: dict[str, str]) -> PromotionCall:
+    """Return the record of a call to promote that has just arrived."""
+    document = json.loads(body)
+    return PromotionCall(
+        asyncio.get_running_loop().time(),
+        document['service'],
+        document['id'],
+        headers['duty-holder'],
+        int(headers['fencing-token']),
+    )
--- a/src/cassiaseam_standin/line_target.py
+++ b/src/cassiaseam_standin/line_target.py
@@ -128,6 +128,7 @@
         """Append writes to the log and send them to the replicas."""
         for item, text in writes:
             self.log.append(LogEntry(self.term, item, text))
+            self.group.note_commit(self, text)
         if writes:
             self.group.replicate()
 
--- /dev/null
+++ b/tests/soak/test_handover.py
@@ -0,0 +1,211 @@
+"""The faults of the soak that aim at the hand-over of the duty to promote, and their checks."""
+
+import asyncio
+import json
+import random
+
+import pytest
+
+from cassiaseam_soak.callers import Ledger
+from cassiaseam_soak.faults import FAULTS, plan_faults
+from cassiaseam_soak.handover import HANDOVER_FAULTS, catch_claim, plan_handover_faults
+from cassiaseam_soak.installation import GROUP, Daemon, Installation
+from cassiaseam_soak.proxy import HoldingProxy
+from cassiaseam_soak.run import check_superseded, check_tokens
+from cassiaseam_standin.line_store import PromotionCall
+
+# Times in seconds and kinds of the faults of a regression seed of `test_soak`.
+PLAN_OF_202 = [
+    (1.98, 'store_down'),
+    (3.139, 'store_link'),
+    (3.639, 'daemon_paused'),
+    (4.149, 'target_leaves'),
+    (4.224, 'store_down'),
+]
+
+
+def test_handover_faults_leave_the_plans_of_known_seeds_alone():
+    # Guards against regression seeds that replay other faults than the ones that failed.
+    planned = [(round(it.at, 3), it.kind) for it in plan_faults(random.Random(202), 1, 6)]
+    assert planned == PLAN_OF_202
+    assert not set(FAULTS) & set(HANDOVER_FAULTS)
+
+
+def test_handover_faults_are_drawn_from_the_seed_and_overlap():
+    first, second = (plan_handover_faults(random.Random(5), 1) for _ in range(2))
+    assert first == second
+    assert any(
+        later.at < earlier.at + earlier.for_s
+        for earlier, later in zip(first, first[1:], strict=False)
+    )
+
+
+@pytest.mark.parametrize(
+    ('calls', 'broken'),
+    [
+        ([('vm-0', 5), ('vm-0', 5), ('vm-1', 6)], 0),
+        # A call of the former holder arrives after one of its successor.
+        ([('vm-0', 5), ('vm-1', 6), ('vm-0', 5)], 1),
+        ([('vm-0', 5), ('vm-1', 5)], 1),
+    ],
+)
+def test_check_of_tokens_goes_by_the_order_of_arrival(calls, broken, tmp_path):
+    installation, ledger = Installation(tmp_path, 0), Ledger()
+    installation.store.promotions = [
+        # The order in which the calls are carried out is the opposite one.
+        PromotionCall(at, GROUP, 'shop-1', holder, token, processed_at=9 - at)
+        for at, (holder, token) in enumerate(calls)
+    ]
+    check_tokens(installation, ledger)
+    assert len(ledger.broken) == broken
+
+
+@pytest.mark.parametrize(
+    ('writer', 'is_acknowledged', 'broken'),
+    [
+        ('shop-0', True, 1),
+        # The caller was not told that the write is kept.
+        ('shop-0', False, 0),
+        # The promoted target commits.
+        ('shop-1', True, 0),
+    ],
+)
+def test_check_finds_acknowledged_writes_of_a_former_primary(
+    writer, is_acknowledged, broken, tmp_path
+):
+    async def run():
+        installation, ledger = Installation(tmp_path, 0), Ledger()
+        targets = installation.group.targets
+        for target in targets.values():
+            await target.start()
+        installation.group.promote(targets['shop-1'])
+        targets[writer].commit([('item', 'item')])
+        if is_acknowledged:
+            ledger.acknowledged['item'] = 0
+        check_superseded(installation, ledger)
+        for target in targets.values():
+            await target.crash()
+        return ledger.broken
+
+    assert len(asyncio.run(run())) == broken
+
+
+async def call_store(store, method, path, document, headers=''):
+    """Return the status of the answer to a call, or 'nothing'."""
+    body = json.dumps(document).encode()
+    reader, writer = await asyncio.open_connection('127.0.0.1', store.port)
+    head = f'{method} {path} HTTP/1.1\r\n{headers}Content-Length: {len(body)}\r\n\r\n'
+    writer.write(head.encode() + body)
+    try:
+        async with asyncio.timeout(0.3):
+            return (await reader.readline()).split()[1].decode()
+    except TimeoutError:
+        return 'nothing'
+    finally:
+        writer.close()
+
+
+def run_with_store(act):
+    """Return what a coroutine returns that is given a running store and its group."""
+
+    async def run():
+        installation = Installation('', 0)
+        group, store = installation.group, installation.store
+        await store.start()
+        for target in group.targets.values():
+            await target.start()
+        try:
+            return await act(store, group)
+        finally:
+            for target in group.targets.values():
+                await target.crash()
+            await store.stop()
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ('delay_s', 'unanswered', 'answer', 'carried_out'),
+    [
+        (0, False, '200', True),
+        (0.1, False, '200', True),
+        (0.1, True, 'nothing', True),
+        # The caller has gone before the call is carried out.
+        (0.4, False, 'nothing', True),
+        (100, False, 'nothing', False),
+    ],
+)
+def test_call_to_promote_is_noted_at_its_arrival(delay_s, unanswered, answer, carried_out):
+    async def act(store, group):
+        store.promotion_delay_s, store.promotions_unanswered = delay_s, unanswered
+        headers = 'Duty-Holder: vm-0\r\nFencing-Token: 7\r\n'
+        document = {'service': GROUP, 'id': 'shop-1'}
+        called = asyncio.ensure_future(call_store(store, 'POST', '/promotion', document, headers))
+        await asyncio.sleep(0.05)
+        noted = [(call.holder, call.token) for call in store.promotions]
+        answered = await called
+        await asyncio.sleep(0.3)
+        return noted, answered, bool(group.term_starts)
+
+    assert run_with_store(act) == ([('vm-0', 7)], answer, carried_out)
+
+
+@pytest.mark.parametrize(('is_changed_before', 'expected'), [(False, 'late'), (True, 'other')])
+def test_late_write_is_carried_out_if_its_condition_still_holds(is_changed_before, expected):
+    async def act(store, group):
+        revision = store.put('kind', 'name', 'first')['meta']['revision']
+        store.late_write_s = 0.1
+        document = {'meta': {'name': 'name', 'revision': revision}, 'spec': 'late'}
+        called = asyncio.ensure_future(call_store(store, 'PUT', '/objects/kind/name', document))
+        await asyncio.sleep(0.05)
+        assert store.objects['kind']['name']['spec'] == 'first'
+        if is_changed_before:
+            store.put('kind', 'name', 'other')
+        return await called, store.objects['kind']['name']['spec']
+
+    assert run_with_store(act) == ('nothing', expected)
+
+
+def test_connection_that_is_held_opens_while_its_client_waits():
+    # Guards against a hold that lets connections through, or that none survives.
+    async def run():
+        server = await asyncio.start_server(lambda _, writer: writer.write(b'x'), '127.0.0.1', 0)
+        proxy = HoldingProxy(lambda: server.sockets[0].getsockname()[1])
+        await proxy.start()
+        hold = asyncio.ensure_future(proxy.hold_connections(0.3))
+        # A second hold in the meantime changes nothing.
+        await asyncio.sleep(0.05)
+        await proxy.hold_connections(0.3)
+        started = asyncio.get_running_loop().time()
+        reader, writer = await asyncio.open_connection('127.0.0.1', proxy.port)
+        took_s = asyncio.get_running_loop().time() - started
+        received = await reader.read(1)
+        writer.close()
+        await hold
+        proxy.stop()
+        server.close()
+        return took_s, received
+
+    took_s, received = asyncio.run(run())
+    assert took_s > 0.25
+    assert received == b'x'
+
+
+def test_holder_is_hit_before_its_claim_is_answered():
+    # Guards against pauses that begin after the holder has learned that it holds the duty.
+    async def act(store, group):
+        installation = Installation('', 0)
+        installation.store = store
+        installation.daemons = [Daemon(f'vm-{index}', '', 0, 0, '') for index in range(2)]
+        answers = []
+        hits = []
+        caught = asyncio.ensure_future(
+            catch_claim(installation, lambda daemon: hits.append((daemon.name, len(answers))))
+        )
+        await asyncio.sleep(0.01)
+        spec = {'holder': 'vm-1', 'nonce': 'a', 'released': False}
+        document = {'meta': {'name': 'promotion'}, 'spec': spec}
+        answers.append(await call_store(store, 'POST', '/objects/cassiaseam-duties', document))
+        return hits, (await caught).name
+
+    assert run_with_store(act) == ([('vm-1', 0)], 'vm-1')
