Keep the number of targets of each group in the store, and take it from there at the start

What callers saw: rule ONE was broken once, a write that the former primary committed and that was acknowledged after a promotion. One way to it, shown here: target records lapse while the store is away and are back two seconds after its return. A VM that starts in between finds some of them and takes a majority of those. With the primary alone listed it acknowledged what only the primary held, while another VM promoted a replica on the fences of the other two. With a replica alone listed it found the group without a primary after 0.9 s and promoted that replica with one fence, although the primary worked.

Cause: the size of a group was the number of targets that a VM itself had seen, 1 in these cases. The delay before a count that shrinks is believed does not help a VM that never knew more.

That the break which users saw came about in this way is not shown; its logs were not looked at.

Why it works: the number of targets that stay lasts in the store, one object of our own kind per group. A VM reads them before it is ready, opens sessions or promotes, and counts over the recorded number until it has known as many targets; after that its own view decides as before. Reads wait as well: a majority of too few targets would confirm a replaced primary. A VM that cannot read the sizes cannot read the target records either in most cases, so that little is lost; callers are refused after 1.5 s as before. Targets that leave are not counted, so that planned replacements write nothing. The record grows after 1 s and shrinks after 60 s without a failed call, so that it is not lowered for records that have lapsed.

Calls: one list a VM at its start and one per lasting change, both from a copy at a tenth of the price, spread by the number of VMs.

Considered and left out: names instead of a number in the record, which each replacement would change twice; a watch of the records. What remains: in the first seconds of a new deployment there is no record, and a VM that finds one target then counts over one.

--- a/src/cassiaseam/platform/environment.py
+++ b/src/cassiaseam/platform/environment.py
@@ -24,10 +24,15 @@
         store=PlatformStore(reactor, settings.store.host, settings.store.port),
         promotions=PromotionCaller(reactor, settings.promotions.host, settings.promotions.port),
         kinds=StoreKinds(
-            records.CONFIG_KIND, records.CONFIG_NAME, records.TARGETS_KIND, records.VMS_KIND
+            records.CONFIG_KIND,
+            records.CONFIG_NAME,
+            records.TARGETS_KIND,
+            records.VMS_KIND,
+            records.SIZES_KIND,
         ),
         decode_config=records.decode_config,
         decode_target=records.decode_target,
         decode_vm=records.decode_vm,
+        decode_size=records.decode_size,
         readiness_path=READINESS_PATH,
     )
--- a/src/cassiaseam/platform/records.py
+++ b/src/cassiaseam/platform/records.py
@@ -20,6 +20,7 @@
 DUTY_KIND = 'cassiaseam-duties'
 DUTY_NAME = 'promotion'
 VMS_KIND = 'cassiaseam-vms'
+SIZES_KIND = 'cassiaseam-groups'
 
 _CONSISTENCY = {
     'primary': Consistency.PRIMARY,
@@ -107,6 +108,12 @@
     port: Whole
 
 
+class SizeDocument(BaseModel):
+    """How many targets a group has; an object of our own kind."""
+
+    size: Annotated[Whole, Field(ge=1)]
+
+
 def decode_config(spec: Any) -> Result[RoutingConfig, str]:
     """Return the configuration, or why it cannot be read."""
     try:
@@ -191,3 +198,16 @@
 def encode_vm(record: PeerRecord) -> dict[str, Any]:
     """Return the stored form of the record of a VM."""
     return {'place': record.place, 'host': record.host, 'port': record.port}
+
+
+def decode_size(spec: Any) -> Result[int, str]:
+    """Return the size of a group, or why the object holds none."""
+    try:
+        return Ok(SizeDocument.model_validate(spec).size)
+    except ValidationError as error:
+        return Err(f'{error.errors()[0]["loc"]} is not valid')
+
+
+def encode_size(size: int) -> dict[str, Any]:
+    """Return the stored form of the size of a group."""
+    return {'size': size}
--- a/src/cassiaseam/platform/store.py
+++ b/src/cassiaseam/platform/store.py
@@ -9,6 +9,7 @@
 from cassiaseam.httpio import HttpAnswer, HttpCallFailed, HttpClient
 from cassiaseam.platform import records
 from cassiaseam.pooler.events import DutyRecord, PeerRecord, WriteOutcome
+from cassiaseam.pooler.sizes import SizeRecord
 from cassiaseam.pooler.storeport import (
     Change,
     DutySnapshot,
@@ -43,7 +44,12 @@
         # A watch keeps its connection busy, so that each kind has its own.
         self.clients = {
             kind: HttpClient(reactor, host, port)
-            for kind in (records.CONFIG_KIND, records.TARGETS_KIND, records.VMS_KIND)
+            for kind in (
+                records.CONFIG_KIND,
+                records.TARGETS_KIND,
+                records.VMS_KIND,
+                records.SIZES_KIND,
+            )
         }
         self.reactor = reactor
         self.address = (host, port)
@@ -137,6 +143,11 @@
             return Ok(None)
         return Err(StoreError(f'status {answer.status}'))
 
+    async def write_size(self, record: SizeRecord) -> WriteResult:
+        """Write the size of a group if its record still has a revision; 0 creates it."""
+        spec = records.encode_size(record.size)
+        return await self._write_object(records.SIZES_KIND, record.group, spec, record.revision)
+
     async def _write_object(
         self, kind: str, name: str, spec: dict[str, Any], revision: int
     ) -> WriteResult:
--- a/src/cassiaseam/pooler/catalogue.py
+++ b/src/cassiaseam/pooler/catalogue.py
@@ -64,6 +64,7 @@
     state.store_reachable = event.reachable
     if event.reachable:
         # Records that lapsed while the store was away get their time to come back.
+        state.sizes.differing.clear()
         for group in state.groups.values():
             for target in group.targets.values():
                 if target.missing_since is not None:
@@ -76,6 +77,7 @@
     group = state.groups.get(record.group)
     if group is None:
         group = GroupView(record.group, evidence.build_monitor(record.group))
+        group.floor = state.sizes.find_record(record.group).size
         state.groups[record.group] = group
     former_group = state.target_groups.get(record.name)
     effects: list = []
--- a/src/cassiaseam/pooler/environments.py
+++ b/src/cassiaseam/pooler/environments.py
@@ -25,6 +25,7 @@
         decode_config: Decoder of the configuration.
         decode_target: Decoder of a target record, from its name and content.
         decode_vm: Decoder of the record of a VM, from its name and content.
+        decode_size: Decoder of the size of a group, from its content.
         readiness_path: Path at which the load balancer asks whether the VM takes callers.
     """
 
@@ -36,6 +37,7 @@
     decode_config: Callable[[Any], Result[RoutingConfig, str]]
     decode_target: Callable[[str, Any], Result[TargetRecord, str]]
     decode_vm: Callable[[str, Any], Result[PeerRecord, str]]
+    decode_size: Callable[[Any], Result[int, str]]
     readiness_path: str
 
 
--- a/src/cassiaseam/pooler/evidence.py
+++ b/src/cassiaseam/pooler/evidence.py
@@ -2,7 +2,8 @@
 
 The statuses feed the monitoring state of `cassiaseam.group`, whose functions decide on
 acknowledgement and floors. A majority counts over the largest number of targets that was known
-for `SHRINK_DELAY_S`, so that records that lapse while the store is away prove nothing.
+for `SHRINK_DELAY_S`, so that records that lapse while the store is away prove nothing. A VM that
+has not yet seen as many targets as are recorded in the store counts over the recorded number.
 """
 
 from cassiaseam.configuration.model import DatabaseConfig, TargetConfig
@@ -36,7 +37,12 @@
         del monitor.targets[gone]
     for name in group.targets:
         monitor.targets.setdefault(name, TargetView())
+    staying = count_staying(group)
+    if staying >= group.floor:
+        group.floor = 0
     count = len(group.targets)
+    if group.floor:
+        count += group.floor - staying
     if count >= group.size:
         group.size = count
         group.shrunk_at = None
@@ -50,6 +56,11 @@
         monitor.config = DatabaseConfig(group.name, slots)
 
 
+def count_staying(group: GroupView) -> int:
+    """Return how many targets have not announced that they leave."""
+    return sum(not target.record.leaving for target in group.targets.values())
+
+
 def note_status(
     group: GroupView, name: str, started_at: float, reported: ReportedStatus, now: float
 ) -> None:
--- a/src/cassiaseam/pooler/failover.py
+++ b/src/cassiaseam/pooler/failover.py
@@ -57,7 +57,7 @@
         return effects
     if group.cause_since is None:
         group.cause_since = now + state.rng.random() * CLAIM_SPREAD_S
-    may_start = state.store_reachable and state.stopping_since is None
+    may_start = state.store_reachable and state.sizes.known and state.stopping_since is None
     if not may_start or now < max(group.cause_since, group.retry_promotion_at):
         return effects
     return effects + start_promotion(state, group, cause, planned, now)
--- a/src/cassiaseam/pooler/runtime.py
+++ b/src/cassiaseam/pooler/runtime.py
@@ -53,6 +53,7 @@
 from cassiaseam.pooler.metrics import render_metrics
 from cassiaseam.pooler.settings import PoolerSettings, load_pooler_settings
 from cassiaseam.pooler.state import PoolerState
+from cassiaseam.pooler.storecalls import SizeCalls
 from cassiaseam.pooler.storewatch import StoreWatcher
 
 # Importing these modules registers the handlers.
@@ -102,6 +103,7 @@
         self.environment = builder(settings, reactor, self.node.dispatch)
         self.node.services[PoolerRuntime] = self
         self.node.services[Environment] = self.environment
+        self.node.services[SizeCalls] = SizeCalls(self.environment, self.node.dispatch, self.log)
         watch_s = min(LONGEST_WATCH_S, settings.store_history * WATCH_SHARE)
         self.watcher = StoreWatcher(
             reactor, self.environment, self.node.dispatch, self.log, rng, watch_s
--- a/src/cassiaseam/pooler/sessions.py
+++ b/src/cassiaseam/pooler/sessions.py
@@ -37,7 +37,7 @@
 
 def is_configured(state: PoolerState) -> bool:
     """Return whether the daemon knows its configuration and targets."""
-    return state.config is not None and state.targets_known
+    return state.config is not None and state.targets_known and state.sizes.known
 
 
 def admit_session(state: PoolerState, session: CallerSession) -> list:
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -11,6 +11,7 @@
 from cassiaseam.pooler.metrics import Histogram
 from cassiaseam.pooler.model import Route, RoutingConfig, TargetRecord
 from cassiaseam.pooler.peer_state import PeerState, SampleQuestion, WaitingVm
+from cassiaseam.pooler.sizes import SizesView
 from cassiaseam.positions import LogPosition
 
 
@@ -288,6 +289,8 @@
         targets: State per target.
         size: Number of targets of which a majority is needed.
         shrunk_at: Time since which fewer targets than `size` are known, or None.
+        floor: Recorded number of targets that stay, until as many were known; then 0.
+        logged_size: Size that the latest log line about it told.
         operations: Operations that wait for a target, a confirmation or a majority.
         without_primary_since: Time since which no primary works, or None.
         promotion: Promotion that this daemon attempts, or None.
@@ -311,6 +314,8 @@
     targets: dict[str, TargetState] = field(default_factory=dict)
     size: int = 0
     shrunk_at: float | None = None
+    floor: int = 0
+    logged_size: int = 0
     operations: list[Operation] = field(default_factory=list)
     without_primary_since: float | None = None
     promotion: Promotion | None = None
@@ -376,6 +381,7 @@
         store_reachable: Whether the store answers.
         duty: Duty record as last seen.
         targets_known: Whether the records of the targets were read.
+        sizes: Recorded sizes of the groups.
         peers: Other VMs by name.
         counters: Final answers per route and outcome.
         latencies: Time from the arrival of a statement to its answer, per route.
@@ -397,6 +403,7 @@
     stopping_since: float | None = None
     store_reachable: bool = False
     targets_known: bool = False
+    sizes: SizesView = field(default_factory=SizesView)
     peers: dict[str, PeerState] = field(default_factory=dict)
     duty: DutyView = field(default_factory=DutyView)
     counters: dict[tuple[str, str], int] = field(default_factory=dict)
--- /dev/null
+++ b/src/cassiaseam/pooler/storecalls.py
@@ -0,0 +1,81 @@
+"""Carries out the calls to the store that read and write the sizes of groups."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from result import Err
+from twisted.internet.defer import ensureDeferred
+
+from cassiaseam.daemon.node import Node, executes
+from cassiaseam.pooler.events import WriteOutcome
+from cassiaseam.pooler.sizes import (
+    ReadSizes,
+    SizeRecord,
+    SizesRead,
+    SizesReadFailed,
+    SizeWritten,
+    WriteSize,
+)
+
+
+class SizeCalls:
+    """Calls for the sizes of groups; each ends in one event."""
+
+    def __init__(
+        self, environment: Any, dispatch: Callable[[Any], None], log: Callable[..., None]
+    ):
+        self.environment = environment
+        self.dispatch = dispatch
+        self.log = log
+
+    def start(self, call: Any, failed: Any) -> None:
+        """Run a call; after an exception, which is logged, the event `failed` follows."""
+
+        def report(failure: Any) -> None:
+            self.log('size_call_failed', cause=failure.getTraceback(), level='error')
+            self.dispatch(failed)
+
+        ensureDeferred(call).addErrback(report)
+
+    async def read(self) -> None:
+        """Read all sizes, from a copy that may be seconds old and costs a tenth."""
+        kind = self.environment.kinds.sizes
+        listing = await self.environment.store.list_objects(kind, may_be_old=True)
+        if isinstance(listing, Err):
+            self.log('sizes_read_failed', cause=listing.err_value.reason)
+            self.dispatch(SizesReadFailed())
+            return
+        records = []
+        for change in listing.ok_value.changes:
+            decoded = self.environment.decode_size(change.spec)
+            if isinstance(decoded, Err):
+                # The record stays known by its revision, so that a readable one replaces it.
+                self.log('size_record_refused', group=change.name, cause=decoded.err_value)
+            size = 0 if isinstance(decoded, Err) else decoded.ok_value
+            records.append(SizeRecord(change.name, size, change.revision))
+        self.dispatch(SizesRead(tuple(records)))
+
+    async def write(self, record: SizeRecord) -> None:
+        """Write a size under its condition."""
+        written = await self.environment.store.write_size(record)
+        if written.outcome is WriteOutcome.WRITTEN:
+            self.dispatch(SizeWritten(replace(record, revision=written.revision)))
+            return
+        fields = {'group': record.group, 'size': record.size, 'outcome': written.outcome.value}
+        self.log('size_write_failed', **fields)
+        self.dispatch(SizeWritten(None))
+
+
+@executes(ReadSizes)
+def read_sizes(node: Node, effect: ReadSizes) -> None:
+    """Read the sizes of all groups."""
+    calls = node.services[SizeCalls]
+    calls.start(calls.read(), SizesReadFailed())
+
+
+@executes(WriteSize)
+def write_size(node: Node, effect: WriteSize) -> None:
+    """Write the size of a group."""
+    calls = node.services[SizeCalls]
+    calls.start(calls.write(effect.record), SizeWritten(None))
--- a/src/cassiaseam/pooler/storewatch.py
+++ b/src/cassiaseam/pooler/storewatch.py
@@ -39,12 +39,14 @@
         config_name: Name of the object that holds the configuration.
         targets: Kind of the target records, which are watched.
         vms: Kind of the records of VMs, which are listed now and then.
+        sizes: Kind of the sizes of groups, which are listed at the start and after a change.
     """
 
     config: str
     config_name: str
     targets: str
     vms: str
+    sizes: str
 
 
 def sleep_with_spread(reactor: Any, rng: random.Random, seconds: float) -> Deferred[None]:
--- a/src/cassiaseam/pooler/ticks.py
+++ b/src/cassiaseam/pooler/ticks.py
@@ -8,6 +8,7 @@
     endings,
     failover,
     operations,
+    recording,
     routing,
     sessions,
     sharing,
@@ -40,7 +41,7 @@
 @handles(PoolerTick)
 def handle_tick(state: PoolerState, event: PoolerTick, now: float) -> list:
     """Expire, retry, probe and close what is due."""
-    effects = sessions.refuse_late_sessions(state, now)
+    effects = sessions.refuse_late_sessions(state, now) + recording.check_records(state, now)
     if event.suspended_s > OWN_PAUSE_S:
         forget_silence(state, now)
         effects.append(WriteLog('process_resumed', {'pause_ms': round(event.suspended_s * 1000)}))
@@ -61,6 +62,7 @@
 def sweep_group(state: PoolerState, group: GroupView, now: float) -> list:
     """Expire, retry, probe and close what is due in one group."""
     effects = catalogue.forget_missing_targets(state, group, now)
+    effects += recording.note_size(state, group, now)
     for target in list(group.targets.values()):
         effects += targets.close_stuck_connections(state, group, target, now)
         effects += connections.start_jobs(state, target, now)
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -47,6 +47,21 @@
     Guard(
         'pooler/evidence.py', 'max(reported.fenced_term, reported.term)', 'reported.fenced_term'
     ),
+    Guard(
+        'pooler/evidence.py',
+        'if group.floor:\n        count += group.floor - staying',
+        'if False:\n        count = 0',
+    ),
+    Guard('pooler/sessions.py', ' and state.sizes.known', ''),
+    Guard('pooler/failover.py', 'state.sizes.known and ', ''),
+    Guard('pooler/catalogue.py', 'state.sizes.differing.clear()', 'pass'),
+    Guard('pooler/recording.py', 'LOWER_DELAY_S = 60.0', 'LOWER_DELAY_S = 0.0'),
+    Guard(
+        'pooler/recording.py',
+        'record.revision >= sizes.find_record(record.group).revision',
+        'True',
+    ),
+    Guard('pooler/recording.py', 'count != recorded and ', ''),
     Guard('pooler/catalogue.py', 'event.config.version <= state.config.version', 'False'),
     Guard('pooler/duty.py', 'now - duty.claimed_at <= CLAIM_VALID_S', 'True'),
     Guard(
--- a/tests/platform/test_platform_records.py
+++ b/tests/platform/test_platform_records.py
@@ -3,7 +3,7 @@
 import copy
 
 import pytest
-from result import Err
+from result import Err, Ok
 
 from cassiaseam.platform import records
 from cassiaseam.pooler.events import DutyRecord
@@ -106,3 +106,12 @@
 @pytest.mark.parametrize('spec', [None, {}, {'holder': 1}, {'holder': 'a', 'nonce': 'b'}])
 def test_unreadable_duty_record_is_none(spec):
     assert records.decode_duty(spec) is None
+
+
+def test_size_of_a_group_survives_the_store():
+    assert records.decode_size(records.encode_size(3)) == Ok(3)
+
+
+@pytest.mark.parametrize('spec', [None, {}, {'size': '3'}, {'size': 0}, {'size': True}, [3]])
+def test_unreadable_size_of_a_group_is_refused(spec):
+    assert isinstance(records.decode_size(spec), Err)
--- a/tests/pooler/pooler_world.py
+++ b/tests/pooler/pooler_world.py
@@ -19,6 +19,7 @@
     failover,
     operations,
     peers,
+    recording,
     sessions,
     sharing,
     targets,
@@ -46,8 +47,19 @@
     Route,
     RoutingConfig,
 )
+from cassiaseam.pooler.sizes import SizeRecord, SizesRead
 
-REGISTERED = (catalogue, failover, operations, peers, sessions, sharing, targets, ticks)
+REGISTERED = (
+    catalogue,
+    failover,
+    operations,
+    peers,
+    recording,
+    sessions,
+    sharing,
+    targets,
+    ticks,
+)
 REPLICATION_S = 0.006
 PROMOTE_S = 0.3
 STATEMENT_TIMEOUT_S = 1.0
@@ -84,8 +96,27 @@
 class World:
     """Targets, VMs and the store in virtual time."""
 
-    def __init__(self, vms=2, copies=3, seed=0, max_connections=100, shared=False):
-        """Build a deployment; with `shared`, all VMs are in one place and know each other."""
+    def __init__(
+        self,
+        vms=2,
+        copies=3,
+        seed=0,
+        max_connections=100,
+        shared=False,
+        listed=None,
+        sizes=None,
+    ):
+        """Build a deployment.
+
+        Args:
+            vms: Number of VMs.
+            copies: Number of targets.
+            seed: Seed of all randomness.
+            max_connections: Connections that a target accepts.
+            shared: Whether all VMs are in one place and know each other.
+            listed: Names of the targets whose records a VM finds at its start; all without it.
+            sizes: Recorded sizes of groups; the number of targets without it.
+        """
         self.seed = seed
         self.rng = random.Random(seed)
         self.now = 0
@@ -94,6 +125,11 @@
         self.revisions = itertools.count(1)
         self.duty = None
         self.duty_revision = 0
+        sizes = {GROUP: copies} if sizes is None else sizes
+        self.sizes = {
+            name: SizeRecord(name, size, next(self.revisions)) for name, size in sizes.items()
+        }
+        self.size_calls = []
         self.cuts = set()
         self.lossy = {}
         self.committed = Counter()
@@ -120,8 +156,10 @@
             target.max_connections = max_connections
         for vm in self.vms.values():
             vm.dispatch(StoreContact(True))
+            vm.dispatch(SizesRead(tuple(self.sizes.values())))
             vm.dispatch(ConfigurationRead(build_config(max_connections=max_connections)))
-            records = tuple(target.get_record() for target in self.targets.values())
+            names = (listed or {}).get(vm.name, self.targets)
+            records = tuple(self.targets[name].get_record() for name in names)
             vm.dispatch(TargetsListed(records))
             self.after(TICK_S * self.rng.random(), vm.tick)
         if shared:
--- a/tests/pooler/test_pooler_peers_io.py
+++ b/tests/pooler/test_pooler_peers_io.py
@@ -26,7 +26,7 @@
 
 OWN = PeerRecord('vm-a', 'p0', '10.0.0.1', 7440)
 OTHER = PeerRecord('vm-b', 'p0', '10.0.0.2', 7440)
-KINDS = StoreKinds('config', 'main', 'servers', 'vms')
+KINDS = StoreKinds('config', 'main', 'servers', 'vms', 'sizes')
 LIST_S = 1.5 * LIST_PAUSES_S[-1]
 
 
--- /dev/null
+++ b/tests/pooler/test_pooler_sizes.py
@@ -0,0 +1,333 @@
+"""Recorded sizes of groups: taken at the start, written by one VM after a lasting change."""
+
+import dataclasses
+import random
+from types import SimpleNamespace
+
+import pytest
+from fake_target import GROUP
+from pooler_world import World
+from result import Err, Ok
+from test_pooler_duty import OTHER, build_state, find
+
+from cassiaseam.platform import records
+from cassiaseam.pooler import evidence, sessions
+from cassiaseam.pooler.events import (
+    DutyRead,
+    ReadDuty,
+    StoreContact,
+    TargetRemoved,
+    TargetsListed,
+    WriteOutcome,
+)
+from cassiaseam.pooler.model import RoutingConfig, TargetRecord
+from cassiaseam.pooler.peer_state import PeerState
+from cassiaseam.pooler.recording import (
+    ASK_LIMIT_S,
+    FIRST_CHECK_S,
+    GROW_DELAY_S,
+    LOWER_DELAY_S,
+    SPREAD_PER_VM_S,
+)
+from cassiaseam.pooler.sizes import (
+    ReadSizes,
+    SizeRecord,
+    SizesRead,
+    SizesReadFailed,
+    SizeWritten,
+    WriteSize,
+)
+from cassiaseam.pooler.state import PoolerState
+from cassiaseam.pooler.storecalls import SizeCalls
+from cassiaseam.pooler.storeport import Change, Listing, StoreError, WriteResult
+from cassiaseam.pooler.ticks import PoolerTick
+from cassiaseam.reducer.registry import reduce_event
+
+# Time in seconds by which a check of one VM is due after the change that it follows.
+CHECK_S = SPREAD_PER_VM_S + 0.2
+
+
+def build_record(number, leaving=False, group=GROUP):
+    return TargetRecord(f't{number}', group, '10.0.0.1', 1, 'p0', 5, leaving, False, '1')
+
+
+def start_vm(listed, recorded):
+    """Return a VM that found target records and recorded sizes at its start."""
+    state = PoolerState('vm0', 'p0', random.Random(1))
+    reduce_event(state, StoreContact(True), 0)
+    if recorded is not None:
+        reduce_event(state, SizesRead((SizeRecord(GROUP, recorded, 7),)), 0)
+    reduce_event(state, TargetsListed(tuple(listed)), 0)
+    return state
+
+
+def let_pass(state, start, end):
+    """Let ticks pass, and return the effects for the recorded sizes; calls get no answer."""
+    effects = []
+    for number in range(round((end - start) / 0.1)):
+        effects += reduce_event(state, PoolerTick(), start + number * 0.1)
+    return [effect for effect in effects if isinstance(effect, ReadSizes | WriteSize)]
+
+
+STAYING = [build_record(number) for number in range(3)]
+LEAVING = [build_record(3, leaving=True)]
+
+
+@pytest.mark.parametrize(
+    ('listed', 'recorded', 'size', 'needed'),
+    [
+        (STAYING, 3, 3, 2),
+        (STAYING[:1], 3, 3, 2),
+        (STAYING[:2], 3, 3, 2),
+        (STAYING[:2], 5, 5, 3),
+        (STAYING, 2, 3, 2),
+        (STAYING[:2] + LEAVING, 3, 4, 2),
+        (STAYING + LEAVING, 3, 4, 2),
+        (STAYING[:1], 0, 1, 1),
+    ],
+)
+def test_vm_counts_over_the_larger_of_record_and_list(listed, recorded, size, needed):
+    # A majority of the records that had not lapsed was smaller than that of the other VMs.
+    state = start_vm(listed, recorded)
+    group = state.groups[GROUP]
+    assert group.size == size
+    assert evidence.count_needed_grants(group) == needed
+
+
+@pytest.mark.parametrize('names_first', [True, False])
+def test_size_does_not_depend_on_the_order_of_the_two_lists(names_first):
+    state = start_vm(STAYING[:1], None if names_first else 3)
+    if names_first:
+        reduce_event(state, SizesRead((SizeRecord(GROUP, 3, 7),)), 0.1)
+    assert state.groups[GROUP].size == 3
+
+
+@pytest.mark.parametrize('after_s', [11, 59])
+def test_recorded_size_stays_while_targets_are_missing(after_s):
+    # The delay after which fewer targets are believed says nothing about targets never seen.
+    state = start_vm(STAYING[:1], 3)
+    let_pass(state, 0, after_s)
+    assert state.groups[GROUP].size == 3
+
+
+def test_vm_that_knew_all_targets_shrinks_as_without_a_record():
+    # One failing replica would block writes until the record is lowered.
+    state = start_vm(STAYING, 3)
+    reduce_event(state, TargetRemoved('t2'), 1)
+    let_pass(state, 1, 20)
+    assert state.groups[GROUP].size == 2
+
+
+def test_vm_takes_no_callers_before_the_sizes_are_read():
+    # Its first majorities would be those of the target records alone.
+    state = start_vm(STAYING[:1], None)
+    state.config = RoutingConfig(1)
+    assert not sessions.is_configured(state)
+    reduce_event(state, SizesRead(()), 1)
+    assert sessions.is_configured(state)
+
+
+@pytest.mark.parametrize('known', [True, False])
+def test_vm_promotes_nothing_before_the_sizes_are_read(known):
+    # Another VM that asks for a sample lets it look for a primary without any caller.
+    state = build_state()
+    if known:
+        reduce_event(state, SizesRead(()), 0)
+    effects = []
+    for number in range(20):
+        effects += reduce_event(state, PoolerTick(), 1 + number * 0.1)
+    assert bool(find(effects, ReadDuty)) is known
+    reduce_event(state, DutyRead(5, OTHER), 3)
+
+
+def test_first_read_is_repeated_until_it_succeeds():
+    state = start_vm(STAYING, None)
+    assert let_pass(state, 0, 1) == [ReadSizes()]
+    reduce_event(state, SizesReadFailed(), 1)
+    assert let_pass(state, 1, 2) == [ReadSizes()]
+    # An answer may be lost altogether.
+    assert let_pass(state, 2, 2 + ASK_LIMIT_S) == [ReadSizes()]
+    reduce_event(state, SizesRead((SizeRecord(GROUP, 3, 7),)), 7)
+    assert let_pass(state, 7, 200) == []
+
+
+# Listed targets, recorded size, seconds after which the record is checked (None: never).
+CHANGES = {
+    'as recorded': (STAYING, 3, None),
+    'no record, while the deployment starts': (STAYING, 0, FIRST_CHECK_S),
+    'a target has joined': (STAYING, 2, FIRST_CHECK_S),
+    'a target is gone': (STAYING[:2], 3, LOWER_DELAY_S),
+    'one leaves while another joined': (STAYING + LEAVING, 3, None),
+    'one leaves and none has joined': (STAYING[:2] + LEAVING, 3, LOWER_DELAY_S),
+    'all leave': (LEAVING, 3, None),
+}
+
+
+@pytest.mark.parametrize('case', CHANGES, ids=str)
+def test_record_is_checked_after_a_lasting_change(case):
+    # Every call to the store is paid for, and every VM sees each change.
+    listed, recorded, due_s = CHANGES[case]
+    state = start_vm(listed, recorded)
+    early = let_pass(state, 0, due_s or 300)
+    assert early == []
+    if due_s is not None:
+        assert let_pass(state, due_s, due_s + CHECK_S) == [ReadSizes()]
+
+
+@pytest.mark.parametrize('change_s', [20, 100])
+def test_join_after_the_start_is_recorded_soon(change_s):
+    state = start_vm(STAYING[:2], 2)
+    assert let_pass(state, 0, change_s) == []
+    reduce_event(state, TargetsListed(tuple(STAYING)), change_s)
+    due_s = change_s + GROW_DELAY_S
+    assert let_pass(state, change_s, due_s) == []
+    assert let_pass(state, due_s, due_s + CHECK_S) == [ReadSizes()]
+
+
+@pytest.mark.parametrize(
+    ('found', 'written'),
+    [
+        (SizeRecord(GROUP, 2, 7), SizeRecord(GROUP, 3, 7)),
+        # Another VM was faster.
+        (SizeRecord(GROUP, 3, 9), None),
+        # A copy that is behind.
+        (SizeRecord(GROUP, 4, 5), SizeRecord(GROUP, 3, 7)),
+        # Another writer's record that cannot be read is replaced.
+        (SizeRecord(GROUP, 0, 9), SizeRecord(GROUP, 3, 9)),
+    ],
+)
+def test_record_is_written_only_if_it_still_differs(found, written):
+    state = start_vm(STAYING, 2)
+    assert let_pass(state, 0, FIRST_CHECK_S + CHECK_S) == [ReadSizes()]
+    effects = reduce_event(state, SizesRead((found,)), 10)
+    writes = [effect.record for effect in find(effects, WriteSize)]
+    assert writes == ([written] if written else [])
+    if written:
+        taken = dataclasses.replace(written, revision=12)
+        reduce_event(state, SizeWritten(taken), 10.1)
+    assert let_pass(state, 10.2, 200) == []
+
+
+def test_write_that_failed_is_repeated_after_a_pause():
+    state = start_vm(STAYING, 2)
+    let_pass(state, 0, FIRST_CHECK_S + CHECK_S)
+    assert find(reduce_event(state, SizesRead(()), 10), WriteSize)
+    reduce_event(state, SizeWritten(None), 10.1)
+    assert let_pass(state, 10.2, 12) == []
+    assert let_pass(state, 12, 20)[0] == ReadSizes()
+
+
+@pytest.mark.parametrize(
+    'news',
+    [[StoreContact(False), StoreContact(True)], [SizesReadFailed()], [SizeWritten(None)]],
+    ids=['store was lost', 'read failed', 'write failed'],
+)
+def test_record_is_not_lowered_for_records_that_lapsed_while_the_store_was_away(news):
+    # Right after its return the store has few target records.
+    state = start_vm(STAYING[:1], 3)
+    let_pass(state, 0, 50)
+    for event in news:
+        reduce_event(state, event, 50)
+    assert let_pass(state, 50, 50 + LOWER_DELAY_S) == []
+    assert let_pass(state, 50 + LOWER_DELAY_S, 52 + LOWER_DELAY_S) == [ReadSizes()]
+
+
+@pytest.mark.parametrize('by_itself', [True, False])
+def test_vm_that_misses_targets_counts_over_a_record_that_was_lowered(by_itself):
+    # Targets that are gone for good would be counted until the VM ends.
+    state = start_vm(STAYING[:2], 3)
+    assert let_pass(state, 0, LOWER_DELAY_S + CHECK_S) == [ReadSizes()]
+    found = SizeRecord(GROUP, 3 if by_itself else 2, 7)
+    writes = find(reduce_event(state, SizesRead((found,)), 70), WriteSize)
+    assert [write.record.size for write in writes] == ([2] if by_itself else [])
+    if by_itself:
+        reduce_event(state, SizeWritten(SizeRecord(GROUP, 2, 12)), 70.1)
+    let_pass(state, 70.2, 90)
+    assert state.groups[GROUP].size == 2
+
+
+def test_one_of_many_vms_writes_and_each_reads_once():
+    # A change that every VM wrote, or watched the record for, would cost a call per VM.
+    world = World(vms=20, shared=True, sizes={})
+    for vm in world.vms.values():
+        vm.state.peers = {f'vm{number}': PeerState for number in range(19)}
+    world.run_until(60)
+    writes = [call for call in world.size_calls if isinstance(call[2], WriteSize)]
+    assert len(writes) == 1
+    assert len(world.size_calls) <= 21
+    assert world.sizes[GROUP].size == 3
+
+
+def test_log_tells_where_a_size_comes_from():
+    state = start_vm(STAYING[:1], 3)
+    effects = reduce_event(state, PoolerTick(), 0.1)
+    reduce_event(state, TargetsListed((*STAYING, build_record(3))), 1)
+    effects += reduce_event(state, PoolerTick(), 1.1)
+    lines = [effect.fields for effect in effects if hasattr(effect, 'fields')]
+    sizes = [(line['size'], line['cause']) for line in lines if 'former' in line]
+    assert sizes == [(3, 'recorded'), (4, 'listed')]
+
+
+class Store:
+    """Store of sizes with answers given in advance."""
+
+    def __init__(self, listing, outcome=WriteOutcome.WRITTEN):
+        self.listing = listing
+        self.outcome = outcome
+        self.calls = []
+
+    async def list_objects(self, kind, may_be_old=False):
+        self.calls.append((kind, may_be_old))
+        if isinstance(self.listing, Exception):
+            raise self.listing
+        return self.listing
+
+    async def write_size(self, record):
+        self.calls.append(record)
+        return WriteResult(self.outcome, 9 if self.outcome is WriteOutcome.WRITTEN else 0)
+
+
+def run_call(store, name, *arguments):
+    """Carry a call out and return its events and log lines."""
+    events, lines = [], []
+    environment = SimpleNamespace(
+        store=store, kinds=SimpleNamespace(sizes='sizes'), decode_size=records.decode_size
+    )
+    calls = SizeCalls(environment, events.append, lambda kind, /, **fields: lines.append(kind))
+    calls.start(getattr(calls, name)(*arguments), SizesReadFailed())
+    return events, lines
+
+
+FOUND = (
+    Change('g', records.encode_size(3), False, 5),
+    Change('odd', {'size': '3'}, False, 6),
+)
+
+
+@pytest.mark.parametrize(
+    ('listing', 'event', 'line'),
+    [
+        (
+            Ok(Listing(FOUND, 8)),
+            SizesRead((SizeRecord('g', 3, 5), SizeRecord('odd', 0, 6))),
+            'size_record_refused',
+        ),
+        (Err(StoreError('down')), SizesReadFailed(), 'sizes_read_failed'),
+        (ValueError('no list'), SizesReadFailed(), 'size_call_failed'),
+    ],
+)
+def test_read_of_the_sizes_ends_in_one_event(listing, event, line):
+    # A read without an event would keep a VM from serving for good.
+    store = Store(listing)
+    assert run_call(store, 'read') == ([event], [line])
+    assert store.calls == [('sizes', True)]
+
+
+@pytest.mark.parametrize('outcome', WriteOutcome)
+def test_write_of_a_size_ends_in_one_event(outcome):
+    record = SizeRecord('g', 3, 5)
+    events, lines = run_call(Store(None, outcome), 'write', record)
+    if outcome is WriteOutcome.WRITTEN:
+        assert (events, lines) == ([SizeWritten(SizeRecord('g', 3, 9))], [])
+    else:
+        assert (events, lines) == ([SizeWritten(None)], ['size_write_failed'])
--- a/tests/pooler/test_pooler_store_watch.py
+++ b/tests/pooler/test_pooler_store_watch.py
@@ -24,7 +24,7 @@
 from cassiaseam.pooler.storewatch import StoreKinds, StoreWatcher
 from cassiaseam.reducer.registry import reduce_event
 
-KINDS = StoreKinds('config', 'main', 'servers', 'vms')
+KINDS = StoreKinds('config', 'main', 'servers', 'vms', 'sizes')
 TARGET = {
     'service': 'g',
     'address': '10.0.0.1:80',
--- a/tests/pooler/virtual_vm.py
+++ b/tests/pooler/virtual_vm.py
@@ -1,5 +1,6 @@
 """One VM of the virtual deployment: its reducer, and effects as messages in virtual time."""
 
+import dataclasses
 import random
 
 from fake_target import Backlog
@@ -31,6 +32,13 @@
     WriteLog,
     WriteOutcome,
 )
+from cassiaseam.pooler.sizes import (
+    ReadSizes,
+    SizesRead,
+    SizesReadFailed,
+    SizeWritten,
+    WriteSize,
+)
 from cassiaseam.pooler.state import PoolerState
 from cassiaseam.reducer.registry import reduce_event
 
@@ -149,6 +157,22 @@
             answer = DutyWritten(effect.record, WriteOutcome.WRITTEN, world.duty_revision)
         world.after(LATENCY_S, lambda: self.dispatch(answer))
 
+    def read_sizes(self, effect):
+        world = self.world
+        world.size_calls.append((world.now, self.name, effect))
+        found = SizesReadFailed() if self.store_cut else SizesRead(tuple(world.sizes.values()))
+        world.after(LATENCY_S, lambda: self.dispatch(found))
+
+    def write_size(self, effect):
+        world = self.world
+        world.size_calls.append((world.now, self.name, effect))
+        known = world.sizes.get(effect.record.group)
+        written = None
+        if not self.store_cut and effect.record.revision == (known.revision if known else 0):
+            written = dataclasses.replace(effect.record, revision=next(world.revisions))
+            world.sizes[written.group] = written
+        world.after(LATENCY_S, lambda: self.dispatch(SizeWritten(written)))
+
     def call_promotion(self, effect):
         world = self.world
         world.promotion_calls.append((world.now, effect))
@@ -188,6 +212,8 @@
     ReadDuty: Vm.read_duty,
     WriteDuty: Vm.write_duty,
     CallPromotion: Vm.call_promotion,
+    ReadSizes: Vm.read_sizes,
+    WriteSize: Vm.write_size,
     AskSample: Vm.ask_sample,
     OfferSample: Vm.offer_sample,
     AnswerCaller: Vm.answer_caller,
