Leave the fences of targets that other VMs may not count out of a promotion

Second way to it, shown here: during a planned replacement a group has four target records for a while, and VMs learn of a record seconds apart. A VM that knew four promoted on two fences, of one replica and of the new target. A VM that knew three acknowledged what the primary and the other replica held.

Cause: the number of fences was chosen to meet the majorities of the targets that the promoting VM counts, and not of those that other VMs may count at that time.

Evidence: test_fences_meet_the_majorities_of_a_vm_that_does_not_know_a_new_target failed before the change: "assert (not True or False)", the write was answered with success at 0.976 s and is not in the log of the promoted target.

Why it works: a target that joined less than 10 s ago, that leaves, or whose record is missing may be counted by another VM or not. Its fence is left out, and it is not counted either. Every majority of a set without it is then met by the other fences, and in a majority of a set with it its own fence cannot vouch. A test goes through all sets of up to five targets with up to two such ones and all choices of fences: the rule accepts exactly those that meet every majority of every set. A plain count against the smaller size would ask for three fences of four, which one dark target beside a failed primary prevents even if it is the new one.

Effect on promotions: with a new target, planned ones succeed with any one target dark, unplanned ones with the new one dark, within the same bound as before. With the primary and another of the former three gone the promotion waits until the new target has been known for 10 s; before, it was made at once, and unsafe. Targets that register one after the other while a VM runs count as new in this sense, so that nothing is promoted without the primary's help in the first 10 s of a new group.

What remains: a VM without the store for over 10 s may not know a target that joined meanwhile, and a VM that promotes may not know a target with which another VM already acknowledges (groups of two that grow to three, or of four to five).

--- a/src/cassiaseam/pooler/catalogue.py
+++ b/src/cassiaseam/pooler/catalogue.py
@@ -119,8 +119,12 @@
 
 def add_target(state: PoolerState, group: GroupView, record: TargetRecord, now: float) -> list:
     """Begin to use a target."""
-    group.targets[record.name] = TargetState(record)
-    note_leaving(group.targets[record.name], now)
+    target = TargetState(record)
+    group.targets[record.name] = target
+    # The first list, and targets up to the recorded number, are what other VMs know already.
+    if state.targets_known and not group.floor:
+        target.joined_at = now
+    note_leaving(target, now)
     state.target_groups[record.name] = group.name
     evidence.refresh_members(group, now)
     return [describe_target('target_added', record)]
@@ -142,6 +146,7 @@
     effects += close_connections(state, group, target, 'target restarted', now)
     fresh = TargetState(target.record)
     note_leaving(fresh, now)
+    fresh.joined_at = target.joined_at
     fresh.distrusted_until = now + evidence.RESTART_DISTRUST_S
     group.targets[name] = fresh
     evidence.forget_status(group, name)
--- a/src/cassiaseam/pooler/evidence.py
+++ b/src/cassiaseam/pooler/evidence.py
@@ -6,6 +6,8 @@
 has not yet seen as many targets as are recorded in the store counts over the recorded number.
 """
 
+from collections.abc import Iterable
+
 from cassiaseam.configuration.model import DatabaseConfig, TargetConfig
 from cassiaseam.group.evidence import count_majority, is_in_charge
 from cassiaseam.group.samples import add_quorum_samples
@@ -13,7 +15,7 @@
 from cassiaseam.group.view import find_quorum_floor, is_committed
 from cassiaseam.messages import TargetRole, TargetStatus
 from cassiaseam.pooler.commands import ReportedStatus
-from cassiaseam.pooler.state import GroupView, Operation
+from cassiaseam.pooler.state import GroupView, Operation, TargetState
 from cassiaseam.positions import ZERO_POSITION, LogPosition
 
 # Records of live targets are back two seconds after the store is; a multiple of that.
@@ -208,6 +210,28 @@
     return max(floor, session_commit) if session_commit is not None else floor
 
 
-def count_needed_grants(group: GroupView) -> int:
-    """Return how many fences a promotion needs to meet every majority."""
-    return group.size - count_majority(group.monitor) + 1
+def are_fences_enough(group: GroupView, fenced: Iterable[str], now: float) -> bool:
+    """Return whether fences meet every majority that another VM may count.
+
+    Another VM may not know a target that has just joined, and may have dropped one that leaves or
+    whose record is missing. The fence of such a target is left out, and the target is not counted:
+    the others then meet the majorities of VMs that do not count it, and its fence keeps it out of
+    the majorities of VMs that do.
+    """
+    known = [group.targets[name] for name in fenced if name in group.targets]
+    certain = sum(is_counted_everywhere(target, now) for target in known)
+    return bool(known) and certain >= count_needed_grants(group, len(known) - certain)
+
+
+def is_counted_everywhere(target: TargetState, now: float) -> bool:
+    """Return whether all VMs count a target among those of its group."""
+    if target.record.leaving or target.missing_since is not None:
+        return False
+    return target.joined_at is None or now - target.joined_at > SHRINK_DELAY_S
+
+
+def count_needed_grants(group: GroupView, left_out: int = 0) -> int:
+    """Return how many fences meet every majority of the targets that are not left out."""
+    size = group.size - left_out
+    majority = size // 2 + 1
+    return size - majority + 1
--- a/src/cassiaseam/pooler/failover.py
+++ b/src/cassiaseam/pooler/failover.py
@@ -224,7 +224,7 @@
 
 def run_fence_step(state: PoolerState, group: GroupView, promotion: Promotion, now: float) -> list:
     """Fence the replicas and tell the former primary to step down."""
-    if len(promotion.grants) >= evidence.count_needed_grants(group):
+    if evidence.are_fences_enough(group, promotion.grants, now):
         chosen = choose_most_complete(group, promotion, now)
         if chosen:
             return promote(state, group, chosen, now)
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -205,6 +205,7 @@
         full_since: Time since which it refuses connections because it has too many, or None.
         missing_since: Time since which its record is missing from the store, or None.
         leaving_since: Time since which it is known to leave, or None.
+        joined_at: Time at which it joined a group whose targets were known, or None.
         distrusted_until: Time before which its statuses prove nothing, after a restart.
         lag_floor: Latest position that it refused because it lacks it.
         lagging_until: Time before which reads that need `lag_floor` are not sent to it.
@@ -227,6 +228,7 @@
     full_since: float | None = None
     missing_since: float | None = None
     leaving_since: float | None = None
+    joined_at: float | None = None
     distrusted_until: float = 0
     lag_floor: LogPosition | None = None
     lagging_until: float = 0
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -36,9 +36,21 @@
 GUARDS = [
     Guard('pooler/evidence.py', 'RESTART_DISTRUST_S = 3.0', 'RESTART_DISTRUST_S = 0.0'),
     Guard('pooler/evidence.py', 'SHRINK_DELAY_S = 10.0', 'SHRINK_DELAY_S = 0.0'),
+    Guard('pooler/evidence.py', 'return size - majority + 1', 'return 1'),
+    Guard('pooler/evidence.py', ', len(known) - certain)', ')'),
+    Guard('pooler/evidence.py', 'now - target.joined_at > SHRINK_DELAY_S', 'True'),
     Guard(
-        'pooler/evidence.py', 'return group.size - count_majority(group.monitor) + 1', 'return 1'
+        'pooler/evidence.py',
+        'if target.record.leaving or target.missing_since is not None:',
+        'if target.record.leaving:',
+    ),
+    Guard(
+        'pooler/evidence.py',
+        'if target.record.leaving or target.missing_since is not None:',
+        'if target.missing_since is not None:',
     ),
+    Guard('pooler/catalogue.py', 'fresh.joined_at = target.joined_at', 'pass'),
+    Guard('pooler/catalogue.py', 'if state.targets_known and not group.floor:', 'if True:'),
     Guard(
         'pooler/evidence.py',
         'view.status is not None and started_at < view.status_started_at',
--- a/tests/pooler/test_pooler_majorities.py
+++ b/tests/pooler/test_pooler_majorities.py
@@ -1,9 +1,17 @@
 """Majorities of VMs that know different targets of a group have to meet."""
 
+import dataclasses
+from itertools import combinations, product
+
 import pytest
+from fake_target import GROUP
 from pooler_world import World, is_success
 
+from cassiaseam.pooler import evidence
 from cassiaseam.pooler.commands import StatementKind
+from cassiaseam.pooler.events import TargetChanged
+from cassiaseam.pooler.model import TargetRecord
+from cassiaseam.pooler.state import GroupView, TargetState
 
 ISOLATION_S = 30
 
@@ -48,3 +56,143 @@
         world.send('vm0', 1, StatementKind.READ)
         world.run_until((number + 1) * 1.2)
     assert not world.promotion_calls
+
+
+def grow_group(joined):
+    """Return a world in which a fourth target has joined, which only one of two VMs knows."""
+    three = ('t0', 't1', 't2')
+    world = World(vms=2, copies=4, listed={'vm0': three, 'vm1': three}, sizes={GROUP: 3})
+    world.run_until(0.2)
+    for vm in world.vms:
+        world.connect(vm, 1, 'orders')
+        world.send(vm, 1, StatementKind.READ)
+    world.run_until(0.4)
+    world.cut_store('vm1', ISOLATION_S)
+    for name in joined:
+        world.vms['vm0'].dispatch(TargetChanged(world.targets[name].get_record()))
+    world.run_until(0.5)
+    return world
+
+
+def test_fences_meet_the_majorities_of_a_vm_that_does_not_know_a_new_target():
+    # Two of four targets were fenced, one of them new. A VM that knew three acknowledged what the
+    # primary and the third one held.
+    world = grow_group(['t3'])
+    isolate_primary(world, 't1', 't3', 'vm0')
+    world.cut('t2', 'vm0', ISOLATION_S)
+    world.run_until(0.6)
+    world.send('vm0', 1, StatementKind.READ)
+    world.run_until(0.9)
+    written = world.send('vm1', 1, StatementKind.WRITE, 'value')
+    world.run_until(8)
+    assert not is_success(written) or is_kept(world, 'value')
+
+
+@pytest.mark.parametrize(
+    ('planned', 'dark', 'until'),
+    [
+        (True, '', 6),
+        (True, 't1', 6),
+        (True, 't2', 6),
+        (True, 't3', 6),
+        (False, '', 6),
+        (False, 't3', 6),
+        # Two of the three targets that other VMs may still count are gone: the new one has to be
+        # known to all VMs first.
+        (False, 't1', 16),
+        (False, 't2', 16),
+    ],
+)
+def test_primary_is_replaced_while_a_target_has_just_joined(planned, dark, until):
+    # Fences that have to meet more majorities must not stop a promotion for good.
+    world = grow_group(['t3'])
+    if dark:
+        world.mute(dark, ISOLATION_S)
+    if planned:
+        world.targets['t0'].leaving = True
+        world.announce(world.targets['t0'])
+    else:
+        world.crash('t0', ISOLATION_S)
+    world.run_until(0.6)
+    world.send('vm0', 1, StatementKind.READ)
+    world.run_until(until)
+    primary = world.find_primary()
+    assert primary is not None and primary.name not in {'t0', dark}
+
+
+NOW = 100.0
+# How a target comes to be one that other VMs may not count.
+DOUBTS = {
+    'joined': lambda target: setattr(target, 'joined_at', NOW - 1),
+    'missing': lambda target: setattr(target, 'missing_since', NOW - 1),
+    'leaving': lambda target: setattr(
+        target, 'record', dataclasses.replace(target.record, leaving=True)
+    ),
+}
+
+
+def list_subsets(names):
+    return [set(found) for count in range(len(names) + 1) for found in combinations(names, count)]
+
+
+def meets_all(fenced, certain, doubtful):
+    """Return whether fences meet each majority of each set that another VM may count."""
+    for extra in list_subsets(doubtful):
+        counted = certain | extra
+        for holders in list_subsets(sorted(counted)):
+            if len(holders) > len(counted) // 2 and not holders & fenced:
+                return False
+    return True
+
+
+@pytest.mark.parametrize('doubt', DOUBTS)
+@pytest.mark.parametrize(('size', 'doubtful_count'), list(product(range(1, 6), range(3))))
+def test_fences_are_enough_exactly_if_they_meet_every_majority(doubt, size, doubtful_count):
+    # Too few fences lose acknowledged commits, too many keep a group without a primary.
+    names = [f't{number}' for number in range(size)]
+    doubtful = names[size - min(doubtful_count, size) :]
+    certain = set(names) - set(doubtful)
+    group = GroupView(GROUP, evidence.build_monitor(GROUP))
+    for name in names:
+        record = TargetRecord(name, GROUP, '10.0.0.1', 1, 'p0', 5, False, False, '1')
+        group.targets[name] = TargetState(record)
+        if name in doubtful:
+            DOUBTS[doubt](group.targets[name])
+    evidence.refresh_members(group, NOW)
+    for fenced in list_subsets(names):
+        expected = bool(fenced) and meets_all(fenced, certain, doubtful)
+        assert evidence.are_fences_enough(group, fenced, NOW) is expected, fenced
+
+
+@pytest.mark.parametrize(('age_s', 'counts'), [(0, False), (9.9, False), (10.1, True)])
+def test_fence_of_a_target_counts_once_all_vms_know_it(age_s, counts):
+    record = TargetRecord('t0', GROUP, '10.0.0.1', 1, 'p0', 5, False, False, '1')
+    target = TargetState(record, joined_at=NOW)
+    assert evidence.is_counted_everywhere(target, NOW + age_s) is counts
+
+
+@pytest.mark.parametrize(
+    ('first_listed', 'recorded', 'joined'),
+    [
+        (('t0', 't1', 't2'), 3, set()),
+        (('t0', 't1'), 2, {'t2'}),
+        # A VM that started while records were missing: the others know these targets.
+        (('t0',), 3, set()),
+        ((), 0, {'t0', 't1', 't2'}),
+    ],
+)
+def test_targets_up_to_the_recorded_number_have_not_joined_lately(first_listed, recorded, joined):
+    # Promotions would wait although all VMs know the targets, or count on ones that they do not.
+    world = World(vms=1, listed={'vm0': first_listed}, sizes={GROUP: recorded})
+    vm = world.vms['vm0']
+    for target in world.targets.values():
+        vm.dispatch(TargetChanged(target.get_record()))
+    states = vm.state.groups[GROUP].targets
+    assert {name for name, target in states.items() if target.joined_at is not None} == joined
+
+
+def test_target_that_restarts_has_still_just_joined():
+    world = grow_group(['t3'])
+    world.targets['t3'].born += 1
+    world.vms['vm0'].dispatch(TargetChanged(world.targets['t3'].get_record()))
+    assert world.vms['vm0'].state.groups[GROUP].targets['t3'].joined_at is not None
