--- a/src/cassiaseam/pooler/catalogue.py
+++ b/src/cassiaseam/pooler/catalogue.py
@@ -64,6 +64,7 @@
     state.store_reachable = event.reachable
     if event.reachable:
         # Records that lapsed while the store was away get their time to come back.
+        state.sizes.differing.clear()
         for group in state.groups.values():
             for target in group.targets.values():
                 if target.missing_since is not None:
@@ -76,6 +77,7 @@
     group = state.groups.get(record.group)
     if group is None:
         group = GroupView(record.group, evidence.build_monitor(record.group))
+        group.floor = state.sizes.find_record(record.group).size
         state.groups[record.group] = group
     former_group = state.target_groups.get(record.name)
     effects: list = []
@@ -117,8 +119,12 @@
 
 def add_target(state: PoolerState, group: GroupView, record: TargetRecord, now: float) -> list:
     """Begin to use a target."""
-    group.targets[record.name] = TargetState(record)
-    note_leaving(group.targets[record.name], now)
+    target = TargetState(record)
+    group.targets[record.name] = target
+    # The first list, and targets up to the recorded number, are what other VMs know already.
+    if state.targets_known and not group.floor:
+        target.joined_at = now
+    note_leaving(target, now)
     state.target_groups[record.name] = group.name
     evidence.refresh_members(group, now)
     return [describe_target('target_added', record)]
@@ -140,6 +146,7 @@
     effects += close_connections(state, group, target, 'target restarted', now)
     fresh = TargetState(target.record)
     note_leaving(fresh, now)
+    fresh.joined_at = target.joined_at
     fresh.distrusted_until = now + evidence.RESTART_DISTRUST_S
     group.targets[name] = fresh
     evidence.forget_status(group, name)
--- a/src/cassiaseam/pooler/failover.py
+++ b/src/cassiaseam/pooler/failover.py
@@ -66,7 +66,7 @@
         return effects
     if group.cause_since is None:
         group.cause_since = now + state.rng.random() * CLAIM_SPREAD_S
-    may_start = state.store_reachable and state.stopping_since is None
+    may_start = state.store_reachable and state.sizes.known and state.stopping_since is None
     if not may_start or now < max(group.cause_since, group.retry_promotion_at):
         return effects
     return effects + start_promotion(state, group, cause, planned, now)
@@ -245,7 +245,7 @@
 
 def run_fence_step(state: PoolerState, group: GroupView, promotion: Promotion, now: float) -> list:
     """Fence the replicas and tell the former primary to step down."""
-    if len(promotion.grants) >= evidence.count_needed_grants(group):
+    if evidence.are_fences_enough(group, promotion.grants, now):
         chosen = candidates.choose_most_complete(group, promotion, now)
         if chosen:
             return promote(state, group, chosen, now)
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -11,6 +11,7 @@
 from cassiaseam.pooler.metrics import Histogram
 from cassiaseam.pooler.model import Route, RoutingConfig, TargetRecord
 from cassiaseam.pooler.peer_state import PeerState, SampleQuestion, WaitingVm
+from cassiaseam.pooler.sizes import SizesView
 from cassiaseam.positions import LogPosition
 
 
@@ -204,6 +205,7 @@
         full_since: Time since which it refuses connections because it has too many, or None.
         missing_since: Time since which its record is missing from the store, or None.
         leaving_since: Time since which it is known to leave, or None.
+        joined_at: Time at which it joined a group whose targets were known, or None.
         distrusted_until: Time before which its statuses prove nothing, after a restart.
         lag_floor: Latest position that it refused because it lacks it.
         lagging_until: Time before which reads that need `lag_floor` are not sent to it.
@@ -226,6 +228,7 @@
     full_since: float | None = None
     missing_since: float | None = None
     leaving_since: float | None = None
+    joined_at: float | None = None
     distrusted_until: float = 0
     lag_floor: LogPosition | None = None
     lagging_until: float = 0
@@ -288,6 +291,8 @@
         targets: State per target.
         size: Number of targets of which a majority is needed.
         shrunk_at: Time since which fewer targets than `size` are known, or None.
+        floor: Recorded number of targets that stay, until as many were known; then 0.
+        logged_size: Size that the latest log line about it told.
         operations: Operations that wait for a target, a confirmation or a majority.
         without_primary_since: Time since which no primary works, or None.
         promotion: Promotion that this daemon attempts, or None.
@@ -311,6 +316,8 @@
     targets: dict[str, TargetState] = field(default_factory=dict)
     size: int = 0
     shrunk_at: float | None = None
+    floor: int = 0
+    logged_size: int = 0
     operations: list[Operation] = field(default_factory=list)
     without_primary_since: float | None = None
     promotion: Promotion | None = None
@@ -349,6 +356,7 @@
         store_reachable: Whether the store answers.
         duty: Duty record as last seen.
         targets_known: Whether the records of the targets were read.
+        sizes: Recorded sizes of the groups.
         peers: Other VMs by name.
         counters: Final answers per route and outcome.
         latencies: Time from the arrival of a statement to its answer, per route.
@@ -370,6 +378,7 @@
     stopping_since: float | None = None
     store_reachable: bool = False
     targets_known: bool = False
+    sizes: SizesView = field(default_factory=SizesView)
     peers: dict[str, PeerState] = field(default_factory=dict)
     duty: DutyView = field(default_factory=DutyView)
     counters: dict[tuple[str, str], int] = field(default_factory=dict)
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -39,9 +39,21 @@
     ),
     Guard('pooler/evidence.py', 'RESTART_DISTRUST_S = 3.0', 'RESTART_DISTRUST_S = 0.0'),
     Guard('pooler/evidence.py', 'SHRINK_DELAY_S = 10.0', 'SHRINK_DELAY_S = 0.0'),
+    Guard('pooler/evidence.py', 'return size - majority + 1', 'return 1'),
+    Guard('pooler/evidence.py', ', len(known) - certain)', ')'),
+    Guard('pooler/evidence.py', 'now - target.joined_at > SHRINK_DELAY_S', 'True'),
     Guard(
-        'pooler/evidence.py', 'return group.size - count_majority(group.monitor) + 1', 'return 1'
+        'pooler/evidence.py',
+        'if target.record.leaving or target.missing_since is not None:',
+        'if target.record.leaving:',
     ),
+    Guard(
+        'pooler/evidence.py',
+        'if target.record.leaving or target.missing_since is not None:',
+        'if target.missing_since is not None:',
+    ),
+    Guard('pooler/catalogue.py', 'fresh.joined_at = target.joined_at', 'pass'),
+    Guard('pooler/catalogue.py', 'if state.targets_known and not group.floor:', 'if True:'),
     Guard(
         'pooler/evidence.py',
         'view.status is not None and started_at < view.status_started_at',
@@ -50,6 +62,21 @@
     Guard(
         'pooler/evidence.py', 'max(reported.fenced_term, reported.term)', 'reported.fenced_term'
     ),
+    Guard(
+        'pooler/evidence.py',
+        'if group.floor:\n        count += group.floor - staying',
+        'if False:\n        count = 0',
+    ),
+    Guard('pooler/sessions.py', ' and state.sizes.known', ''),
+    Guard('pooler/failover.py', 'state.sizes.known and ', ''),
+    Guard('pooler/catalogue.py', 'state.sizes.differing.clear()', 'pass'),
+    Guard('pooler/recording.py', 'LOWER_DELAY_S = 60.0', 'LOWER_DELAY_S = 0.0'),
+    Guard(
+        'pooler/recording.py',
+        'record.revision >= sizes.find_record(record.group).revision',
+        'True',
+    ),
+    Guard('pooler/recording.py', 'count != recorded and ', ''),
     Guard('pooler/catalogue.py', 'event.config.version <= state.config.version', 'False'),
     Guard('pooler/duty.py', 'now - duty.claimed_at <= CLAIM_VALID_S', 'True'),
     Guard(
--- a/tests/pooler/virtual_vm.py
+++ b/tests/pooler/virtual_vm.py
@@ -1,5 +1,6 @@
 """One VM of the virtual deployment: its reducer, and effects as messages in virtual time."""
 
+import dataclasses
 import random
 
 import virtual_calls
@@ -33,6 +34,13 @@
     WriteLog,
     WriteOutcome,
 )
+from cassiaseam.pooler.sizes import (
+    ReadSizes,
+    SizesRead,
+    SizesReadFailed,
+    SizeWritten,
+    WriteSize,
+)
 from cassiaseam.pooler.state import PoolerState
 from cassiaseam.reducer.registry import reduce_event
 
@@ -188,6 +196,22 @@
             return
         virtual_calls.write_duty(self, effect)
 
+    def read_sizes(self, effect):
+        world = self.world
+        world.size_calls.append((world.now, self.name, effect))
+        found = SizesReadFailed() if self.store_cut else SizesRead(tuple(world.sizes.values()))
+        world.after(LATENCY_S, lambda: self.dispatch(found))
+
+    def write_size(self, effect):
+        world = self.world
+        world.size_calls.append((world.now, self.name, effect))
+        known = world.sizes.get(effect.record.group)
+        written = None
+        if not self.store_cut and effect.record.revision == (known.revision if known else 0):
+            written = dataclasses.replace(effect.record, revision=next(world.size_revisions))
+            world.sizes[written.group] = written
+        world.after(LATENCY_S, lambda: self.dispatch(SizeWritten(written)))
+
     def call_promotion(self, effect):
         virtual_calls.call_promotion(self, effect)
         self.reach_moment('call')
@@ -226,6 +250,8 @@
     ReadDuty: Vm.read_duty,
     WriteDuty: Vm.write_duty,
     CallPromotion: Vm.call_promotion,
+    ReadSizes: Vm.read_sizes,
+    WriteSize: Vm.write_size,
     AskSample: Vm.ask_sample,
     OfferSample: Vm.offer_sample,
     AnswerCaller: Vm.answer_caller,
