Take the youngest target beyond the recorded number for new at a start

What callers could see: an acknowledged write that is missing after a failover during a planned replacement.

Cause, found by a reviewer: a target counts as known to all VMs unless it joined while this VM watched. A VM that starts in between finds the new target in its first list, or while records are still missing, and promoted on its fence; a VM that did not know it acknowledged what the primary and the leaving target held.

Change: of more targets than are recorded the youngest count as joined at the start of the VM. A target that is leaving has not joined. Remains: a target that restarted during those seconds is taken for the new one.

--- a/src/cassiaseam/pooler/catalogue.py
+++ b/src/cassiaseam/pooler/catalogue.py
@@ -121,11 +121,11 @@
     """Begin to use a target."""
     target = TargetState(record)
     group.targets[record.name] = target
-    # The first list, and targets up to the recorded number, are what other VMs know already.
-    if state.targets_known and not group.floor:
+    if state.targets_known and not group.floor and not record.leaving:
         target.joined_at = now
     note_leaving(target, now)
     state.target_groups[record.name] = group.name
+    evidence.note_newcomers(group, state.sizes.find_record(group.name).size, now)
     evidence.refresh_members(group, now)
     return [describe_target('target_added', record)]
 
--- a/src/cassiaseam/pooler/evidence.py
+++ b/src/cassiaseam/pooler/evidence.py
@@ -64,6 +64,25 @@
     return sum(not target.record.leaving for target in group.targets.values())
 
 
+def note_newcomers(group: GroupView, recorded: int, now: float) -> None:
+    """Take the youngest targets beyond the recorded number for ones that have just joined.
+
+    A VM that starts during a planned replacement finds all of them in its first list, and other
+    VMs may not know the new one yet.
+    """
+    joined = sum(target.joined_at is not None for target in group.targets.values())
+    excess = len(group.targets) - recorded - joined if recorded else 0
+    others = [
+        target
+        for target in group.targets.values()
+        if target.joined_at is None and not target.record.leaving
+    ]
+    # Starts are numbers without leading zeros: the longer one is the later one.
+    others.sort(key=lambda it: (len(it.record.incarnation), it.record.incarnation))
+    for target in others[len(others) - excess :] if excess > 0 else []:
+        target.joined_at = now
+
+
 def count_missing(group: GroupView) -> int:
     """Return how many targets that have not announced that they leave have no record."""
     return sum(
--- a/src/cassiaseam/pooler/recording.py
+++ b/src/cassiaseam/pooler/recording.py
@@ -118,6 +118,7 @@
     """Let groups count over as many targets as are recorded until so many are known."""
     for group in groups:
         group.floor = state.sizes.find_record(group.name).size
+        evidence.note_newcomers(group, group.floor, now)
         evidence.refresh_members(group, now)
 
 
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -56,7 +56,12 @@
         'if target.missing_since is not None:',
     ),
     Guard('pooler/catalogue.py', 'fresh.joined_at = target.joined_at', 'pass'),
-    Guard('pooler/catalogue.py', 'if state.targets_known and not group.floor:', 'if True:'),
+    Guard(
+        'pooler/catalogue.py',
+        'if state.targets_known and not group.floor and not record.leaving:',
+        'if True:',
+    ),
+    Guard('pooler/evidence.py', 'if recorded else 0', 'if False else 0'),
     Guard(
         'pooler/evidence.py',
         'view.status is not None and started_at < view.status_started_at',
--- a/tests/pooler/test_pooler_majorities.py
+++ b/tests/pooler/test_pooler_majorities.py
@@ -9,7 +9,7 @@
 
 from cassiaseam.pooler import evidence
 from cassiaseam.pooler.commands import StatementKind
-from cassiaseam.pooler.events import TargetChanged
+from cassiaseam.pooler.events import TargetChanged, TargetsListed
 from cassiaseam.pooler.model import TargetRecord
 from cassiaseam.pooler.state import GroupView, TargetState
 
@@ -196,3 +196,31 @@
     world.targets['t3'].born += 1
     world.vms['vm0'].dispatch(TargetChanged(world.targets['t3'].get_record()))
     assert world.vms['vm0'].state.groups[GROUP].targets['t3'].joined_at is not None
+
+
+@pytest.mark.parametrize(
+    ('first_listed', 'leaving', 'recorded', 'joined'),
+    [
+        (('t0', 't1', 't2', 't3'), '', 3, {'t3'}),
+        (('t0', 't1', 't2', 't3'), 't0', 3, {'t3'}),
+        (('t0', 't1', 't3'), 't2', 3, {'t3'}),
+        (('t0', 't1'), 't2', 3, {'t3'}),
+        (('t0', 't1', 't2', 't3'), '', 4, set()),
+        (('t0', 't1', 't2', 't3'), '', 0, set()),
+    ],
+)
+def test_vm_that_starts_takes_the_youngest_target_for_new(first_listed, leaving, recorded, joined):
+    # A VM that started during a planned replacement promoted on a fence of the new target, while
+    # a VM that did not know it acknowledged what the primary and the leaving target held.
+    world = World(vms=1, copies=4, listed={'vm0': ()}, sizes={GROUP: recorded})
+    vm = world.vms['vm0']
+    vm.state.targets_known = False
+    world.targets['t3'].born = 12
+    for target in world.targets.values():
+        target.leaving = target.name == leaving
+    records = tuple(world.targets[name].get_record() for name in first_listed)
+    vm.dispatch(TargetsListed(records))
+    for target in world.targets.values():
+        vm.dispatch(TargetChanged(target.get_record()))
+    states = vm.state.groups[GROUP].targets
+    assert {name for name, target in states.items() if target.joined_at is not None} == joined
