Let a target of the stand-in check the floor of a read when it runs

The daemon had sent it with floor 3.280 to shop-2 (request prices2.374, 19 ms); shop-2 stepped down 0.5 s after its successor led, at that moment. The stand-in checked the floor, waited for a slot, and rolled its visible log back meanwhile; the read ran on the empty log. A target that says that its log holds a position has to hold it when the read runs, so the stand-in checks again after the wait.

--- a/src/cassiaseam_standin/line_target.py
+++ b/src/cassiaseam_standin/line_target.py
@@ -223,6 +223,9 @@
             return command(self, connection, rest)
         async with self.slots:
             await asyncio.sleep(RUN_S)
+        # The log may have been rolled back meanwhile.
+        if floor is not None and not covers(self.visible, floor):
+            return self.fail(connection, 'LAGGING')
         return self.run_data(connection, request_id, text)
 
     def run_data(self, connection: Connection, request_id: str, text: str) -> list[str]:
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -99,7 +99,14 @@
         'record.holder == state.vm',
     ),
     Guard('pooler/failover.py', 'promotion.stage in STAGES_UNDER_CLAIM and ', 'False and '),
-    Guard('pooler/failover.py', 'steering.cancel_unsent_commands(group)', 'pass'),
+    Guard(
+        'pooler/failover.py',
+        'steering.cancel_unsent_commands(group)\n    promotion.token = 0',
+        'promotion.token = 0',
+    ),
+    Guard('pooler/duty.py', ' or duty.lifted', ''),
+    Guard('pooler/duty.py', 'now - duty.claimed_at <= LIFT_LIMIT_S', 'True'),
+    Guard('pooler/catalogue.py', 'group.promotion.grants.pop(name, None)', 'pass'),
     Guard('pooler/candidates.py', ' and target.missing_since is None', ''),
     Guard('httpio.py', 'if not may_send():', 'if False:'),
     Guard(
--- a/tests/soak/test_handover.py
+++ b/tests/soak/test_handover.py
@@ -12,7 +12,9 @@
 from cassiaseam_soak.installation import GROUP, Daemon, Installation
 from cassiaseam_soak.proxy import HoldingProxy
 from cassiaseam_soak.run import check_superseded, check_tokens
+from cassiaseam_standin.line_group import LineGroup
 from cassiaseam_standin.line_store import PromotionCall
+from cassiaseam_standin.line_target import Connection
 
 # Times in seconds and kinds of the faults of a regression seed of `test_soak`.
 PLAN_OF_202 = [
@@ -209,3 +211,18 @@
         return hits, (await caught).name
 
     assert run_with_store(act) == ([('vm-1', 0)], 'vm-1')
+
+
+def test_read_of_a_target_that_steps_down_meanwhile_keeps_its_floor():
+    # The floor was checked before the read waited for its turn. The read ran on a log that had
+    # been rolled back, and seed 6112 reported a stale read of the daemon.
+    async def read_while_stepping_down():
+        group = LineGroup(GROUP, ('north',))
+        target = next(iter(group.targets.values()))
+        target.commit([('item', 'written')])
+        reading = asyncio.ensure_future(target.run(Connection(None), 'r1', 'AFTER 1.1 READ item'))
+        await asyncio.sleep(0)
+        target.step_down()
+        return await reading
+
+    assert asyncio.run(read_while_stepping_down())[0].startswith('ERROR LAGGING')
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -20,6 +20,8 @@
     (7004, SoakShape(daemons=5)),
     # Calls without an answer counted as over, and arrived after calls of the next claim.
     (3034, SoakShape(handover=True)),
+    # A target of the stand-in read below the floor of a read while it stepped down.
+    (6112, SoakShape(handover=True)),
 ]
 
 
