--- a/src/cassiaseam/pooler/duty.py
+++ b/src/cassiaseam/pooler/duty.py
@@ -35,7 +35,7 @@
 # Seconds after which a read, a claim or a call without a result is not waited for any longer;
 # above the time limits of these calls.
 ASK_LIMIT_S = 3.0
-# Seconds after it was sent for which a call without an answer may still reach the platform. Its
+# Seconds after it was decided for which a call without an answer may still reach the platform. Its
 # connection ends before that, but an API that is slow may hold a call that it has received.
 UNANSWERED_CALL_S = 3.0
 
@@ -199,9 +199,9 @@
 
 
 def was_replaced_lately(state: PoolerState, now: float) -> bool:
-    """Return whether another VM has held the duty since this one called the platform lately.
+    """Return whether this VM called the platform lately and another one wrote the record since.
 
-    That VM and all others may act meanwhile.
+    All other VMs may act meanwhile.
     """
     duty = state.duty
     if duty.acted_at is None or duty.record is None or is_own_record(state, duty.record):
--- a/src/cassiaseam/pooler/duty_state.py
+++ b/src/cassiaseam/pooler/duty_state.py
@@ -9,6 +9,10 @@
 class DutyView:
     """What this daemon knows of the duty record, and its own claim.
 
+    A call is counted in `calls` until it is answered or given up. One that was sent and given up
+    may still arrive until `unanswered_until`. As long as either holds, the duty is neither
+    released nor claimed again.
+
     Attributes:
         process: Random id of this process, with which the nonces of its claims begin, or '' before
             its first claim.
--- a/src/cassiaseam/pooler/evidence.py
+++ b/src/cassiaseam/pooler/evidence.py
@@ -259,7 +259,10 @@
 
 
 def count_needed_grants(group: GroupView, left_out: int = 0) -> int:
-    """Return how many fences meet every majority of the targets that are not left out."""
+    """Return how many fences meet every majority of the targets that are not left out.
+
+    None are needed when all targets are left out: each of them is fenced.
+    """
     size = group.size - left_out
     majority = size // 2 + 1
     return size - majority + 1
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -109,6 +109,7 @@
     Guard('pooler/catalogue.py', 'group.promotion.grants.pop(name, None)', 'pass'),
     Guard('pooler/candidates.py', ' and target.missing_since is None', ''),
     Guard('httpio.py', 'if not may_send():', 'if False:'),
+    Guard('pooler/runtime.py', 'may_send=lambda: node.clock() <= effect.send_by', 'may_send=bool'),
     Guard(
         'httpio.py',
         'written = protocol.transport.writeSomeData(encoded)',
--- a/tests/platform/test_promotion_call.py
+++ b/tests/platform/test_promotion_call.py
@@ -1,6 +1,7 @@
 """When a call to promote a target leaves, and when it cannot arrive any longer."""
 
 import socket
+from types import SimpleNamespace
 
 import pytest
 from result import Err, Ok
@@ -9,8 +10,11 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
+from cassiaseam.daemon.node import Node
 from cassiaseam.platform.store import PROMOTION_DELIVERY_MS, PROMOTION_LIMIT_S, PromotionCaller
-from cassiaseam.pooler import duty
+from cassiaseam.pooler import duty, runtime
+from cassiaseam.pooler.environments import Environment
+from cassiaseam.pooler.events import CallPromotion
 
 
 class Transport:
@@ -122,3 +126,20 @@
     delivered_s = duty.CLAIM_VALID_S + PROMOTION_DELIVERY_MS / 1000
     assert delivered_s < duty.CLAIM_LIFETIME_S
     assert PROMOTION_LIMIT_S < duty.UNANSWERED_CALL_S
+
+
+@pytest.mark.parametrize(('now', 'may_send'), [(4.9, True), (5.1, False)])
+def test_daemon_asks_its_clock_when_a_call_leaves(monkeypatch, now, may_send):
+    # The time until which a call may be sent was known, but nobody asked about it.
+    asked = []
+
+    async def promote(*_, may_send):
+        asked.append(may_send())
+        return Ok(None)
+
+    node = Node(None, lambda: now)
+    monkeypatch.setattr(node, 'dispatch', lambda event: None)
+    node.services[Environment] = SimpleNamespace(promotions=SimpleNamespace(promote=promote))
+    node.services[runtime.PoolerRuntime] = SimpleNamespace(log_failure=pytest.fail)
+    runtime.call_promotion(node, CallPromotion('g', 'g1', 'vm0', 6, send_by=5.0))
+    assert asked == [may_send]
--- a/tests/pooler/test_pooler_handover.py
+++ b/tests/pooler/test_pooler_handover.py
@@ -186,7 +186,7 @@
     return group
 
 
-# Another VM may take over 3 s after the claim; a step at this time is under no valid claim.
+# Another VM may take over 3.5 s after the claim; a step at this time is under no valid claim.
 EXPIRED_S = 1 + CLAIM_VALID_S + 1.5
 
 
@@ -216,7 +216,7 @@
     ids=['demote', 'catch-up-ends', 'fence', 'fence-ends'],
 )
 def test_step_under_an_expired_claim_steers_no_target(stage, began_at):
-    # The steps of a planned promotion take up to 4 s, others take over after 3 s.
+    # The steps of a planned promotion take up to 4 s, others take over after 3.5 s.
     state = build_state()
     group = fence_targets(state)
     claim_late(state, 'primary_failed', False, 1.1)
--- a/tests/pooler/test_pooler_promises.py
+++ b/tests/pooler/test_pooler_promises.py
@@ -102,7 +102,7 @@
     def step(self, vm, session, database, own):
         """Send the next statement of a session."""
         world = self.world
-        # A caller whose session was closed goes to another VM.
+        # A caller whose session was closed sends nothing more on it.
         if world.now > CALLERS_UNTIL_S or (vm, session) in world.closed:
             return
         chosen = world.rng.random()
