Release the duty after a planned promotion that lifted no fences

Every planned promotion marked its claim as one under which fences were lifted, also when there was none to lift, so that other VMs waited 3.5 s for the duty.

--- a/src/cassiaseam/pooler/failover.py
+++ b/src/cassiaseam/pooler/failover.py
@@ -41,8 +41,6 @@
 POLL_S = 0.03
 # Seconds for which a former primary is told to step down.
 DEMOTE_FORMER_S = 6.0
-
-
 # Steps that change targets. Another VM may rely on its own fences once the claim has expired.
 STAGES_UNDER_CLAIM = frozenset(
     (
@@ -172,17 +170,22 @@
 
 
 def lift_abandoned_fences(state: PoolerState, group: GroupView, now: float) -> list:
-    """Lift the fences that a VM has left behind.
-
-    Commands that cannot leave now are dropped, and the claim is not released: a fence that is
-    lifted late would be one on which the next holder counts.
-    """
+    """Lift the fences that a VM has left behind."""
     if not duty.may_lift_fences(state, now):
         return give_up(state, group, 'the claim is too old to lift fences', now)
-    state.duty.lifted = True
+    effects = lift_fences_now(state, group, now)
+    return effects + end_promotion(state, group, now)
+
+
+def lift_fences_now(state: PoolerState, group: GroupView, now: float) -> list:
+    """Lift fences by commands that leave at once, and keep the claim until it lapses.
+
+    A fence that is lifted late would be one on which the next holder counts.
+    """
     effects = steering.lift_fences(state, group, now)
     steering.cancel_unsent_commands(group)
-    return effects + end_promotion(state, group, now)
+    state.duty.lifted = state.duty.lifted or bool(effects)
+    return effects
 
 
 def renew_claim(state: PoolerState, group: GroupView, now: float) -> list:
@@ -229,9 +232,7 @@
     promotion.sent_at = now
     effects: list = []
     if duty.may_lift_fences(state, now):
-        state.duty.lifted = True
-        effects += steering.lift_fences(state, group, now)
-        steering.cancel_unsent_commands(group)
+        effects += lift_fences_now(state, group, now)
     command = Demote(promotion.term)
     return effects + steering.send_control(state, group, promotion.old_primary, command, now)
 
--- a/tests/pooler/test_pooler_duty.py
+++ b/tests/pooler/test_pooler_duty.py
@@ -407,3 +407,20 @@
     record = DutyRecord('vm1', 'n1', released=True)
     effects = reduce_event(state, DutyRead(9, record), asked_at)
     assert bool(find(effects, WriteDuty)) is claims
+
+
+@pytest.mark.parametrize(('fenced', 'released'), [(False, True), (True, False)])
+def test_planned_promotion_releases_the_duty_unless_it_lifted_fences(fenced, released):
+    # Every planned promotion would keep the duty from the other VMs for seconds.
+    state = build_state()
+    group = state.groups['g']
+    group.targets['g0'].failing_since = None
+    group.targets['g0'].record = dataclasses.replace(group.targets['g0'].record, leaving=True)
+    if fenced:
+        status = ReportedStatus(False, 1, LogPosition(1, 5), 2, 0, 0, 1)
+        note_status(group, 'g1', 0.1, status, 0.1)
+    effects = failover.start_promotion(state, group, 'primary_leaving', True, 1)
+    claim(state, effects, 5, 1)
+    assert group.promotion.stage is PromotionStage.DEMOTE
+    effects = failover.give_up(state, group, 'test', 1.2)
+    assert bool(find(effects, WriteDuty)) is released
