Choose ports of daemon tests below those of outgoing connections

Traced: the test chooses a free port, and the daemon listens on it a second or more later under that load; the port was one that the kernel hands out to connections and to other tests. A run with the port taken on purpose shows the same: code 1, empty error output, daemon_start_failed 'Address already in use'. The daemon is right to end. The port now comes from a range that the kernel does not hand out; the checks stay as they are.

--- a/tests/daemon/test_signals.py
+++ b/tests/daemon/test_signals.py
@@ -1,7 +1,9 @@
 """Signals that reach a daemon while it starts."""
 
+import contextlib
 import errno
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -18,9 +20,16 @@
 SIGNAL_DELIVERY_S = 0.1
 
 
+# Below the ports that the kernel gives to outgoing connections: one of those was taken by another
+# process before the daemon listened on it.
+PORTS = range(20_000, 32_000)
+
+
 def find_port():
-    with socket.create_server(('127.0.0.1', 0)) as server:
-        return server.getsockname()[1]
+    while True:
+        port = random.choice(PORTS)
+        with contextlib.suppress(OSError), socket.create_server(('127.0.0.1', port)):
+            return port
 
 
 def write_pooler_settings(folder):
