Log each new era of the store and show it as a metric

After a restore from a copy, neither logs nor metrics told that the store had been restored, and a VM that read on across it looked like any other.

The adapter reads Store-Era from every answer, also from errors; a header that is not a number fails the call with a log line.

--- a/src/cassiaseam/httpio.py
+++ b/src/cassiaseam/httpio.py
@@ -6,7 +6,7 @@
 
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import h11
@@ -37,10 +37,17 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """Status and body of a response."""
+    """Response of a server.
+
+    Attributes:
+        status: Status code.
+        body: Content.
+        headers: Header values by lower-case name.
+    """
 
     status: int
     body: bytes
+    headers: dict[str, str] = field(default_factory=dict)
 
 
 def enable_dead_peer_detection(
@@ -69,6 +76,7 @@
         self.client = client
         self.http = h11.Connection(h11.CLIENT)
         self.status = 0
+        self.headers: dict[str, str] = {}
         self.body: list[bytes] = []
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -100,6 +108,9 @@
                 return
             if isinstance(event, h11.Response):
                 self.status = event.status_code
+                self.headers = {
+                    name.decode('latin-1'): text.decode('latin-1') for name, text in event.headers
+                }
             elif isinstance(event, h11.Data):
                 self.body.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
@@ -109,7 +120,7 @@
                 return
 
     def _complete_response(self) -> None:
-        answer = HttpResponse(self.status, b''.join(self.body))
+        answer = HttpResponse(self.status, b''.join(self.body), self.headers)
         self.body = []
         reusable = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
         if reusable:
--- a/src/cassiaseam/platform/environment.py
+++ b/src/cassiaseam/platform/environment.py
@@ -21,7 +21,7 @@
     return Environment(
         callers=CallerFactory(dispatch),
         targets=TargetConnector(reactor, settings.vm, dispatch),
-        store=PlatformStore(reactor, settings.store.host, settings.store.port),
+        store=PlatformStore(reactor, settings.store.host, settings.store.port, dispatch),
         promotions=PromotionClient(reactor, settings.promotions.host, settings.promotions.port),
         kinds=StoreKinds(
             records.CONFIG_KIND,
--- a/src/cassiaseam/platform/store.py
+++ b/src/cassiaseam/platform/store.py
@@ -9,7 +9,7 @@
 
 from cassiaseam.httpio import HttpCallFailed, HttpClient, HttpResponse
 from cassiaseam.platform import records
-from cassiaseam.pooler.events import LeaseRecord, PeerRecord, WriteOutcome
+from cassiaseam.pooler.events import LeaseRecord, PeerRecord, StoreEraObserved, WriteOutcome
 from cassiaseam.pooler.group_sizes import SizeRecord
 from cassiaseam.pooler.store_types import (
     Change,
@@ -32,6 +32,8 @@
 WATCH_TIMEOUT_MARGIN_S = 2.0
 # Allows the store to respond from a copy that may be seconds old.
 ALLOW_STALE_PARAM = '&allowStale=1'
+# Number in each answer of the store that rises by one when the store is restored from a copy.
+ERA_HEADER = 'store-era'
 _OK = 200
 _CREATED = 201
 _NOT_FOUND = 404
@@ -43,9 +45,13 @@
 
 
 class PlatformStore:
-    """Client of the platform's object store."""
+    """Client of the platform's object store.
 
-    def __init__(self, reactor: Any, host: str, port: int):
+    Attributes:
+        dispatch: Callback for the events that tell the era of each answer.
+    """
+
+    def __init__(self, reactor: Any, host: str, port: int, dispatch: Callable[[Any], None]):
         # A watch occupies its connection, so each kind has its own client.
         self.clients = {
             kind: HttpClient(reactor, host, port)
@@ -58,6 +64,7 @@
         }
         self.reactor = reactor
         self.address = (host, port)
+        self.dispatch = dispatch
 
     async def list_objects(
         self, kind: str, allow_stale: bool = False
@@ -100,7 +107,7 @@
         path = f'/objects/{kind}?watch={revision}&waitMs={int(wait_s * 1000)}{stale}'
         client = self.clients[kind]
         try:
-            answer = await client.run_call('GET', path, wait_s + WATCH_TIMEOUT_MARGIN_S)
+            answer = await self._run_call(client, 'GET', path, wait_s + WATCH_TIMEOUT_MARGIN_S)
         except HttpCallFailed as failure:
             return Err(StoreError(str(failure)))
         if answer.status == _GONE:
@@ -181,13 +188,25 @@
     ) -> HttpResponse:
         client = HttpClient(self.reactor, *self.address)
         try:
-            return await client.run_call(method, path, timeout_s, body)
+            return await self._run_call(client, method, path, timeout_s, body)
         finally:
             client.close()
 
+    async def _run_call(
+        self, client: HttpClient, method: str, path: str, timeout_s: float, body: bytes = b''
+    ) -> HttpResponse:
+        """Make a call and report the era of its answer.
+
+        Raises:
+            HttpCallFailed: There is no answer, or its era cannot be read.
+        """
+        answer = await client.run_call(method, path, timeout_s, body)
+        self.dispatch(StoreEraObserved(read_era(answer)))
+        return answer
+
     async def _call(self, client: HttpClient, method: str, path: str):
         try:
-            answer = await client.run_call(method, path, READ_TIMEOUT_S)
+            answer = await self._run_call(client, method, path, READ_TIMEOUT_S)
         except HttpCallFailed as failure:
             return Err(StoreError(str(failure)))
         content = _decode_body(answer)
@@ -196,6 +215,18 @@
         return Ok(content)
 
 
+def read_era(answer: HttpResponse) -> int:
+    """Return the era of an answer; 0 for a store that names none.
+
+    Raises:
+        HttpCallFailed: The header is not a number.
+    """
+    text = answer.headers.get(ERA_HEADER, '0')
+    if not text.isdecimal():
+        raise HttpCallFailed(f'Store-Era {text!r} is not a number', may_have_arrived=True)
+    return int(text)
+
+
 class PromotionClient:
     """Client of the platform's API that promotes a target to the primary of its group."""
 
--- a/src/cassiaseam/pooler/discovery.py
+++ b/src/cassiaseam/pooler/discovery.py
@@ -21,7 +21,10 @@
 def apply_configuration(state: PoolerState, event: ConfigurationRead, now: float) -> list:
     """Apply a configuration unless it is as old as the current one or older."""
     if state.config is not None and event.config.version <= state.config.version:
-        return []
+        if event.config.version == state.config.version:
+            return []
+        fields = {'version': event.config.version, 'in_force': state.config.version}
+        return [WriteLog('configuration_ignored', fields)]
     state.config = event.config
     log = WriteLog(
         'configuration_applied',
--- a/src/cassiaseam/pooler/events.py
+++ b/src/cassiaseam/pooler/events.py
@@ -110,6 +110,13 @@
     reachable: bool
 
 
+@dataclass(frozen=True, slots=True)
+class StoreEraObserved:
+    """Event: an answer of the store named the era that it is from."""
+
+    era: int
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseRecord:
     """Record in the store that names the VM which may promote targets.
--- a/src/cassiaseam/pooler/metrics.py
+++ b/src/cassiaseam/pooler/metrics.py
@@ -35,6 +35,7 @@
         f'cassiaseam_target_connections {len(state.connections)}',
         f'cassiaseam_configuration_version {state.config.version if state.config else 0}',
         f'cassiaseam_store_reachable {int(state.store_reachable)}',
+        f'cassiaseam_store_era {state.store_era or 0}',
     ]
     for (route, outcome), count in sorted(state.counters.items()):
         labels = f'route="{route}",outcome="{outcome}"'
--- a/src/cassiaseam/pooler/runtime.py
+++ b/src/cassiaseam/pooler/runtime.py
@@ -21,6 +21,7 @@
     peers,
     sample_sharing,
     sessions,
+    store_era,
     targets,
     ticks,
 )
@@ -64,6 +65,7 @@
     peers,
     sessions,
     sample_sharing,
+    store_era,
     targets,
     ticks,
 )
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -354,6 +354,8 @@
         next_connection_id: Id of the next connection.
         stopping_since: Time at which the daemon was told to stop, or None.
         store_reachable: Whether the store answers.
+        store_era: Newest era of the store that an answer named, or None before the first answer.
+        store_era_since: Time at which an answer first named it.
         lease: State of the promotion lease on this VM.
         targets_known: Whether the target records were read.
         sizes: Recorded sizes of the groups.
@@ -377,6 +379,8 @@
     next_connection_id: int = 1
     stopping_since: float | None = None
     store_reachable: bool = False
+    store_era: int | None = None
+    store_era_since: float = 0
     targets_known: bool = False
     sizes: GroupSizesState = field(default_factory=GroupSizesState)
     peers: dict[str, PeerState] = field(default_factory=dict)
--- a/src/cassiaseam/pooler/store_watcher.py
+++ b/src/cassiaseam/pooler/store_watcher.py
@@ -128,6 +128,7 @@
                 continue
             backoff_s = INITIAL_BACKOFF_S
             self.report_reachability(kind, True)
+            self.log('store_listed', kind=kind, revision=listing.ok_value.revision)
             on_list(listing.ok_value.changes)
             await self.watch(kind, listing.ok_value.revision, on_change)
 
