--- a/src/cassiaseam_soak/installation.py
+++ b/src/cassiaseam_soak/installation.py
@@ -34,8 +34,14 @@
             listener.close()
 
 
+def get_version_database(version: int) -> str:
+    """Return the name of the database that only one version of the configuration has."""
+    return f'version-{version}'
+
+
 def build_config(version: int) -> dict:
     """Return a configuration document in the format of the platform."""
+    names = {**ROUTES, get_version_database(version): 'primary'}
     routes = [
         {
             'name': f'r-{name}',
@@ -47,7 +53,7 @@
             'maxStalenessMs': 1500,
             'priority': 1,
         }
-        for name, kind in ROUTES.items()
+        for name, kind in names.items()
     ]
     services = [{'name': GROUP, 'maxConnections': 60, 'syncReplicas': 0}]
     return {'version': version, 'routes': routes, 'services': services, 'limits': {}}
@@ -189,6 +195,10 @@
     def change_config(self) -> None:
         """Publish a new version of the configuration."""
         self.version += 1
+        self.rewrite_config()
+
+    def rewrite_config(self) -> None:
+        """Write the newest version of the configuration, which a restore may have lost."""
         self.store.put('config', 'main', build_config(self.version))
 
     async def stop(self) -> None:
--- a/src/cassiaseam_soak/run.py
+++ b/src/cassiaseam_soak/run.py
@@ -14,22 +14,37 @@
     MAX_PAUSE_S,
     plan_handover_faults,
 )
-from cassiaseam_soak.installation import ROUTES, Installation
+from cassiaseam_soak.installation import ROUTES, Installation, get_version_database
+from cassiaseam_soak.restores import (
+    RESTORE_FAULT_MAX_S,
+    RESTORE_FAULTS,
+    RESTORES_UNTIL_S,
+    plan_restore_faults,
+)
 
 FAULTS_FROM_S = 1.0
 FAULTS_UNTIL_S = 6.0
 # Time in seconds after the last scheduled fault within which the system must recover.
 RECOVERY_S = 7.0
 MIN_SUCCESSFUL_STATEMENTS = 50
+ALL_FAULTS = {**FAULTS, **HANDOVER_FAULTS, **RESTORE_FAULTS}
 
 
 @dataclass(frozen=True, slots=True)
 class SoakShape:
-    """Size of a run: daemons, callers per database, and whether to add handover faults."""
+    """Size of a run, and the faults that it adds.
+
+    Attributes:
+        daemons: Number of daemons.
+        callers: Number of callers per database.
+        handover: Whether to add faults at the handover of the promotion lease.
+        restores: Whether to add restores of the store.
+    """
 
     daemons: int = 3
     callers: int = 3
     handover: bool = False
+    restores: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +79,10 @@
             end += HANDOVER_UNTIL_S - FAULTS_UNTIL_S + HANDOVER_FAULT_MAX_S
             # A paused daemon cannot answer, and a pause may exceed the usual slack.
             ledger.answer_timeout_s += MAX_PAUSE_S
+        if shape.restores:
+            faults += plan_restore_faults(random.Random(f'restores-{seed}'), FAULTS_FROM_S)
+            end += RESTORES_UNTIL_S - FAULTS_UNTIL_S + RESTORE_FAULT_MAX_S
+            ledger.answer_timeout_s += MAX_PAUSE_S
         ports = [daemon.callers_port for daemon in installation.daemons]
         callers = [
             Caller(f'{database}{index}', database, ports, ledger, seed)
@@ -73,6 +92,7 @@
         injected = [inject(installation, rng, fault, descriptions) for fault in faults]
         await asyncio.gather(*(caller.run_until(end) for caller in callers), *injected)
         await check_recovery(installation, ledger)
+        await check_configuration(installation, ledger)
         check_log(installation, ledger)
         check_exits(installation, ledger)
         check_fencing_tokens(installation, ledger)
@@ -94,7 +114,7 @@
     """Wait for the start time of a fault and inject it."""
     await asyncio.sleep(fault.at)
     own_rng = random.Random(f'{fault.at}')
-    action = FAULTS.get(fault.kind) or HANDOVER_FAULTS[fault.kind]
+    action = ALL_FAULTS[fault.kind]
     started = asyncio.get_running_loop().time()
     hit = await action(installation, own_rng, fault.duration_s)
     descriptions.append(
@@ -102,6 +122,20 @@
     )
 
 
+async def check_configuration(installation: Installation, ledger: Ledger) -> None:
+    """Check that every daemon has applied the newest version of the configuration."""
+    database = get_version_database(installation.version)
+    for daemon in installation.daemons:
+        caller = Caller(f'last-{daemon.name}', database, [daemon.callers_port], ledger, 0)
+        try:
+            await caller.connect()
+        except (OSError, SessionLost) as error:
+            ledger.violations.append(
+                f'{daemon.name} lacks version {installation.version}: {error!r}'
+            )
+        caller.disconnect()
+
+
 async def check_recovery(installation: Installation, ledger: Ledger) -> None:
     """Check that every daemon serves a write after the faults."""
     for daemon in installation.daemons:
--- a/src/cassiaseam_standin/line_store.py
+++ b/src/cassiaseam_standin/line_store.py
@@ -18,6 +18,23 @@
 _REASONS = {200: 'OK', 404: 'Not Found', 409: 'Conflict', 410: 'Gone', 503: 'Unavailable'}
 
 
+@dataclass(frozen=True, slots=True)
+class UndoEntry:
+    """What a change replaced, so that a restore can take the change back.
+
+    Attributes:
+        at: Time of the change in seconds on the clock of the event loop.
+        former: Object before the change, or None if there was none.
+        former_revision: Revision of the store before the change.
+    """
+
+    at: float
+    kind: str
+    name: str
+    former: dict[str, Any] | None
+    former_revision: int
+
+
 @dataclass(slots=True)
 class PromotionCall:
     """A call to promote a target; times in seconds on the clock of the event loop.
@@ -52,6 +69,9 @@
         calls: Calls received.
         promotions: Promotion calls, in order of arrival.
         write_observers: Called with kind and object at each write, before its answer is sent.
+        era: Number that rises by one with each restore; every answer names it.
+        undo_entries: What each change replaced, in the order of the changes.
+        writers: Open connections.
     """
 
     def __init__(self, groups: dict[str, LineGroup]):
@@ -70,6 +90,9 @@
         self.calls = 0
         self.promotions: list[PromotionCall] = []
         self.write_observers: list[Callable[[str, dict[str, Any]], None]] = []
+        self.era = 1
+        self.undo_entries: list[UndoEntry] = []
+        self.writers: set[asyncio.StreamWriter] = set()
         self.port = 0
         self.server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -108,6 +131,7 @@
 
     def put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
         """Write an object and notify the watches."""
+        self.record_undo(kind, name)
         self.revision += 1
         known = self.objects.setdefault(kind, {}).get(name)
         created_revision = known['meta']['createdRevision'] if known else self.revision
@@ -127,11 +151,34 @@
 
     def delete(self, kind: str, name: str) -> None:
         """Remove an object."""
-        stored = self.objects.get(kind, {}).pop(name, None)
+        stored = self.objects.get(kind, {}).get(name)
         if stored is not None:
+            self.record_undo(kind, name)
+            del self.objects[kind][name]
             self.revision += 1
             self.record_event(kind, stored, deleted=True)
 
+    def record_undo(self, kind: str, name: str) -> None:
+        """Record what a change is about to replace."""
+        now = asyncio.get_running_loop().time()
+        former = self.objects.get(kind, {}).get(name)
+        self.undo_entries.append(UndoEntry(now, kind, name, former, self.revision))
+
+    def restore(self, now: float, age_s: float) -> None:
+        """Return to the state of `age_s` seconds ago, begin an era and close all connections."""
+        while self.undo_entries and self.undo_entries[-1].at > now - age_s:
+            entry = self.undo_entries.pop()
+            self.revision = entry.former_revision
+            if entry.former is None:
+                self.objects[entry.kind].pop(entry.name, None)
+            else:
+                self.objects[entry.kind][entry.name] = entry.former
+        self.events = [event for event in self.events if event[0] <= self.revision]
+        self.dropped_until = min(self.dropped_until, self.revision)
+        self.era += 1
+        for writer in self.writers:
+            writer.transport.abort()
+
     def record_event(self, kind: str, stored: dict[str, Any], deleted: bool) -> None:
         """Record a change for the watches."""
         self.events.append((self.revision, kind, stored, deleted))
@@ -155,6 +202,7 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer the calls of one connection."""
+        self.writers.add(writer)
         try:
             keep_alive = True
             while keep_alive:
@@ -162,6 +210,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             return
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def serve_call(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
@@ -187,8 +236,13 @@
             self.lose_writes -= 1
             return False
         encoded = json.dumps(content).encode()
-        head = f'HTTP/1.1 {status} {_REASONS[status]}\r\nContent-Length: {len(encoded)}\r\n\r\n'
-        writer.write(head.encode() + encoded)
+        lines = (
+            f'HTTP/1.1 {status} {_REASONS[status]}',
+            f'Store-Era: {self.era}',
+            f'Content-Length: {len(encoded)}',
+            '\r\n',
+        )
+        writer.write('\r\n'.join(lines).encode() + encoded)
         await writer.drain()
         return True
 
@@ -231,7 +285,7 @@
         end = loop.time() + wait_s
         async with self.changed:
             while True:
-                if revision < self.dropped_until:
+                if revision < self.dropped_until or revision > self.revision:
                     return 410, {}
                 found = [
                     {'object': stored, 'deleted': deleted}
--- a/tests/pooler/pooler_world.py
+++ b/tests/pooler/pooler_world.py
@@ -123,11 +123,9 @@
         self.heap = []
         self.order = itertools.count()
         self.platform = VirtualPlatform(self)
-        self.size_revisions = itertools.count(1)
-        sizes = {GROUP: target_count} if sizes is None else sizes
-        self.sizes = {
-            name: SizeRecord(name, size, next(self.size_revisions)) for name, size in sizes.items()
-        }
+        self.sizes = {}
+        for name, size in ({GROUP: target_count} if sizes is None else sizes).items():
+            self.sizes[name] = SizeRecord(name, size, self.platform.take_revision())
         self.size_calls = []
         self.cuts = set()
         self.lossy = {}
@@ -320,6 +318,13 @@
 
         self.after(for_s, heal)
 
+    def restore_store(self, age_s, away_s):
+        """Take the store away and bring it back from a copy that is `age_s` seconds old."""
+        self.after(away_s, lambda: self.platform.restore(away_s + age_s))
+        for name, vm in self.vms.items():
+            if not vm.store_cut:
+                self.cut_store(name, away_s)
+
     # callers
 
     def connect(self, vm, session, database):
--- a/tests/pooler/test_pooler_store_watcher.py
+++ b/tests/pooler/test_pooler_store_watcher.py
@@ -24,6 +24,11 @@
 from cassiaseam.pooler.store_watcher import StoreKinds, StoreWatcher
 from cassiaseam.reducer.registry import reduce_event
 
+
+def encode_revision(era, number):
+    return number
+
+
 KINDS = StoreKinds('config', 'main', 'servers', 'vms', 'sizes')
 TARGET = {
     'service': 'g',
@@ -142,6 +147,34 @@
     assert 'store_watch_failed' in calls
 
 
+LISTED_AGAIN = Listing((Change('main', config(9), False),), encode_revision(2, 50))
+
+
+@pytest.mark.parametrize(
+    'watched',
+    [
+        [Err(StoreError('connection lost')), Ok(Listing((), encode_revision(2, 60)))],
+        [Ok(Listing((), encode_revision(2, 60)))],
+    ],
+    ids=['watch-lost', 'watch-answered-by-the-restored-store'],
+)
+def test_version_below_the_watched_revision_of_a_restored_store_is_applied(watched):
+    # A VM watched from revision 37; the store came back at a lower one, a version was written
+    # below 37, and other records took the counter past it: the watch never returned that version
+    # (restored-cut, rule CONFIG).
+    lists = {
+        'config': [
+            Ok(Listing((Change('main', config(3), False),), encode_revision(1, 37))),
+            Ok(LISTED_AGAIN),
+        ]
+    }
+    events, store, clock, _ = run_watcher(lists, {'config': watched})
+    clock.pump([0.2] * 10)
+    versions = [event.config.version for event in events if isinstance(event, ConfigurationRead)]
+    assert versions == [3, 9]
+    assert ('watch', 'config', LISTED_AGAIN.revision) in store.calls
+
+
 def test_only_the_newest_of_several_configurations_is_applied():
     changes = tuple(Change('main', config(version), False) for version in (4, 6, 9))
     lists = {'config': [Ok(Listing((), 1))]}
--- a/tests/pooler/virtual_platform.py
+++ b/tests/pooler/virtual_platform.py
@@ -1,6 +1,5 @@
 """Platform of the virtual deployment: the lease record and the promotion API, with faults."""
 
-import itertools
 from dataclasses import dataclass
 
 from virtual_calls import build_promotion_answer
@@ -11,6 +10,11 @@
 PROMOTION_DELAY_S = 0.3
 # Delay after which a former primary that can reach the new one steps down.
 STEP_DOWN_DELAY_S = 1.0
+# Restore of `restore_at_claim`: age of the copy, time for which the store is away, and time for
+# which the holder does not reach it.
+LOST_CLAIM_AGE_S = 1.0
+LOST_CLAIM_AWAY_S = 0.05
+LOST_CLAIM_CUT_S = 20.0
 
 
 @dataclass(frozen=True)
@@ -29,6 +33,8 @@
     Attributes:
         lease: The lease record, or None.
         duty_revision: Revision of the record, 0 without one.
+        era: Number that rises by one with each restore of the store.
+        revision: Revision of the latest write.
         arrivals: Promotion calls in the order of their arrival.
         promoted_term: Newest term of a promotion that has taken effect, or 0.
         lost_promotion_answers: Number of next promotion calls whose response is lost.
@@ -37,7 +43,9 @@
 
     def __init__(self, world):
         self.world = world
-        self.revisions = itertools.count(1)
+        self.era = 1
+        self.revision = 0
+        self.copies = []
         self.lease = None
         self.duty_revision = 0
         self.arrivals = []
@@ -45,6 +53,23 @@
         self.lost_promotion_answers = 0
         self.promotion_delay_s = PROMOTION_DELAY_S
         self.late_writes = []
+        self.lose_next_claim = False
+
+    def take_revision(self):
+        """Keep a copy of the store before a write, and return the revision of the write."""
+        copy = (self.revision, self.duty_revision, self.lease, dict(self.world.sizes))
+        self.copies.append((self.world.now, copy))
+        self.revision += 1
+        return self.revision
+
+    def restore(self, age_s):
+        """Return to the state of `age_s` seconds ago and begin an era."""
+        former = self.revision
+        while self.copies and self.copies[-1][0] > self.world.now - age_s:
+            _, copy = self.copies.pop()
+            self.revision, self.duty_revision, self.lease, self.world.sizes = copy
+        self.era += 1
+        self.world.record_step('restored', 'store', f'revision {former} to {self.revision}')
 
     def read_duty(self, call):
         """Read the current record; the response may be delayed."""
@@ -64,12 +89,16 @@
         """Perform the conditional write and return the outcome."""
         if effect.revision != self.duty_revision:
             return LeaseWritten(effect.record, WriteOutcome.CONFLICT)
-        self.duty_revision = next(self.revisions)
+        self.duty_revision = self.take_revision()
         self.lease = effect.record
         kind = 'released' if effect.record.released else 'claimed'
         self.world.record_step(kind, vm.name, f'revision {self.duty_revision}')
         if not effect.record.released:
             vm.freeze_at_moment('claimed')
+            if self.lose_next_claim:
+                self.lose_next_claim = False
+                self.world.cut_store(vm.name, LOST_CLAIM_CUT_S)
+                self.world.restore_store(LOST_CLAIM_AGE_S, LOST_CLAIM_AWAY_S)
         return LeaseWritten(effect.record, WriteOutcome.WRITTEN, self.duty_revision)
 
     def handle_promotion(self, call, effect):
@@ -127,6 +156,10 @@
         """Delay the next writes of the record and lose their responses."""
         self.late_writes += [late_s] * count
 
+    def restore_at_claim(self):
+        """Lose the next claim by a restore right after it, and cut its holder off the store."""
+        self.lose_next_claim = True
+
     def slow_promotions(self, promotion_delay_s, for_s):
         """Increase the delay of promotions that are accepted during the fault."""
         self.promotion_delay_s = promotion_delay_s
--- a/tests/pooler/virtual_vm.py
+++ b/tests/pooler/virtual_vm.py
@@ -210,7 +210,7 @@
         known = world.sizes.get(effect.record.group)
         written = None
         if not self.store_cut and effect.record.revision == (known.revision if known else 0):
-            written = dataclasses.replace(effect.record, revision=next(world.size_revisions))
+            written = dataclasses.replace(effect.record, revision=world.platform.take_revision())
             world.sizes[written.group] = written
         world.after(LATENCY_S, lambda: self.dispatch(SizeWritten(written)))
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -23,6 +23,8 @@
     (3034, SoakShape(handover=True)),
     # A stand-in target served a read below its minimum position while stepping down.
     (6112, SoakShape(handover=True)),
+    # A configuration that was written below the watched revision of a restored store was missed.
+    (9002, SoakShape(restores=True)),
 ]
 
 
