List again after a lost watch, and order revisions by era

Cause: a VM whose watch was lost went on from the revision that it had reached. After a restore that number belongs to another history: once the counter has passed it, the store answers 200, and what was written below it is never returned.

A revision now holds the era above the number of the store, so that one order covers all eras. A watch that is lost, or answered by another era, is followed by a list. The first answer of a new era ends watches that wait from a former one. Answers of a former era (copies that may be stale) and lists whose pages come from two eras are refused, and a conditional write that expects a revision of a former era is not sent.

--- a/src/cassiaseam/httpio.py
+++ b/src/cassiaseam/httpio.py
@@ -251,6 +251,12 @@
         if self.waiter is not None:
             self._finish().errback(HttpCallFailed(message, self.sent))
 
+    def cancel_call(self, message: str) -> None:
+        """Fail the request in flight, if there is one, and close its connection."""
+        if self.waiter is not None:
+            self._drop_connection()
+            self._finish().errback(HttpCallFailed(message, self.sent))
+
     def fail_connection(self, message: str) -> None:
         """Fail the request for which no connection could be opened."""
         if self.waiter is not None and not self.sent:
--- a/src/cassiaseam/platform/store.py
+++ b/src/cassiaseam/platform/store.py
@@ -20,6 +20,7 @@
     StoreError,
     WriteResult,
 )
+from cassiaseam.store_revisions import get_era, get_number, join_revision
 
 READ_TIMEOUT_S = 2.0
 WRITE_TIMEOUT_S = 1.5
@@ -34,6 +35,7 @@
 ALLOW_STALE_PARAM = '&allowStale=1'
 # Number in each answer of the store that rises by one when the store is restored from a copy.
 ERA_HEADER = 'store-era'
+MAX_ERA_DIGITS = 6
 _OK = 200
 _CREATED = 201
 _NOT_FOUND = 404
@@ -49,6 +51,8 @@
 
     Attributes:
         dispatch: Callback for the events that tell the era of each answer.
+        era: Newest era that an answer named.
+        watched_eras: Era of the revision that a watch in flight waits from, per kind.
     """
 
     def __init__(self, reactor: Any, host: str, port: int, dispatch: Callable[[Any], None]):
@@ -65,6 +69,8 @@
         self.reactor = reactor
         self.address = (host, port)
         self.dispatch = dispatch
+        self.era = 0
+        self.watched_eras: dict[str, int] = {}
 
     async def list_objects(
         self, kind: str, allow_stale: bool = False
@@ -78,18 +84,22 @@
         changes: list[Change] = []
         stale = ALLOW_STALE_PARAM if allow_stale else ''
         after = ''
+        eras = set()
         while True:
             path = f'/objects/{kind}?after={quote(after)}{stale}'
             reply = await self._call(self.clients[kind], 'GET', path)
             if isinstance(reply, Err):
                 return reply
-            content = reply.ok_value
+            content, era = reply.ok_value
             items = content.get('items')
             if not isinstance(items, list) or not isinstance(content.get('at'), int):
                 return Err(StoreError('the list response lacks items or a revision'))
-            changes += _decode_objects(items)
+            eras.add(era)
+            if len(eras) > 1:
+                return Err(StoreError('the store was restored between two pages of the list'))
+            changes += _decode_objects(items, era)
             if not content.get('hasMore') or not changes or changes[-1].name <= after:
-                return Ok(Listing(tuple(changes), content['at']))
+                return Ok(Listing(tuple(changes), join_revision(era, content['at'])))
             after = changes[-1].name
 
     async def watch_objects(
@@ -104,13 +114,18 @@
             allow_stale: Whether changes may arrive seconds late, at a tenth of the price.
         """
         stale = ALLOW_STALE_PARAM if allow_stale else ''
-        path = f'/objects/{kind}?watch={revision}&waitMs={int(wait_s * 1000)}{stale}'
+        wait_ms = int(wait_s * 1000)
+        path = f'/objects/{kind}?watch={get_number(revision)}&waitMs={wait_ms}{stale}'
         client = self.clients[kind]
+        self.watched_eras[kind] = get_era(revision)
         try:
             answer = await self._run_call(client, 'GET', path, wait_s + WATCH_TIMEOUT_MARGIN_S)
         except HttpCallFailed as failure:
             return Err(StoreError(str(failure)))
-        if answer.status == _GONE:
+        finally:
+            self.watched_eras.pop(kind)
+        era = read_era(answer)
+        if answer.status == _GONE or era > get_era(revision):
             return Ok(HistoryGone())
         content = _decode_body(answer)
         if answer.status != _OK or not isinstance(content, dict):
@@ -118,7 +133,8 @@
         events = content.get('events')
         if not isinstance(events, list) or not isinstance(content.get('at'), int):
             return Err(StoreError('the watch response lacks events or a revision'))
-        return Ok(Listing(tuple(_decode_events(events)), content['at']))
+        revision = join_revision(era, content['at'])
+        return Ok(Listing(tuple(_decode_events(events, era)), revision))
 
     async def read_duty(self) -> Result[DutySnapshot, StoreError]:
         """Return the lease record and its revision, or revision 0 if there is none."""
@@ -132,7 +148,8 @@
         content = _decode_body(answer)
         if answer.status != _OK or not isinstance(content, dict):
             return Err(StoreError(f'status {answer.status}'))
-        return Ok(DutySnapshot(_read_revision(content), records.decode_duty(content.get('spec'))))
+        revision = _read_revision(content, read_era(answer))
+        return Ok(DutySnapshot(revision, records.decode_duty(content.get('spec'))))
 
     async def write_duty(self, record: LeaseRecord, revision: int) -> WriteResult:
         """Write the lease record if it still has a revision; 0 creates it."""
@@ -146,7 +163,9 @@
 
     async def delete_vm(self, vm: str, revision: int) -> Result[None, StoreError]:
         """Delete the record of a VM if it still has a revision."""
-        path = f'/objects/{records.VMS_KIND}/{quote(vm)}?revision={revision}'
+        if get_era(revision) != self.era:
+            return Err(StoreError('the record was read before a restore of the store'))
+        path = f'/objects/{records.VMS_KIND}/{quote(vm)}?revision={get_number(revision)}'
         try:
             answer = await self._call_on_new_connection('DELETE', path, WRITE_TIMEOUT_S)
         except HttpCallFailed as failure:
@@ -167,7 +186,10 @@
         path = f'/objects/{kind}'
         method = 'POST'
         if revision:
-            meta['revision'] = revision
+            if get_era(revision) != self.era:
+                # The restored store may have given the number out to another content.
+                return WriteResult(WriteOutcome.CONFLICT)
+            meta['revision'] = get_number(revision)
             path = f'{path}/{quote(name)}'
             method = 'PUT'
         body = _encode({'meta': meta, 'spec': spec})
@@ -178,7 +200,7 @@
             return WriteResult(WriteOutcome.UNKNOWN if unknown else WriteOutcome.CONFLICT)
         if answer.status in {_OK, _CREATED}:
             content = _decode_body(answer)
-            return WriteResult(WriteOutcome.WRITTEN, _read_revision(content))
+            return WriteResult(WriteOutcome.WRITTEN, _read_revision(content, read_era(answer)))
         if answer.status in {_CONFLICT, _NOT_FOUND, _UNAVAILABLE, _TOO_MANY}:
             return WriteResult(WriteOutcome.CONFLICT)
         return WriteResult(WriteOutcome.UNKNOWN)
@@ -198,12 +220,25 @@
         """Make a call and report the era of its answer.
 
         Raises:
-            HttpCallFailed: There is no answer, or its era cannot be read.
+            HttpCallFailed: There is no answer, its era cannot be read, or it comes from a copy of
+                a former era.
         """
         answer = await client.run_call(method, path, timeout_s, body)
-        self.dispatch(StoreEraObserved(read_era(answer)))
+        era = read_era(answer)
+        if era < self.era:
+            raise HttpCallFailed(f'answer of era {era} after era {self.era}', True)
+        if era > self.era:
+            self.era = era
+            self._cancel_older_watches()
+        self.dispatch(StoreEraObserved(era))
         return answer
 
+    def _cancel_older_watches(self) -> None:
+        """End the watches that wait from a revision of a former era."""
+        for kind, era in list(self.watched_eras.items()):
+            if era < self.era:
+                self.clients[kind].cancel_call('the store was restored')
+
     async def _call(self, client: HttpClient, method: str, path: str):
         try:
             answer = await self._run_call(client, method, path, READ_TIMEOUT_S)
@@ -212,7 +247,7 @@
         content = _decode_body(answer)
         if answer.status != _OK or not isinstance(content, dict):
             return Err(StoreError(f'status {answer.status}'))
-        return Ok(content)
+        return Ok((content, read_era(answer)))
 
 
 def read_era(answer: HttpResponse) -> int:
@@ -222,8 +257,8 @@
         HttpCallFailed: The header is not a number.
     """
     text = answer.headers.get(ERA_HEADER, '0')
-    if not text.isdecimal():
-        raise HttpCallFailed(f'Store-Era {text!r} is not a number', may_have_arrived=True)
+    if not text.isdecimal() or len(text) > MAX_ERA_DIGITS:
+        raise HttpCallFailed(f'Store-Era {text!r} is not a valid number', may_have_arrived=True)
     return int(text)
 
 
@@ -280,30 +315,30 @@
         return None
 
 
-def _read_revision(content: Any) -> int:
+def _read_revision(content: Any, era: int) -> int:
     meta = content.get('meta') if isinstance(content, dict) else None
     revision = meta.get('revision') if isinstance(meta, dict) else None
-    return revision if isinstance(revision, int) else 0
+    return join_revision(era, revision) if isinstance(revision, int) else 0
 
 
-def _decode_objects(items: list[Any]) -> list[Change]:
-    changes = [_decode_object(entry, deleted=False) for entry in items]
+def _decode_objects(items: list[Any], era: int) -> list[Change]:
+    changes = [_decode_object(entry, era, deleted=False) for entry in items]
     return [change for change in changes if change is not None]
 
 
-def _decode_object(entry: Any, deleted: bool) -> Change | None:
+def _decode_object(entry: Any, era: int, deleted: bool) -> Change | None:
     meta = entry.get('meta') if isinstance(entry, dict) else None
     name = meta.get('name') if isinstance(meta, dict) else None
     if not isinstance(name, str):
         return None
-    return Change(name, entry.get('spec'), deleted, _read_revision(entry))
+    return Change(name, entry.get('spec'), deleted, _read_revision(entry, era))
 
 
-def _decode_events(events: list[Any]) -> list[Change]:
+def _decode_events(events: list[Any], era: int) -> list[Change]:
     changes = []
     for event in events:
         if isinstance(event, dict):
-            change = _decode_object(event.get('object'), bool(event.get('deleted')))
+            change = _decode_object(event.get('object'), era, bool(event.get('deleted')))
             if change is not None:
                 changes.append(change)
     return changes
--- a/src/cassiaseam/pooler/events.py
+++ b/src/cassiaseam/pooler/events.py
@@ -117,6 +117,13 @@
     era: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreListed:
+    """Event: the store returned a list that is complete up to a revision."""
+
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseRecord:
     """Record in the store that names the VM which may promote targets.
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -355,7 +355,8 @@
         stopping_since: Time at which the daemon was told to stop, or None.
         store_reachable: Whether the store answers.
         store_era: Newest era of the store that an answer named, or None before the first answer.
-        store_era_since: Time at which an answer first named it.
+        first_revision: Revision of the first list in that era, or None before it.
+        first_listed_at: Time of that list.
         lease: State of the promotion lease on this VM.
         targets_known: Whether the target records were read.
         sizes: Recorded sizes of the groups.
@@ -380,7 +381,8 @@
     stopping_since: float | None = None
     store_reachable: bool = False
     store_era: int | None = None
-    store_era_since: float = 0
+    first_revision: int | None = None
+    first_listed_at: float = 0
     targets_known: bool = False
     sizes: GroupSizesState = field(default_factory=GroupSizesState)
     peers: dict[str, PeerState] = field(default_factory=dict)
--- a/src/cassiaseam/pooler/store_era.py
+++ b/src/cassiaseam/pooler/store_era.py
@@ -4,7 +4,7 @@
 revision holds within one era only.
 """
 
-from cassiaseam.pooler.events import StoreEraObserved, WriteLog
+from cassiaseam.pooler.events import StoreEraObserved, StoreListed, WriteLog
 from cassiaseam.pooler.state import PoolerState
 from cassiaseam.reducer.registry import handles
 
@@ -16,7 +16,16 @@
     if former is not None and event.era <= former:
         return []
     state.store_era = event.era
-    state.store_era_since = now
+    state.first_revision = None
     if former is None:
         return [WriteLog('store_era_known', {'era': event.era})]
     return [WriteLog('store_era_changed', {'era': event.era, 'former': former})]
+
+
+@handles(StoreListed)
+def record_first_list(state: PoolerState, event: StoreListed, now: float) -> list:
+    """Record from which revision on this VM knows the changes of the era."""
+    if state.first_revision is None:
+        state.first_revision = event.revision
+        state.first_listed_at = now
+    return []
--- a/src/cassiaseam/pooler/store_watcher.py
+++ b/src/cassiaseam/pooler/store_watcher.py
@@ -11,12 +11,14 @@
 
 from cassiaseam.pooler.events import (
     ConfigurationRead,
+    StoreListed,
     StoreReachability,
     TargetChanged,
     TargetRemoved,
     TargetsListed,
 )
 from cassiaseam.pooler.store_types import Change, HistoryGone, Listing
+from cassiaseam.store_revisions import get_era, get_number
 
 # Exponential backoff after a failed call.
 INITIAL_BACKOFF_S = 0.25
@@ -54,6 +56,11 @@
     return deferLater(reactor, seconds * (0.5 + rng.random()), lambda: None)
 
 
+def describe_revision(revision: int) -> dict[str, int]:
+    """Return the fields of a log line for a revision."""
+    return {'era': get_era(revision), 'revision': get_number(revision)}
+
+
 def select_newer_changes(changes: tuple[Change, ...], revision: int) -> tuple[Change, ...]:
     """Return the changes after a revision, and all deletions.
 
@@ -117,7 +124,11 @@
         ensureDeferred(self.follow(kind, on_list, on_change)).addErrback(restart)
 
     async def follow(self, kind: str, on_list: ChangeHandler, on_change: ChangeHandler) -> None:
-        """List a kind, then watch it; list it again when its history is gone."""
+        """List a kind, then watch it; list it again after a lost watch or lost history.
+
+        While a watch is lost, the store may have been restored from a copy. Only a list shows what
+        was written then at a revision below the one that the watch had reached.
+        """
         backoff_s = INITIAL_BACKOFF_S
         while True:
             listing = await self.store.list_objects(kind)
@@ -127,14 +138,15 @@
                 backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
                 continue
             backoff_s = INITIAL_BACKOFF_S
+            revision = listing.ok_value.revision
+            self.log('store_listed', kind=kind, **describe_revision(revision))
+            self.dispatch(StoreListed(revision))
             self.report_reachability(kind, True)
-            self.log('store_listed', kind=kind, revision=listing.ok_value.revision)
             on_list(listing.ok_value.changes)
-            await self.watch(kind, listing.ok_value.revision, on_change)
+            await self.watch(kind, revision, on_change)
 
     async def watch(self, kind: str, revision: int, on_change: ChangeHandler) -> None:
-        """Watch a kind and handle its changes until its history is gone; retry failed calls."""
-        failures = 0
+        """Watch a kind and handle its changes until a call fails or its history is gone."""
         while True:
             allow_stale = kind == self.environment.kinds.targets
             reply = await self.store.watch_objects(
@@ -142,13 +154,14 @@
             )
             if isinstance(reply, Err):
                 self.report_reachability(kind, False, reply.err_value.reason)
-                failures += 1
-                await self.sleep(min(INITIAL_BACKOFF_S * 2 ** (failures - 1), MAX_BACKOFF_S))
-                continue
-            failures = 0
+                await self.sleep(INITIAL_BACKOFF_S)
+                return
             self.report_reachability(kind, True)
-            if isinstance(reply.ok_value, HistoryGone):
-                self.log('store_history_gone', kind=kind, revision=revision)
+            is_restored = isinstance(reply.ok_value, Listing) and get_era(
+                reply.ok_value.revision
+            ) != get_era(revision)
+            if is_restored or isinstance(reply.ok_value, HistoryGone):
+                self.log('store_history_gone', kind=kind, **describe_revision(revision))
                 return
             listing: Listing = reply.ok_value
             newer_changes = select_newer_changes(listing.changes, revision)
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -6,7 +6,9 @@
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from cassiaseam.platform.store import PlatformStore
-from cassiaseam.pooler.events import StoreEraObserved
+from cassiaseam.pooler.events import LeaseRecord, StoreEraObserved, WriteOutcome
+from cassiaseam.pooler.store_types import WriteResult
+from cassiaseam.store_revisions import get_number, join_revision
 
 
 class Transport(StringTransport):
@@ -40,12 +42,14 @@
         ensureDeferred(call).addBoth(results.append)
         return results
 
-    def answer(self, content, status=200, era=None):
+    def answer(self, content, status=200, era=None, send=True):
         """Answer the call in flight; a call on a new connection is connected first."""
         if self.reactor.tcpClients:
             factory = self.reactor.tcpClients.pop()[2]
             self.protocol = factory.buildProtocol(None)
             self.protocol.makeConnection(Transport())
+        if not send:
+            return
         era_line = '' if era is None else f'Store-Era: {era}\r\n'
         head = f'HTTP/1.1 {status} X\r\n{era_line}Content-Length: {len(content)}\r\n\r\n'
         self.protocol.dataReceived((head + content).encode())
@@ -64,11 +68,70 @@
     assert calls.events == [StoreEraObserved(expected)]
 
 
+def make_list(at, has_more=False):
+    name = f'c{at}'
+    item = f'{{"meta": {{"name": "{name}", "revision": {at}}}, "spec": {{}}}}'
+    return f'{{"items": [{item}], "hasMore": {str(has_more).lower()}, "at": {at}}}'
+
+
+def test_list_of_two_eras_is_not_taken_as_one():
+    # The second page came from the restored store, so that the list had never existed.
+    calls = StoreCalls()
+    results = calls.run(calls.store.list_objects('config'))
+    calls.answer(make_list(7, has_more=True), era=1)
+    calls.answer(make_list(8), era=2)
+    assert 'restored between two pages' in results[0].err_value.reason
+
+
+def test_answer_from_a_copy_of_a_former_era_is_not_used():
+    # A reply that may be stale brought back what the restore had replaced.
+    calls = StoreCalls()
+    calls.run(calls.store.list_objects('config'))
+    calls.answer(make_list(7), era=2)
+    results = calls.run(calls.store.list_objects('config', allow_stale=True))
+    calls.answer(make_list(9), era=1)
+    assert results[0].err_value.reason == 'answer of era 1 after era 2'
+
+
+def test_watch_from_a_former_era_ends_when_another_call_shows_the_restore():
+    # The watch would have waited for a change above its revision, past those of the new era.
+    calls = StoreCalls()
+    watched = calls.run(calls.store.watch_objects('config', join_revision(1, 7), 10))
+    calls.answer('', era=None, send=False)
+    calls.run(calls.store.list_objects('servers'))
+    calls.answer(make_list(3), era=2)
+    assert watched[0].err_value.reason == 'the store was restored'
+
+
+def test_revisions_of_a_later_era_are_higher():
+    calls = StoreCalls()
+    listings = []
+    for at, era in ((90, 1), (3, 2)):
+        results = calls.run(calls.store.list_objects('config'))
+        calls.answer(make_list(at), era=era)
+        listings.append(results[0].ok_value)
+    assert listings[0].revision < listings[1].revision
+    assert listings[0].changes[0].revision < listings[1].changes[0].revision
+    assert get_number(listings[1].revision) == 3
+
+
+def test_write_that_expects_a_revision_of_a_former_era_is_not_sent():
+    # The restored store had given the revision out to another content, which was overwritten.
+    calls = StoreCalls()
+    calls.run(calls.store.list_objects('config'))
+    calls.answer(make_list(7), era=2)
+    calls.reactor.tcpClients.clear()
+    record = LeaseRecord('vm0', 'n', released=False)
+    results = calls.run(calls.store.write_duty(record, join_revision(1, 7)))
+    assert results == [WriteResult(WriteOutcome.CONFLICT)]
+    assert not calls.reactor.tcpClients
+
+
 def test_answer_whose_era_is_malformed_counts_as_a_failed_call():
     # The call is logged and repeated; an exception would end the watch.
     calls = StoreCalls()
     results = calls.run(calls.store.list_objects('config'))
     calls.answer(LIST, era='1.5')
     assert isinstance(results[0], Err)
-    assert "'1.5' is not a number" in results[0].err_value.reason
+    assert "'1.5' is not a valid number" in results[0].err_value.reason
     assert calls.events == []
--- a/tests/pooler/test_pooler_restored_store.py
+++ b/tests/pooler/test_pooler_restored_store.py
@@ -22,14 +22,11 @@
     WriteOutcome,
 )
 from cassiaseam.reducer.registry import reduce_event
+from cassiaseam.store_revisions import join_revision
 
 HANDLER_MODULES = (store_era,)
 
 
-def encode_revision(era, number):
-    return number
-
-
 def build_lease_record(holder, released, era):
     return LeaseRecord(holder, f'{holder}-{era}', released)
 
@@ -121,7 +118,7 @@
     write = select_effects(reduce_event(state, LeaseRead(5, None), 4), WriteLease)[0]
     reduce_event(state, LeaseWritten(write.record, WriteOutcome.UNKNOWN), 4.2)
     reduce_event(state, StoreEraObserved(2), 4.3)
-    reduce_event(state, LeaseRead(encode_revision(2, 6), write.record), 4.3)
+    reduce_event(state, LeaseRead(join_revision(2, 6), write.record), 4.3)
     assert not state.lease.token
 
 
@@ -135,5 +132,5 @@
     reduce_event(state, StoreEraObserved(2), 4)
     promote(state, 'g', 4)
     record = build_lease_record('other', released, era)
-    effects = reduce_event(state, LeaseRead(encode_revision(2, 6), record), 4.1)
+    effects = reduce_event(state, LeaseRead(join_revision(2, 6), record), 4.1)
     assert bool(select_effects(effects, WriteLease)) is claims
--- a/tests/pooler/test_pooler_store_watcher.py
+++ b/tests/pooler/test_pooler_store_watcher.py
@@ -23,11 +23,7 @@
 from cassiaseam.pooler.store_types import Change, HistoryGone, Listing, StoreError
 from cassiaseam.pooler.store_watcher import StoreKinds, StoreWatcher
 from cassiaseam.reducer.registry import reduce_event
-
-
-def encode_revision(era, number):
-    return number
-
+from cassiaseam.store_revisions import join_revision
 
 KINDS = StoreKinds('config', 'main', 'servers', 'vms', 'sizes')
 TARGET = {
@@ -94,7 +90,7 @@
     versions = [event.config.version for event in events if isinstance(event, ConfigurationRead)]
     assert versions == [3, 7]
     assert ('watch', 'config', 90) in store.calls
-    assert ('store_history_gone', {'kind': 'config', 'revision': 5}) in log_lines
+    assert ('store_history_gone', {'kind': 'config', 'era': 0, 'revision': 5}) in log_lines
 
 
 def test_failed_list_is_retried_and_reachability_reported():
@@ -147,14 +143,14 @@
     assert 'store_watch_failed' in calls
 
 
-LISTED_AGAIN = Listing((Change('main', config(9), False),), encode_revision(2, 50))
+LISTED_AGAIN = Listing((Change('main', config(9), False),), join_revision(2, 50))
 
 
 @pytest.mark.parametrize(
     'watched',
     [
-        [Err(StoreError('connection lost')), Ok(Listing((), encode_revision(2, 60)))],
-        [Ok(Listing((), encode_revision(2, 60)))],
+        [Err(StoreError('connection lost')), Ok(Listing((), join_revision(2, 60)))],
+        [Ok(Listing((), join_revision(2, 60)))],
     ],
     ids=['watch-lost', 'watch-answered-by-the-restored-store'],
 )
@@ -164,7 +160,7 @@
     # (restored-cut, rule CONFIG).
     lists = {
         'config': [
-            Ok(Listing((Change('main', config(3), False),), encode_revision(1, 37))),
+            Ok(Listing((Change('main', config(3), False),), join_revision(1, 37))),
             Ok(LISTED_AGAIN),
         ]
     }
