Wait for the leases of the former era before claiming the lease

Cause: the fencing token is the revision of the claim, and a restored store gives revisions out again; and a claim that the store had acknowledged could be missing from the copy while its holder acted on, so that a VM that found no record, or a released one, claimed at once.

A lease record now names the era in which its holder decided to write it. A record of a former era, and a missing one, is taken over only when it has been unchanged for LEASE_TAKEOVER_S since the first list of the era; by then every claim from before has ended. A claim that is written in another era than the one in which it was decided gives no lease, because its condition may have held on another content.

A VM that has just started waits as well if no VM has claimed the lease in this era, since it cannot tell when the era began.

--- a/src/cassiaseam/platform/records.py
+++ b/src/cassiaseam/platform/records.py
@@ -98,6 +98,7 @@
     holder: str
     nonce: str
     released: StrictBool
+    era: Integer = 0
 
 
 class VmDocument(BaseModel):
@@ -178,12 +179,17 @@
         document = DutyDocument.model_validate(spec)
     except ValidationError:
         return None
-    return LeaseRecord(document.holder, document.nonce, document.released)
+    return LeaseRecord(document.holder, document.nonce, document.released, document.era)
 
 
 def encode_duty(record: LeaseRecord) -> dict[str, Any]:
     """Return the stored form of a lease record."""
-    return {'holder': record.holder, 'nonce': record.nonce, 'released': record.released}
+    return {
+        'holder': record.holder,
+        'nonce': record.nonce,
+        'released': record.released,
+        'era': record.era,
+    }
 
 
 def decode_vm(name: str, spec: Any) -> Result[PeerRecord, str]:
--- a/src/cassiaseam/pooler/duty.py
+++ b/src/cassiaseam/pooler/duty.py
@@ -7,6 +7,10 @@
 take over when the record is unchanged for `LEASE_TAKEOVER_S`, or as soon as it is released. A VM
 whose lease another VM has held since does not claim it again for `REACQUIRE_DELAY_S`. The
 promotions of all groups of a VM share one lease, so that a later call never carries a lower token.
+
+A restore of the store from a copy can lose a claim whose holder acts on, and bring back a record
+that was replaced. A record says in which era of the store it was written. One of a former era, and
+a missing one, counts as a claim that was made when the current era began.
 """
 
 from dataclasses import dataclass
@@ -21,6 +25,7 @@
     WriteOutcome,
 )
 from cassiaseam.pooler.state import PoolerState
+from cassiaseam.store_revisions import get_era
 
 # Seconds after sending its claim for which the holder fences, demotes and sends calls.
 LEASE_VALIDITY_S = 2.0
@@ -110,7 +115,8 @@
     lease.fences_lifted = False
     lease.claimed_at = now
     lease.request_sent_at = now
-    record = LeaseRecord(state.vm, lease.nonce, released=False)
+    lease.era = state.store_era or 0
+    record = LeaseRecord(state.vm, lease.nonce, released=False, era=lease.era)
     return LeaseUpdate((WriteLease(record, event.revision),))
 
 
@@ -162,6 +168,8 @@
     """Adopt the revision of the claim as the fencing token, unless the lease has expired."""
     if now - state.lease.claimed_at > LEASE_VALIDITY_S:
         return abandon_claim(state, 'the claim expired before it was confirmed')
+    if get_era(token) != state.lease.era:
+        return abandon_claim(state, 'the store was restored before the claim was written')
     state.lease.token = token
     took_ms = round((now - state.lease.claimed_at) * 1000)
     log = WriteLog('duty_claimed', {'fencing': token, 'took_ms': took_ms})
@@ -194,10 +202,16 @@
 
 def is_lease_available(state: PoolerState, now: float) -> bool:
     """Return whether the lease is released, expired or held by this process."""
-    record = state.lease.record
-    if record is None or record.released or is_own_record(state, record):
-        return True
-    return now - state.lease.revision_seen_at > LEASE_TAKEOVER_S
+    lease = state.lease
+    record = lease.record
+    unchanged_since = lease.revision_seen_at
+    if record is not None and record.era == (state.store_era or 0):
+        if record.released or is_own_record(state, record):
+            return True
+    elif state.first_revision is not None and lease.revision <= state.first_revision:
+        # It has not changed since the list that gave this revision.
+        unchanged_since = min(unchanged_since, state.first_listed_at)
+    return now - unchanged_since > LEASE_TAKEOVER_S
 
 
 def was_replaced_recently(state: PoolerState, now: float) -> bool:
@@ -226,4 +240,5 @@
     if not held or has_call_in_flight(state, now) or lease.fences_lifted:
         return []
     log = WriteLog('duty_released', {'fencing': token})
-    return [log, WriteLease(LeaseRecord(state.vm, nonce, released=True), lease.revision)]
+    record = LeaseRecord(state.vm, nonce, released=True, era=lease.era)
+    return [log, WriteLease(record, lease.revision)]
--- a/src/cassiaseam/pooler/duty_state.py
+++ b/src/cassiaseam/pooler/duty_state.py
@@ -23,6 +23,7 @@
         nonce: Unique id of the claim in flight or held, or ''.
         token: Fencing token of the lease held, or 0.
         claimed_at: Time at which the claim was sent.
+        era: Era of the store in which the claim was sent.
         fences_lifted: Whether fences were lifted under the lease, which is not released then.
         platform_calls: Calls of the platform that are not answered yet.
         last_call_at: Time of the latest call of the platform.
@@ -38,6 +39,7 @@
     nonce: str = ''
     token: int = 0
     claimed_at: float = 0
+    era: int = 0
     fences_lifted: bool = False
     platform_calls: int = 0
     last_call_at: float = 0
--- a/src/cassiaseam/pooler/events.py
+++ b/src/cassiaseam/pooler/events.py
@@ -132,11 +132,14 @@
         holder: Name of the VM.
         nonce: Unique id of the claim.
         released: Whether the holder has released the promotion lease.
+        era: Era of the store in which the holder decided to write it. A record that came back with
+            a copy, or that was written late, has a former era.
     """
 
     holder: str
     nonce: str
     released: bool
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/pooler/pooler_world.py
+++ b/tests/pooler/pooler_world.py
@@ -24,12 +24,14 @@
     peers,
     sample_sharing,
     sessions,
+    store_era,
     targets,
     ticks,
 )
 from cassiaseam.pooler.commands import (
     Statement,
 )
+from cassiaseam.pooler.duty import LEASE_TAKEOVER_S
 from cassiaseam.pooler.events import (
     AnswerCaller,
     CallerConnected,
@@ -58,6 +60,7 @@
     group_size_sync,
     sessions,
     sample_sharing,
+    store_era,
     targets,
     ticks,
 )
@@ -154,6 +157,11 @@
         }
         for target in self.targets.values():
             target.max_connections = max_connections
+        # The VMs have followed the store for long enough to take over a lease.
+        self.now = -2 * LEASE_TAKEOVER_S
+        for vm in self.vms.values():
+            vm.follow_store()
+        self.now = 0
         for vm in self.vms.values():
             vm.dispatch(StoreReachability(True))
             vm.dispatch(SizesRead(tuple(self.sizes.values())))
@@ -312,6 +320,7 @@
 
         def heal():
             vm.store_cut = False
+            vm.follow_store()
             vm.dispatch(StoreReachability(True))
             for target in self.targets.values():
                 vm.dispatch(TargetChanged(target.get_record()))
