Record group sizes again after a restore, and let starting VMs wait for lost records

What operators would see: after a restore a VM kept the size record of the former era, whose revision was higher, and wrote under a revision that the store does not have: a conflict and a read every few seconds from every VM, for good. A size that was recorded in the lost seconds was gone, so that a VM that started then counted majorities over the targets that had registered again so far. It also served the configuration of the copy before the operator had written again.

A size record names the era in which it was written. After a restore the VMs read the records again, once lost ones have had 3 s to return; one of them writes each record for the new era. A size that was known before stays the floor of a VM that has not seen as many targets. A VM that starts and finds no record of the current era is not ready for up to 3 s after its first list.

--- a/src/cassiaseam/platform/records.py
+++ b/src/cassiaseam/platform/records.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from cassiaseam.pooler.events import LeaseRecord, PeerRecord
+from cassiaseam.pooler.group_sizes import SizeRecord
 from cassiaseam.pooler.model import (
     Consistency,
     GroupLimits,
@@ -113,6 +114,7 @@
     """The number of targets of a group; an object kind of this project."""
 
     size: Annotated[Integer, Field(ge=1)]
+    era: Integer = 0
 
 
 def decode_config(spec: Any) -> Result[RoutingConfig, str]:
@@ -206,14 +208,15 @@
     return {'place': record.place, 'host': record.host, 'port': record.port}
 
 
-def decode_size(spec: Any) -> Result[int, str]:
-    """Return the size of a group, or the reason why it is invalid."""
+def decode_size(group: str, revision: int, spec: Any) -> Result[SizeRecord, str]:
+    """Return the record of the size of a group, or the reason why it is invalid."""
     try:
-        return Ok(SizeDocument.model_validate(spec).size)
+        document = SizeDocument.model_validate(spec)
     except ValidationError as error:
         return Err(f'{error.errors()[0]["loc"]} is not valid')
+    return Ok(SizeRecord(group, document.size, revision, document.era))
 
 
-def encode_size(size: int) -> dict[str, Any]:
+def encode_size(record: SizeRecord) -> dict[str, Any]:
     """Return the stored form of the size of a group."""
-    return {'size': size}
+    return {'size': record.size, 'era': record.era}
--- a/src/cassiaseam/platform/store.py
+++ b/src/cassiaseam/platform/store.py
@@ -176,7 +176,7 @@
 
     async def write_size(self, record: SizeRecord) -> WriteResult:
         """Write the size of a group if its record still has a revision; 0 creates it."""
-        spec = records.encode_size(record.size)
+        spec = records.encode_size(record)
         return await self._write_object(records.SIZES_KIND, record.group, spec, record.revision)
 
     async def _write_object(
--- a/src/cassiaseam/pooler/environments.py
+++ b/src/cassiaseam/pooler/environments.py
@@ -8,6 +8,7 @@
 from result import Result
 
 from cassiaseam.pooler.events import PeerRecord
+from cassiaseam.pooler.group_sizes import SizeRecord
 from cassiaseam.pooler.model import RoutingConfig, TargetRecord
 from cassiaseam.pooler.store_watcher import StoreKinds
 
@@ -25,7 +26,7 @@
         decode_config: Decoder of the configuration.
         decode_target: Decoder of a target record, from its name and content.
         decode_vm: Decoder of the record of a VM, from its name and content.
-        decode_size: Decoder of the size of a group, from its content.
+        decode_size: Decoder of the size of a group, from its name, revision and content.
         readiness_path: Path of the readiness probe of the load balancer.
     """
 
@@ -37,7 +38,7 @@
     decode_config: Callable[[Any], Result[RoutingConfig, str]]
     decode_target: Callable[[str, Any], Result[TargetRecord, str]]
     decode_vm: Callable[[str, Any], Result[PeerRecord, str]]
-    decode_size: Callable[[Any], Result[int, str]]
+    decode_size: Callable[[str, int, Any], Result[SizeRecord, str]]
     readiness_path: str
 
 
--- a/src/cassiaseam/pooler/group_sizes.py
+++ b/src/cassiaseam/pooler/group_sizes.py
@@ -15,11 +15,13 @@
         group: Name of the group.
         size: Number of targets; 0 when the record cannot be read.
         revision: Revision of the record in the store, 0 without one.
+        era: Era of the store in which it was written.
     """
 
     group: str
     size: int
     revision: int
+    era: int = 0
 
 
 @dataclass(slots=True)
@@ -28,6 +30,7 @@
 
     Attributes:
         known: Whether the records were read since the daemon started.
+        read_era: Era of the store in which they were last read, or None before the first read.
         records: Record per group as last read or written.
         differing: Number of targets and time since which it differs from the record, per group.
         request_sent_at: Time at which the call in flight was sent, or None.
@@ -36,6 +39,7 @@
     """
 
     known: bool = False
+    read_era: int | None = None
     records: dict[str, SizeRecord] = field(default_factory=dict)
     differing: dict[str, tuple[int, float]] = field(default_factory=dict)
     request_sent_at: float | None = None
--- a/src/cassiaseam/pooler/size_client.py
+++ b/src/cassiaseam/pooler/size_client.py
@@ -48,12 +48,13 @@
             return
         records = []
         for change in listing.ok_value.changes:
-            decoded = self.environment.decode_size(change.spec)
+            decoded = self.environment.decode_size(change.name, change.revision, change.spec)
             if isinstance(decoded, Err):
                 # Keep the revision, so that a valid record can replace this one.
                 self.log('size_record_refused', group=change.name, cause=decoded.err_value)
-            size = 0 if isinstance(decoded, Err) else decoded.ok_value
-            records.append(SizeRecord(change.name, size, change.revision))
+                records.append(SizeRecord(change.name, 0, change.revision))
+            else:
+                records.append(decoded.ok_value)
         self.dispatch(SizesRead(tuple(records)))
 
     async def write(self, record: SizeRecord) -> None:
--- a/tests/platform/test_platform_records.py
+++ b/tests/platform/test_platform_records.py
@@ -7,6 +7,7 @@
 
 from cassiaseam.platform import records
 from cassiaseam.pooler.events import LeaseRecord
+from cassiaseam.pooler.group_sizes import SizeRecord
 from cassiaseam.pooler.model import Consistency, GroupLimits, Route, TargetRecord
 
 CONFIG = {
@@ -109,9 +110,11 @@
 
 
 def test_group_size_round_trip():
-    assert records.decode_size(records.encode_size(3)) == Ok(3)
+    record = SizeRecord('g', 3, 7, era=2)
+    assert records.decode_size('g', 7, records.encode_size(record)) == Ok(record)
+    assert records.decode_size('g', 7, {'size': 3}) == Ok(SizeRecord('g', 3, 7))
 
 
 @pytest.mark.parametrize('spec', [None, {}, {'size': '3'}, {'size': 0}, {'size': True}, [3]])
 def test_invalid_group_size_is_rejected(spec):
-    assert isinstance(records.decode_size(spec), Err)
+    assert isinstance(records.decode_size('g', 7, spec), Err)
--- a/tests/pooler/pooler_world.py
+++ b/tests/pooler/pooler_world.py
@@ -128,7 +128,8 @@
         self.platform = VirtualPlatform(self)
         self.sizes = {}
         for name, size in ({GROUP: target_count} if sizes is None else sizes).items():
-            self.sizes[name] = SizeRecord(name, size, self.platform.take_revision())
+            revision = self.platform.take_revision()
+            self.sizes[name] = SizeRecord(name, size, revision, self.platform.era)
         self.size_calls = []
         self.cuts = set()
         self.lossy = {}
--- a/tests/pooler/test_pooler_group_sizes.py
+++ b/tests/pooler/test_pooler_group_sizes.py
@@ -11,10 +11,12 @@
 from test_pooler_lease import OTHER, build_state, select_effects
 
 from cassiaseam.platform import records
-from cassiaseam.pooler import quorum, sessions
+from cassiaseam.pooler import quorum, sessions, store_era
 from cassiaseam.pooler.events import (
     LeaseRead,
     ReadLease,
+    StoreEraObserved,
+    StoreListed,
     StoreReachability,
     TargetRemoved,
     TargetsListed,
@@ -24,6 +26,7 @@
     FIRST_CHECK_DELAY_S,
     GROW_RECORD_DELAY_S,
     JITTER_PER_VM_S,
+    RESTORE_SETTLE_S,
     SHRINK_RECORD_DELAY_S,
     STORE_CALL_TIMEOUT_S,
 )
@@ -42,6 +45,7 @@
 from cassiaseam.pooler.store_types import Change, Listing, StoreError, WriteResult
 from cassiaseam.pooler.ticks import PoolerTick
 from cassiaseam.reducer.registry import reduce_event
+from cassiaseam.store_revisions import join_revision
 
 # Seconds within which a single VM checks the record once the delay has passed.
 CHECK_S = JITTER_PER_VM_S + 0.2
@@ -54,6 +58,8 @@
 def start_vm(listed, recorded):
     """Return the state of a VM that read target records and recorded sizes at its start."""
     state = PoolerState('vm0', 'p0', random.Random(1))
+    # The store was not restored shortly before the start.
+    reduce_event(state, StoreListed(7), -RESTORE_SETTLE_S)
     reduce_event(state, StoreReachability(True), 0)
     if recorded is not None:
         reduce_event(state, SizesRead((SizeRecord(GROUP, recorded, 7),)), 0)
@@ -312,7 +318,7 @@
 
 
 FOUND = (
-    Change('g', records.encode_size(3), False, 5),
+    Change('g', records.encode_size(SizeRecord('g', 3, 5)), False, 5),
     Change('odd', {'size': '3'}, False, 6),
 )
 
@@ -344,3 +350,84 @@
         assert (events, lines) == ([SizeWritten(SizeRecord('g', 3, 9))], [])
     else:
         assert (events, lines) == ([SizeWritten(None)], ['size_write_failed'])
+
+
+# Revision, in the era that the restore begins, of a record that came back with the copy.
+RETURNED = join_revision(2, 4)
+
+
+def restore(state, now):
+    """Show a VM that the store was restored; the first list of the era follows at once."""
+    reduce_event(state, StoreEraObserved(2), now)
+    reduce_event(state, StoreListed(RETURNED), now)
+
+
+@pytest.mark.parametrize(
+    ('found', 'written'),
+    [
+        ((), SizeRecord(GROUP, 3, 0, 2)),
+        (
+            (SizeRecord(GROUP, 2, join_revision(2, 4), 0),),
+            SizeRecord(GROUP, 3, join_revision(2, 4), 2),
+        ),
+        (
+            (SizeRecord(GROUP, 3, join_revision(2, 4), 0),),
+            SizeRecord(GROUP, 3, join_revision(2, 4), 2),
+        ),
+        ((SizeRecord(GROUP, 3, join_revision(2, 9), 2),), None),
+    ],
+    ids=['lost', 'older one back', 'not confirmed in this era', 'written by another VM'],
+)
+def test_size_is_recorded_again_after_a_restore_of_the_store(found, written):
+    # A VM kept the record with the higher revision of the former era and wrote under it: a
+    # conflict every few seconds from every VM, and no record for those that start.
+    state = start_vm(STAYING, 3)
+    run_ticks(state, 0, 20)
+    restore(state, 20)
+    assert run_ticks(state, 20, 20 + RESTORE_SETTLE_S - 0.1) == []
+    read_at = 20 + RESTORE_SETTLE_S + CHECK_S
+    assert run_ticks(state, 20 + RESTORE_SETTLE_S, read_at) == [ReadSizes()]
+    effects = list(reduce_event(state, SizesRead(found), read_at))
+    effects += run_ticks(state, read_at, read_at + 3)
+    if ReadSizes() in effects:
+        effects += reduce_event(state, SizesRead(found), read_at + 3)
+    assert [it.record for it in effects if isinstance(it, WriteSize)] == (
+        [written] if written else []
+    )
+
+
+@pytest.mark.parametrize('found', [(), (SizeRecord(GROUP, 2, join_revision(2, 4), 0),)])
+def test_size_known_before_a_restore_stays_the_floor(found):
+    # The VM has seen fewer targets than were recorded; the record that came back is smaller.
+    state = start_vm(STAYING[:1], 3)
+    restore(state, 20)
+    run_ticks(state, 20, 25)
+    reduce_event(state, SizesRead(found), 25)
+    assert state.groups[GROUP].size == 3
+
+
+@pytest.mark.parametrize(
+    ('found', 'waits'),
+    [
+        ((), True),
+        ((SizeRecord(GROUP, 3, join_revision(2, 4), 1),), True),
+        ((SizeRecord(GROUP, 3, join_revision(2, 9), 2),), False),
+    ],
+    ids=['no record', 'record of a former era', 'record of this era'],
+)
+def test_vm_that_starts_right_after_a_restore_waits_for_lost_records(found, waits):
+    # It counted majorities over the targets that had registered again so far, and served the
+    # configuration of the copy before the operator had written again.
+    state = PoolerState('vm0', 'p0', random.Random(1))
+    state.config = RoutingConfig(1)
+    reduce_event(state, StoreReachability(True), 0)
+    restore(state, 0)
+    reduce_event(state, TargetsListed(tuple(STAYING[:1])), 0.1)
+    reduce_event(state, SizesRead(found), 0.2)
+    assert sessions.is_configured(state) is not waits
+    assert run_ticks(state, 0.3, 1.5) == ([ReadSizes()] if waits else [])
+    reduce_event(state, SizesRead(found), RESTORE_SETTLE_S)
+    assert sessions.is_configured(state)
+
+
+HANDLER_MODULES = (store_era,)
