Keep targets that left out of use after a restore brings back their records

What callers would see: a target that drained, or was gone, was in use again after a restore, because the copy was older than its announcement; requests went to it and majorities counted it.

In the first list of an era, a record that says less than what is known of the same incarnation does not count: a target that announced its leave, or has left after that. What the target itself writes in the new era counts at once.

--- a/src/cassiaseam/pooler/discovery.py
+++ b/src/cassiaseam/pooler/discovery.py
@@ -15,6 +15,8 @@
 
 # Seconds after which a target whose record is missing is removed.
 MISSING_TARGET_TIMEOUT_S = 5.0
+# Targets that announced their leave and are gone, of which a restore may bring back the record.
+MAX_DEPARTED_TARGETS = 1000
 
 
 @handles(ConfigurationRead)
@@ -37,9 +39,15 @@
 def apply_target_list(state: PoolerState, event: TargetsListed, now: float) -> list:
     """Apply all records, and mark targets without one as missing."""
     effects: list = []
+    era = state.store_era or 0
+    is_restored = state.targets_known and state.target_list_era != era
+    state.target_list_era = era
     names = {record.name for record in event.records}
     for record in event.records:
-        effects.extend(apply_record(state, record, now))
+        if is_restored and is_superseded(state, record):
+            effects.append(build_target_log('target_record_superseded', record))
+        else:
+            effects.extend(apply_record(state, record, now))
     for name in list(state.target_groups):
         if name not in names:
             effects += mark_missing(state, name, now)
@@ -47,6 +55,21 @@
     return effects + sessions.resolve_pending_sessions(state, now)
 
 
+def is_superseded(state: PoolerState, record: TargetRecord) -> bool:
+    """Return whether a record in the first list after a restore is older than what is known.
+
+    A target that announced its leave serves no new requests until it ends, so a record of the same
+    incarnation that does not say so was written before. A later change of the record counts.
+    """
+    if state.departed.get(record.name) == record.incarnation:
+        return True
+    group = state.groups.get(state.target_groups.get(record.name, ''))
+    if group is None:
+        return False
+    known = group.targets[record.name].record
+    return known.leaving and not record.leaving and known.incarnation == record.incarnation
+
+
 @handles(TargetChanged)
 def apply_target_change(state: PoolerState, event: TargetChanged, now: float) -> list:
     """Apply a changed record."""
@@ -195,6 +218,10 @@
     effects = [build_target_log('target_removed', target.record)]
     effects += close_connections(state, group, target, 'target removed', now)
     del group.targets[name]
+    if target.record.leaving:
+        state.departed[name] = target.record.incarnation
+        if len(state.departed) > MAX_DEPARTED_TARGETS:
+            del state.departed[next(iter(state.departed))]
     if target.record.leaving and group.size > len(group.targets):
         group.size -= 1
     if group.monitor.primary == name:
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -359,6 +359,8 @@
         first_listed_at: Time of that list.
         lease: State of the promotion lease on this VM.
         targets_known: Whether the target records were read.
+        target_list_era: Era of the store of the latest list of targets.
+        departed: Incarnation per target that announced its leave and is gone, oldest first.
         sizes: Recorded sizes of the groups.
         peers: Other VMs by name.
         counters: Number of final answers per route and outcome.
@@ -384,6 +386,8 @@
     first_revision: int | None = None
     first_listed_at: float = 0
     targets_known: bool = False
+    target_list_era: int = 0
+    departed: dict[str, str] = field(default_factory=dict)
     sizes: GroupSizesState = field(default_factory=GroupSizesState)
     peers: dict[str, PeerState] = field(default_factory=dict)
     lease: LeaseState = field(default_factory=LeaseState)
--- a/tests/pooler/test_pooler_store_era.py
+++ b/tests/pooler/test_pooler_store_era.py
@@ -4,14 +4,23 @@
 
 import pytest
 
-from cassiaseam.pooler import discovery, store_era
-from cassiaseam.pooler.events import ConfigurationRead, StoreEraObserved, WriteLog
+from cassiaseam.pooler import discovery, store_era, ticks
+from cassiaseam.pooler.events import (
+    ConfigurationRead,
+    PoolerTick,
+    StoreEraObserved,
+    StoreReachability,
+    TargetChanged,
+    TargetRemoved,
+    TargetsListed,
+    WriteLog,
+)
 from cassiaseam.pooler.metrics import render_metrics
-from cassiaseam.pooler.model import RoutingConfig
+from cassiaseam.pooler.model import RoutingConfig, TargetRecord
 from cassiaseam.pooler.state import PoolerState
 from cassiaseam.reducer.registry import reduce_event
 
-HANDLER_MODULES = (discovery, store_era)
+HANDLER_MODULES = (discovery, store_era, ticks)
 
 
 def build_state():
@@ -52,3 +61,41 @@
     fields = {'version': 3, 'in_force': 4}
     assert effects == ([WriteLog('configuration_ignored', fields)] if is_logged else [])
     assert state.config.version == 4
+
+
+def build_target(leaving, incarnation='1'):
+    return TargetRecord('t0', 'g', '10.0.0.1', 1, 'p0', 5, leaving, False, incarnation)
+
+
+def list_targets(state, now, *records):
+    reduce_event(state, TargetsListed(records), now)
+
+
+@pytest.mark.parametrize(
+    ('is_gone', 'returned', 'is_used'),
+    [
+        (False, build_target(leaving=False), False),
+        (True, build_target(leaving=False), False),
+        (True, build_target(leaving=False, incarnation='2'), True),
+    ],
+    ids=['leaving', 'gone', 'started again'],
+)
+def test_target_that_left_is_not_used_again_after_a_restore(is_gone, returned, is_used):
+    # The copy was older than the announcement: the VM sent requests to a target that drained, and
+    # counted a target that was gone.
+    state = build_state()
+    reduce_event(state, StoreReachability(True), 0)
+    reduce_event(state, StoreEraObserved(1), 0)
+    list_targets(state, 0, build_target(leaving=False))
+    reduce_event(state, TargetChanged(build_target(leaving=True)), 1)
+    if is_gone:
+        reduce_event(state, TargetRemoved('t0'), 2)
+        reduce_event(state, PoolerTick(), 2 + discovery.MISSING_TARGET_TIMEOUT_S + 0.1)
+        assert not state.groups['g'].targets
+    reduce_event(state, StoreEraObserved(2), 9)
+    list_targets(state, 9, returned)
+    in_use = [it for it in state.groups['g'].targets.values() if not it.record.leaving]
+    assert bool(in_use) is is_used
+    # What the target writes in the new era counts.
+    reduce_event(state, TargetChanged(build_target(leaving=False, incarnation='3')), 10)
+    assert not state.groups['g'].targets['t0'].record.leaving
