Mark all staying targets as new when more are beyond the recorded size

A slice with a negative start took too few: with two leaving and two staying targets and a recorded size of 1, one of the two staying targets counted as known to all VMs, and a promotion could rely on its fence. Found by reading; no run showed it. The case with the recorded size 1 fails without the change.

--- a/src/cassiaseam/pooler/quorum.py
+++ b/src/cassiaseam/pooler/quorum.py
@@ -81,7 +81,7 @@
     ]
     # Incarnations are numbers without leading zeros: a longer one is later.
     others.sort(key=lambda entry: (len(entry.record.incarnation), entry.record.incarnation))
-    for target in others[len(others) - excess :] if excess > 0 else []:
+    for target in others[max(len(others) - excess, 0) :] if excess > 0 else []:
         target.joined_at = now
 
 
--- a/tests/pooler/test_pooler_majorities.py
+++ b/tests/pooler/test_pooler_majorities.py
@@ -224,3 +224,15 @@
         vm.dispatch(TargetChanged(target.get_record()))
     states = vm.state.groups[GROUP].targets
     assert {name for name, target in states.items() if target.joined_at is not None} == joined
+
+
+@pytest.mark.parametrize(('recorded', 'joined'), [(2, {'t2', 't3'}), (1, {'t2', 't3'})])
+def test_all_staying_targets_are_new_when_more_are_beyond_the_record(recorded, joined):
+    # With more targets beyond the recorded number than there are staying ones, only some of these
+    # were marked, and a promotion relied on fences of the others.
+    group = GroupView(GROUP, quorum.build_monitor(GROUP))
+    for number in range(4):
+        record = TargetRecord(f't{number}', GROUP, 'h', 1, 'p0', 5, number < 2, False, f'{number}')
+        group.targets[record.name] = TargetState(record)
+    quorum.mark_new_targets(group, recorded, 5.0)
+    assert {name for name, it in group.targets.items() if it.joined_at is not None} == joined
