Keep confirmed changes of the owner role across a restore of the store

What operators would see: after a restore, a confirmed change was missed by the daemons that watch the store, because its revision was below the one that they had reached; a write that expected a revision of the former era could overwrite another change; and a change that the copy lacks was gone for daemons that start.

The client of the object store orders versions by era, refuses responses of a former era and does not send a write that expects one. A write without a response whose version is in a newer era has an unknown outcome. The daemons read all shards again after a failed poll and in a new era. A shard of the new era whose confirmation is older than that of the applied one is not applied: a daemon that knows the newer one writes it again, as it does for a shard that is gone.

Terms need no change: a target grants a term to one promoter, so that a term that is claimed twice after a restore gets no two majorities.

The stand-in restores on PUT /restore.

--- a/src/cassiaseam/objectstore/client.py
+++ b/src/cassiaseam/objectstore/client.py
@@ -27,6 +27,8 @@
     VmDocument,
     split_stored,
 )
+from cassiaseam.observability.logs import log_event
+from cassiaseam.store_revisions import get_era, get_number, join_revision
 
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
@@ -72,6 +74,7 @@
     Attributes:
         caller: HTTP client, with its counters.
         write_ids: Last seen version and write IDs by key.
+        era: Newest era of the store that a response named.
     """
 
     def __init__(
@@ -89,6 +92,7 @@
         self.caller = HttpCaller(base_url, reactor, rng, self.settings, token, clock)
         self.counters = self.caller.counters
         self.write_ids: LRUCache[str, tuple[int, tuple[str, ...]]] = LRUCache(_WRITE_ID_CACHE_SIZE)
+        self.era = 0
 
     async def close(self) -> None:
         """Close the connections to the platform."""
@@ -101,14 +105,14 @@
         reply = await self.run_with_retries(HttpCall('GET', make_object_path(key)))
         if reply.is_ok() and reply.unwrap().status == HTTP_NOT_FOUND:
             return Ok(None)
-        checked = reply.and_then(lambda ok: parse_reply(ok, ObjectDocument))
+        checked = reply.and_then(lambda ok: parse_versioned(ok, ObjectDocument))
         return checked.map(self.cache_write_ids)
 
     async def list_objects(self, prefix: str) -> Result[ObjectBatch, RequestError]:
         """List the objects whose keys start with `prefix`."""
         query = urlencode({'prefix': prefix})
         reply = await self.run_with_retries(HttpCall('GET', f'/objects?{query}'))
-        return reply.and_then(lambda ok: parse_reply(ok, BatchDocument)).map(
+        return reply.and_then(lambda ok: parse_versioned(ok, BatchDocument)).map(
             self.cache_batch_write_ids
         )
 
@@ -116,11 +120,12 @@
         self, prefix: str, after: int, wait_s: float
     ) -> Result[ObjectBatch, RequestError]:
         """Long-poll for objects written after a revision; the batch may be empty."""
-        query = urlencode({'prefix': prefix, 'after': after, 'timeout_ms': int(wait_s * 1000)})
+        timeout_ms = int(wait_s * 1000)
+        query = urlencode({'prefix': prefix, 'after': get_number(after), 'timeout_ms': timeout_ms})
         timeout_s = wait_s + self.timeout_s + _WATCH_TIMEOUT_MARGIN_S
         call = HttpCall('GET', f'/watch?{query}', timeout_s=timeout_s)
         reply = await self.run_once(call)
-        return reply.and_then(lambda ok: parse_reply(ok, BatchDocument)).map(
+        return reply.and_then(lambda ok: parse_versioned(ok, BatchDocument)).map(
             self.cache_batch_write_ids
         )
 
@@ -186,20 +191,26 @@
 
     async def attempt_write(self, write: ConditionalWrite) -> Result[int, RequestError] | None:
         """Send a write once; None if it may be retried."""
-        headers = {'If-Match': str(write.version)}
+        if write.version and get_era(write.version) < self.era:
+            message = f'{write.key} was read before a restore of the store'
+            kind = ErrorKind.VERSION_CONFLICT
+            if write.may_have_arrived:
+                kind = ErrorKind.OUTCOME_UNKNOWN
+            return Err(RequestError(kind, message))
+        headers = {'If-Match': str(get_number(write.version))}
         path = make_object_path(write.key)
         call = HttpCall('PUT', path, write.document, headers, self.timeout_s)
         try:
-            reply = await self.caller.run(call)
+            reply = await self.run_call(call)
         except CallFailed as failure:
             return await self.handle_lost_response(write, failure)
         if reply.status == HTTP_CONFLICT:
-            return parse_reply(reply, ConflictDocument, HTTP_CONFLICT).and_then(
+            return parse_versioned(reply, ConflictDocument, HTTP_CONFLICT).and_then(
                 lambda found: resolve_write(
                     write, self.cache_write_ids(add_key(write.key, found.version, found.value))
                 )
             )
-        parsed = parse_reply(reply, VersionDocument)
+        parsed = parse_versioned(reply, VersionDocument)
         if parsed.is_ok():
             written = add_key(write.key, parsed.unwrap().version, write.document)
             self.cache_write_ids(written)
@@ -243,10 +254,25 @@
         """Cache the write IDs of several objects and return them without them."""
         return ObjectBatch(batch.revision, tuple(map(self.cache_write_ids, batch.objects)))
 
+    async def run_call(self, call: HttpCall) -> HttpReply:
+        """Make one attempt of a call.
+
+        Raises:
+            CallFailed: No usable response, or one from a former era of the store.
+        """
+        reply = await self.caller.run(call)
+        if reply.era < self.era:
+            message = f'response of era {reply.era} after era {self.era}'
+            raise CallFailed(message, may_have_arrived=True)
+        if reply.era > self.era:
+            log_event('store_era_changed', era=reply.era, former=self.era)
+            self.era = reply.era
+        return reply
+
     async def run_once(self, call: HttpCall) -> Result[HttpReply, RequestError]:
         """Make a call without retries."""
         try:
-            return Ok(await self.caller.run(call))
+            return Ok(await self.run_call(call))
         except CallFailed as failure:
             return Err(self.make_unavailable_error(str(failure)))
 
@@ -291,6 +317,23 @@
         return Err(RequestError(ErrorKind.INTERNAL, message))
 
 
+def parse_versioned(
+    reply: HttpReply, model: type[DocumentT], status: int = HTTP_OK
+) -> Result[DocumentT, RequestError]:
+    """Return the validated content of a response; its revisions hold the era of the store."""
+    return parse_reply(reply, model, status).map(lambda document: add_era(document, reply.era))
+
+
+def add_era(document: Any, era: int) -> Any:
+    """Return a document whose revisions hold an era; a version of 0 stands for no object."""
+    if isinstance(document, BatchDocument):
+        objects = [add_era(stored, era) for stored in document.objects]
+        revision = join_revision(era, document.revision)
+        return document.model_copy(update={'revision': revision, 'objects': objects})
+    version = join_revision(era, document.version) if document.version else 0
+    return document.model_copy(update={'version': version})
+
+
 def make_invalid_error(reply: HttpReply) -> RequestError:
     """Return the error for an unexpected response."""
     message = f'unexpected answer of the platform: status {reply.status}'
@@ -305,6 +348,8 @@
     base_ids = write.base_ids or ()
     # If the ID of the base version is no longer stored, the ID of this write may be gone too.
     has_complete_history = bool(base_ids) and base_ids[0] in stored.write_ids
-    if write.may_have_arrived and not has_complete_history:
+    # After a restore a write without a response may find its version given out again.
+    is_restored = get_era(stored.version) > get_era(write.version)
+    if write.may_have_arrived and (is_restored or not has_complete_history):
         return Err(RequestError(ErrorKind.OUTCOME_UNKNOWN, message))
     return Err(RequestError(ErrorKind.VERSION_CONFLICT, message))
--- a/src/cassiaseam/objectstore/http.py
+++ b/src/cassiaseam/objectstore/http.py
@@ -28,6 +28,10 @@
 _CONNECTIONS_PER_HOST = 8
 
 
+# Number in each answer that rises by one when the store is restored from a copy.
+ERA_HEADER = 'Store-Era'
+
+
 @dataclass(frozen=True, slots=True)
 class HttpCall:
     """Request to the platform.
@@ -49,10 +53,17 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpReply:
-    """Response of the platform with its JSON content, or None if that is not JSON."""
+    """Response of the platform.
+
+    Attributes:
+        status: Status code.
+        content: JSON content, or None if it is not JSON.
+        era: Era of the store, 0 if the platform names none.
+    """
 
     status: int
     content: Any
+    era: int = 0
 
 
 class CallFailed(Exception):
@@ -205,7 +216,10 @@
         content = await treq.content(response).asFuture(loop)
         if response.code >= _SERVER_ERROR or response.code == _TOO_MANY_REQUESTS:
             raise CallFailed(f'status {response.code}', may_have_arrived=True)
-        return HttpReply(response.code, parse_json(content))
+        era = response.headers.getRawHeaders(ERA_HEADER, ['0'])[0]
+        if not era.isdecimal():
+            raise CallFailed(f'Store-Era {era!r} is not a number', may_have_arrived=True)
+        return HttpReply(response.code, parse_json(content), int(era))
 
 
 def parse_json(content: bytes) -> Any:
--- a/src/cassiaseam/peers/store_loops.py
+++ b/src/cassiaseam/peers/store_loops.py
@@ -11,6 +11,7 @@
     compress_document,
     decode_shard_document,
     decompress_document,
+    format_shard_key,
     parse_shard_key,
     read_confirmation_stamp,
 )
@@ -19,8 +20,10 @@
 from cassiaseam.membership.messages import ListedVm, VmListReceived
 from cassiaseam.objectstore.client import PlatformClient
 from cassiaseam.objectstore.model import ObjectBatch, StoredObject, VmDocument
+from cassiaseam.observability.logs import log_event
 from cassiaseam.peers.messages import EncodedShard
 from cassiaseam.peers.stamps import MessageStamps
+from cassiaseam.store_revisions import get_era
 
 # The list has about 120 bytes per VM. A period proportional to its length keeps the traffic of
 # each daemon at about 530 bytes/s; with jitter, the average delay is three quarters of the period.
@@ -29,6 +32,8 @@
 REGISTRATION_RECHECK_DELAY_S = 0.5
 WATCH_TIMEOUT_S = 25.0
 MAX_BACKOFF_S = 15.0
+# Seconds after which a daemon writes a shard again that a restore of the store has replaced.
+MAX_REWRITE_DELAY_S = 1.0
 
 
 class StoreLoops:
@@ -111,6 +116,7 @@
             found = await self.client.list_objects(SHARD_PREFIX)
             if found.is_ok():
                 self.apply_batch(found.unwrap())
+                self.rewrite_lost_shards(found.unwrap())
                 return found.unwrap().revision
             await asyncio.sleep(self.add_jitter(pause_s))
             pause_s = min(MAX_BACKOFF_S, pause_s * 2)
@@ -124,16 +130,21 @@
             self.watch = None
 
     async def watch_store(self) -> None:
-        """Apply changes of all shards by long polling."""
-        revision = await self.read_store()
+        """Apply changes of all shards by long polling.
+
+        All shards are read again after a failed poll and in a new era of the store, because a
+        restore may have given the revisions below the watched one to other changes.
+        """
         pause_s = 0.5
         while True:
+            revision = await self.read_store()
             found = await self.client.watch_objects(SHARD_PREFIX, revision, WATCH_TIMEOUT_S)
-            if found.is_ok():
+            while found.is_ok() and get_era(found.unwrap().revision) == get_era(revision):
                 pause_s = 0.5
                 self.apply_batch(found.unwrap())
                 revision = max(revision, found.unwrap().revision)
-            else:
+                found = await self.client.watch_objects(SHARD_PREFIX, revision, WATCH_TIMEOUT_S)
+            if found.is_err():
                 await asyncio.sleep(self.add_jitter(pause_s))
                 pause_s = min(MAX_BACKOFF_S, pause_s * 2)
 
@@ -166,6 +177,12 @@
 
     def apply_document(self, shard: EncodedShard, document: Any, source: str) -> None:
         """Validate a shard document and dispatch it to the reducer."""
+        if self.is_superseded(shard, document):
+            logging.warning('event=shard_superseded source=%s shard=%d', source, shard.number)
+            self.start_task(
+                self.rewrite_shard(shard.number, shard.version, get_era(shard.version))
+            )
+            return
         decoded = decode_shard_document(shard.number, shard.version, document)
         if decoded.is_err():
             reason = decoded.unwrap_err().message
@@ -177,6 +194,54 @@
             ShardReceived(shard.number, shard.version, decoded.unwrap(), shard.document, source)
         )
 
+    def is_superseded(self, shard: EncodedShard, document: Any) -> bool:
+        """Return whether a restored store has a shard from before the one that is applied.
+
+        Versions do not tell the order then; the stamps of the confirmations do.
+        """
+        applied = self.node.state.configuration.shards[shard.number]
+        if not applied.version or get_era(applied.version) == get_era(shard.version):
+            return False
+        return self.read_applied_stamp(shard.number) > read_confirmation_stamp(document)
+
+    def read_applied_stamp(self, number: int) -> tuple[int, int]:
+        """Return the stamp of the confirmation of the applied shard."""
+        applied = self.node.state.configuration.shards[number]
+        unpacked = decompress_document(applied.document)
+        return read_confirmation_stamp(unpacked.unwrap() if unpacked.is_ok() else None)
+
+    def rewrite_lost_shards(self, batch: ObjectBatch) -> None:
+        """Write the applied shards again that a restored store lacks."""
+        listed = {stored.key for stored in batch}
+        era = get_era(batch.revision)
+        for number, shard in enumerate(self.node.state.configuration.shards):
+            is_older = shard.version and get_era(shard.version) < era
+            if is_older and format_shard_key(number) not in listed:
+                self.start_task(self.rewrite_shard(number, 0, era))
+
+    async def rewrite_shard(self, number: int, version: int, era: int) -> None:
+        """Write the applied shard over the older one, or none, that a restored store has.
+
+        The daemons that know the newer shard do so at random times; the first write counts.
+
+        Args:
+            number: Number of the shard.
+            version: Version of the older shard, or 0.
+            era: Era of the store that has it.
+        """
+        await asyncio.sleep(self.add_jitter(MAX_REWRITE_DELAY_S))
+        applied = self.node.state.configuration.shards[number]
+        if get_era(applied.version) >= era:
+            return
+        document = decompress_document(applied.document).unwrap()
+        written = await self.client.write_object(format_shard_key(number), document, version)
+        outcome = 'written' if written.is_ok() else written.unwrap_err().message
+        log_event('shard_rewritten', shard=number, outcome=outcome)
+        if written.is_ok():
+            self.apply_document(
+                EncodedShard(number, written.unwrap(), applied.document), document, 'store'
+            )
+
 
 def convert_vm(vm: VmDocument) -> ListedVm:
     """Convert an entry of the VM list to the form of the membership role."""
--- a/src/cassiaseam_standin/platform_http.py
+++ b/src/cassiaseam_standin/platform_http.py
@@ -23,7 +23,7 @@
 DEFAULT_WATCH_MS = 30_000
 MS_PER_S = 1000
 # Routes exempt from faults, so that tests can end a fault and read the counters.
-CONTROL_ROUTES = frozenset(('faults', 'counters'))
+CONTROL_ROUTES = frozenset(('faults', 'counters', 'restore'))
 
 
 class PlatformFaults(BaseModel):
@@ -113,10 +113,11 @@
 
 
 def send_json(request: Request, status: int, body: Any) -> None:
-    """Send the answer, unless the client has disconnected."""
+    """Send the answer with the era of the store, unless the client has disconnected."""
     if request.client_gone:
         return
     request.setResponseCode(status)
+    request.setHeader('Store-Era', str(request.site.resource.store.era))
     request.setHeader('Content-Type', 'application/json')
     request.write(json.dumps(body).encode())
     request.finish()
@@ -330,6 +331,23 @@
     return resource.faults.model_dump()
 
 
+class RestoreRequest(BaseModel):
+    """Number of latest writes that a restore loses."""
+
+    model_config = ConfigDict(extra='forbid')
+
+    writes: NonNegativeInt
+
+
+@routes('PUT', 'restore')
+def restore_store(resource: PlatformResource, request: Request, rest: str) -> Any:
+    """Lose the latest writes, begin an era and close the long polls."""
+    resource.store.restore(RestoreRequest.model_validate(read_json_body(request)).writes)
+    for waiting in tuple(resource.waiting):
+        drop_connection(waiting)
+    return {'revision': resource.store.revision}
+
+
 @routes('GET', 'counters')
 def read_counters(resource: PlatformResource, request: Request, rest: str) -> Any:
     """Return the number of calls per method and route since the start."""
--- a/src/cassiaseam_standin/platform_store.py
+++ b/src/cassiaseam_standin/platform_store.py
@@ -39,11 +39,15 @@
         revision: Revision of the latest write to any object.
         objects: Objects by key.
         watches: Long polls that wait for a write.
+        era: Number that rises by one with each restore.
+        former: Key and former object of each write, oldest first.
     """
 
     revision: int = 0
     objects: dict[str, StoredObject] = field(default_factory=dict)
     watches: list[Watch] = field(default_factory=list)
+    era: int = 1
+    former: list[tuple[str, StoredObject | None]] = field(default_factory=list)
 
     def find_version(self, key: str) -> int:
         """Return the version of an object, 0 if it does not exist."""
@@ -58,11 +62,23 @@
         """
         if self.find_version(key) != expected_version:
             return None
+        self.former.append((key, self.objects.get(key)))
         self.revision += 1
         self.objects[key] = StoredObject(key, self.revision, content)
         self.notify_watches(key)
         return self.revision
 
+    def restore(self, writes: int) -> None:
+        """Lose the latest writes, as a store does that comes back from a copy."""
+        for _ in range(min(writes, len(self.former))):
+            key, former = self.former.pop()
+            self.revision -= 1
+            if former is None:
+                del self.objects[key]
+            else:
+                self.objects[key] = former
+        self.era += 1
+
     def list_objects(self, prefix: str, after: int = 0) -> list[StoredObject]:
         """Return the objects under `prefix` with a version above `after`, oldest write first."""
         found = [
--- a/tests/standin/test_standin_platform.py
+++ b/tests/standin/test_standin_platform.py
@@ -161,3 +161,13 @@
     _, after = platform.call('GET', '/counters')
     changed = {name for name in after if after[name] != before.get(name, 0)}
     assert changed == {'GET vms', 'PUT objects', 'conflicts'}
+
+
+def test_restore_loses_the_latest_writes_and_gives_their_revisions_out_again(platform):
+    path = '/objects/groups/restored'
+    _, first = platform.call('PUT', path, {'term': 1}, 0)
+    _, second = platform.call('PUT', path, {'term': 2}, first['version'])
+    assert platform.call('PUT', '/restore', {'writes': 1})[0] == 200
+    assert platform.call('GET', path)[1]['value'] == {'term': 1}
+    _, third = platform.call('PUT', path, {'term': 3}, first['version'])
+    assert third['version'] == second['version']
--- a/tests/test_peer_stamps.py
+++ b/tests/test_peer_stamps.py
@@ -14,6 +14,7 @@
     OwnershipChanged,
     TargetConfig,
 )
+from cassiaseam.configuration.state import create_configuration
 from cassiaseam.daemon.node import EXECUTORS
 from cassiaseam.membership.messages import (
     Datagram,
@@ -117,7 +118,8 @@
     stamp = operator.buffer.records[-1].record.stamp
     config = DatabaseConfig('orders', (TargetConfig('t1', LOOPBACK, 3306, 'a'),))
     document = encode_shard({'orders': config}, Confirmed('p', 'team', 'at', stamp))
-    node = SimpleNamespace(dispatch=lambda event: daemon.record(type(event).__name__))
+    state = SimpleNamespace(configuration=create_configuration())
+    node = SimpleNamespace(state=state, dispatch=lambda event: daemon.record(type(event).__name__))
     loops = StoreLoops(node, None, None, daemon.stamps)
     shard = EncodedShard(find_shard('orders'), 1, compress_document(document))
     loops.apply_document(shard, document, 'store')
