--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -84,7 +84,7 @@
         'record.revision >= sizes.find_record(record.group).revision',
         'True',
     ),
-    Guard('pooler/group_size_sync.py', 'count != recorded and ', ''),
+    Guard('pooler/group_size_sync.py', 'not is_recorded(state, name, count) and ', ''),
     Guard('pooler/discovery.py', 'event.config.version <= state.config.version', 'False'),
     Guard('pooler/duty.py', 'now - lease.claimed_at <= LEASE_VALIDITY_S', 'True'),
     Guard(
@@ -139,6 +139,49 @@
         'newer_changes = listing.changes',
     ),
     Guard('pooler/ticks.py', 'except Exception:', 'except ZeroDivisionError:'),
+    # Restores of the store.
+    Guard(
+        'platform/store.py',
+        'if era < self.era:\n            raise',
+        'if False:\n            raise',
+    ),
+    Guard('platform/store.py', 'if len(eras) > 1:', 'if False:'),
+    Guard(
+        'platform/store.py',
+        'if get_era(revision) != self.era:\n                #',
+        'if False:\n #',
+    ),
+    Guard('platform/store.py', 'self._cancel_older_watches()\n        self.', 'self.'),
+    Guard('pooler/store_watcher.py', 'if is_restored or isinstance', 'if isinstance'),
+    Guard('pooler/store_era.py', 'state.first_revision = None', 'pass'),
+    Guard('pooler/duty.py', 'record.era == (state.store_era or 0)', 'True'),
+    Guard('pooler/duty.py', 'if get_era(token) != state.lease.era:', 'if False:'),
+    Guard('pooler/group_size_sync.py', 'record.era == get_store_era(state)', 'True'),
+    Guard(
+        'pooler/group_size_sync.py',
+        'if is_restored and not is_settled',
+        'if False and not is_settled',
+    ),
+    Guard(
+        'pooler/group_size_sync.py',
+        'if not sizes.known and not is_settled',
+        'if False and not is_settled',
+    ),
+    Guard(
+        'pooler/group_size_sync.py',
+        'max(recorded, group.floor) if keep_larger else recorded',
+        'recorded',
+    ),
+    Guard(
+        'pooler/group_size_sync.py', 'forget_lost_records(state, event)\n    for', 'pass\n    for'
+    ),
+    Guard('pooler/discovery.py', 'if is_restored and is_superseded', 'if False and is_superseded'),
+    Guard(
+        'pooler/discovery.py',
+        'if state.departed.get(record.name) == record.incarnation:',
+        'if False:',
+    ),
+    Guard('pooler/quorum.py', 'max(len(others) - excess, 0)', 'len(others) - excess'),
 ]
 
 
--- a/tests/pooler/test_pooler_restored_store.py
+++ b/tests/pooler/test_pooler_restored_store.py
@@ -1,14 +1,22 @@
 """Promotions and majorities around a restore of the store from an older copy."""
 
+import os
+
 import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 from test_pooler_handover import run_deployment
 from test_pooler_lease import build_state, promote, select_effects
 from test_pooler_promises import (
+    EXAMPLES,
+    FAULTS,
+    TIMES,
     check_fences,
     check_late_commits,
     check_promises,
     check_tokens,
     check_turns,
+    play,
 )
 
 from cassiaseam.pooler import store_era
@@ -137,3 +145,28 @@
     record = build_lease_record('other', released, era)
     effects = reduce_event(state, LeaseRead(join_revision(2, 6), record), 4.1)
     assert bool(select_effects(effects, WriteLease)) is claims
+
+
+# Ages of the copy, and times for which the store is away, in seconds.
+COPY_AGES = st.floats(0.0, 6.0)
+AWAY_TIMES = st.floats(0.02, 2.0)
+RESTORES = st.one_of(
+    st.tuples(st.just('restore_store'), TIMES, COPY_AGES, AWAY_TIMES),
+    st.tuples(st.just('restore_at_claim'), TIMES),
+)
+
+
+@settings(
+    max_examples=EXAMPLES,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow],
+    derandomize='POOLER_EXAMPLES' not in os.environ,
+)
+@given(
+    restores=st.lists(RESTORES, min_size=1, max_size=2),
+    faults=st.lists(FAULTS, max_size=3),
+    seed=st.integers(0, 10**6),
+    shared=st.booleans(),
+)
+def test_promises_hold_around_restores_of_the_store(restores, faults, seed, shared):
+    check_everything(*play([*restores, *faults], seed, shared))
