--- a/src/cassiaseam/platform/store.py
+++ b/src/cassiaseam/platform/store.py
@@ -124,8 +124,7 @@
             return Err(StoreError(str(failure)))
         finally:
             self.watched_eras.pop(kind)
-        era = read_era(answer)
-        if answer.status == _GONE or era > get_era(revision):
+        if answer.status == _GONE:
             return Ok(HistoryGone())
         content = _decode_body(answer)
         if answer.status != _OK or not isinstance(content, dict):
@@ -133,8 +132,8 @@
         events = content.get('events')
         if not isinstance(events, list) or not isinstance(content.get('at'), int):
             return Err(StoreError('the watch response lacks events or a revision'))
-        revision = join_revision(era, content['at'])
-        return Ok(Listing(tuple(_decode_events(events, era)), revision))
+        era = read_era(answer)
+        return Ok(Listing(tuple(_decode_events(events, era)), join_revision(era, content['at'])))
 
     async def read_duty(self) -> Result[DutySnapshot, StoreError]:
         """Return the lease record and its revision, or revision 0 if there is none."""
--- a/src/cassiaseam/pooler/discovery.py
+++ b/src/cassiaseam/pooler/discovery.py
@@ -11,6 +11,7 @@
 )
 from cassiaseam.pooler.model import TargetRecord
 from cassiaseam.pooler.state import GroupView, PoolerState, TargetState
+from cassiaseam.pooler.store_era import get_store_era
 from cassiaseam.reducer.registry import handles
 
 # Seconds after which a target whose record is missing is removed.
@@ -39,7 +40,7 @@
 def apply_target_list(state: PoolerState, event: TargetsListed, now: float) -> list:
     """Apply all records, and mark targets without one as missing."""
     effects: list = []
-    era = state.store_era or 0
+    era = get_store_era(state)
     is_restored = state.targets_known and state.target_list_era != era
     state.target_list_era = era
     names = {record.name for record in event.records}
--- a/src/cassiaseam/pooler/duty.py
+++ b/src/cassiaseam/pooler/duty.py
@@ -25,6 +25,7 @@
     WriteOutcome,
 )
 from cassiaseam.pooler.state import PoolerState
+from cassiaseam.pooler.store_era import get_store_era
 from cassiaseam.store_revisions import get_era
 
 # Seconds after sending its claim for which the holder fences, demotes and sends calls.
@@ -115,7 +116,7 @@
     lease.fences_lifted = False
     lease.claimed_at = now
     lease.request_sent_at = now
-    lease.era = state.store_era or 0
+    lease.era = get_store_era(state)
     record = LeaseRecord(state.vm, lease.nonce, released=False, era=lease.era)
     return LeaseUpdate((WriteLease(record, event.revision),))
 
@@ -205,7 +206,7 @@
     lease = state.lease
     record = lease.record
     unchanged_since = lease.revision_seen_at
-    if record is not None and record.era == (state.store_era or 0):
+    if record is not None and record.era == get_store_era(state):
         if record.released or is_own_record(state, record):
             return True
     elif state.first_revision is not None and lease.revision <= state.first_revision:
--- a/src/cassiaseam/pooler/group_size_sync.py
+++ b/src/cassiaseam/pooler/group_size_sync.py
@@ -23,6 +23,7 @@
     WriteSize,
 )
 from cassiaseam.pooler.state import GroupView, PoolerState
+from cassiaseam.pooler.store_era import get_store_era
 from cassiaseam.reducer.registry import handles
 
 # Seconds after the start before which nothing is written. The targets of a new deployment register
@@ -74,11 +75,6 @@
     return [ReadSizes()]
 
 
-def get_store_era(state: PoolerState) -> int:
-    """Return the newest known era of the store, 0 before the first answer."""
-    return state.store_era or 0
-
-
 def is_settled(state: PoolerState, now: float) -> bool:
     """Return whether the era has lasted long enough for lost records to be back."""
     if state.first_revision is None:
--- a/src/cassiaseam/pooler/store_era.py
+++ b/src/cassiaseam/pooler/store_era.py
@@ -9,6 +9,11 @@
 from cassiaseam.reducer.registry import handles
 
 
+def get_store_era(state: PoolerState) -> int:
+    """Return the newest known era of the store, 0 before the first answer."""
+    return state.store_era or 0
+
+
 @handles(StoreEraObserved)
 def observe_era(state: PoolerState, event: StoreEraObserved, now: float) -> list:
     """Record the newest era of the store."""
--- a/src/cassiaseam/pooler/store_watcher.py
+++ b/src/cassiaseam/pooler/store_watcher.py
@@ -61,6 +61,14 @@
     return {'era': get_era(revision), 'revision': get_number(revision)}
 
 
+def is_history_gone(reply: Listing | HistoryGone, revision: int) -> bool:
+    """Return whether a watch from a revision may have missed changes.
+
+    An answer of another era lacks what that era wrote below the number of the revision.
+    """
+    return isinstance(reply, HistoryGone) or get_era(reply.revision) != get_era(revision)
+
+
 def select_newer_changes(changes: tuple[Change, ...], revision: int) -> tuple[Change, ...]:
     """Return the changes after a revision, and all deletions.
 
@@ -157,10 +165,7 @@
                 await self.sleep(INITIAL_BACKOFF_S)
                 return
             self.report_reachability(kind, True)
-            is_restored = isinstance(reply.ok_value, Listing) and get_era(
-                reply.ok_value.revision
-            ) != get_era(revision)
-            if is_restored or isinstance(reply.ok_value, HistoryGone):
+            if is_history_gone(reply.ok_value, revision):
                 self.log('store_history_gone', kind=kind, **describe_revision(revision))
                 return
             listing: Listing = reply.ok_value
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -152,9 +152,9 @@
         'if False:\n #',
     ),
     Guard('platform/store.py', 'self._cancel_older_watches()\n        self.', 'self.'),
-    Guard('pooler/store_watcher.py', 'if is_restored or isinstance', 'if isinstance'),
+    Guard('pooler/store_watcher.py', ' or get_era(reply.revision) != get_era(revision)', ''),
     Guard('pooler/store_era.py', 'state.first_revision = None', 'pass'),
-    Guard('pooler/duty.py', 'record.era == (state.store_era or 0)', 'True'),
+    Guard('pooler/duty.py', 'record.era == get_store_era(state)', 'True'),
     Guard('pooler/duty.py', 'if get_era(token) != state.lease.era:', 'if False:'),
     Guard('pooler/group_size_sync.py', 'record.era == get_store_era(state)', 'True'),
     Guard(
