--- a/tests/pooler/test_pooler_group_sizes.py
+++ b/tests/pooler/test_pooler_group_sizes.py
@@ -403,6 +403,8 @@
     restore(state, 20)
     run_ticks(state, 20, 25)
     reduce_event(state, SizesRead(found), 25)
+    # Longer than it takes to believe that a group has shrunk.
+    run_ticks(state, 25.1, 45)
     assert state.groups[GROUP].size == 3
 
 
