Wait before a status poll is repeated at a target that is too busy to answer

What callers saw: once targets of two slots answered BUSY, 123 VMs sent 17,000 status polls a second to twelve targets, 34 a second for each VM and group, and reads waited for their samples until they were refused.

Cause: a poll that is answered BUSY resumed the reads that wait for a status, and each of them polled the same target again at once. The VM that samples for its place polled only once for the others; 60 ms later all of them polled for themselves.

Change: a target that answers BUSY to polls is polled again after 10 to 30 ms, doubled with each further BUSY up to 40 to 120 ms, and other targets are polled in its place where any majority will do. The VM that samples polls again for those that wait.

Evidence: test_busy_targets_are_not_polled_once_per_round_trip counted 183 polls in 0.8 s before; test_idle_target_is_polled_in_place_of_a_busy_one and test_sampling_vm_polls_busy_targets_again_for_the_others failed as well. Conclusion: the polls no longer grow with the load that makes targets busy.

--- a/src/cassiaseam/pooler/sample_sharing.py
+++ b/src/cassiaseam/pooler/sample_sharing.py
@@ -63,12 +63,20 @@
     return sampling.poll_majority(state, group, now - max_age_s * REUSE_AGE_RATIO, now)
 
 
-def expire_sample_requests(state: PoolerState, group: GroupView, now: float) -> None:
-    """Remove expired waiters, and fall back to local sampling when the request timed out.
+def poll_for_waiters(state: PoolerState, group: GroupView, now: float) -> list:
+    """Poll again for the VMs that wait for a sample, after targets were too busy to answer.
 
-    A late response is still used.
+    Otherwise these VMs would poll the busy targets themselves.
     """
     group.sample_waiters = [waiter for waiter in group.sample_waiters if now < waiter.until]
+    if not group.sample_waiters:
+        return []
+    since = max(waiter.since for waiter in group.sample_waiters)
+    return sampling.poll_majority(state, group, since, now)
+
+
+def expire_sample_requests(state: PoolerState, group: GroupView, now: float) -> None:
+    """Fall back to local sampling when the request timed out; a late response is still used."""
     sample_request = group.sample_request
     if (
         sample_request is None
--- a/src/cassiaseam/pooler/sampling.py
+++ b/src/cassiaseam/pooler/sampling.py
@@ -2,6 +2,7 @@
 
 from cassiaseam.group.quorum import count_majority
 from cassiaseam.pooler import connections, routing
+from cassiaseam.pooler.admission import poll_backoff
 from cassiaseam.pooler.state import GroupView, PoolerState
 
 # Seconds without a primary after which all targets are polled instead of a majority.
@@ -9,10 +10,15 @@
 
 
 def poll_majority(state: PoolerState, group: GroupView, since: float, now: float) -> list:
-    """Poll any majority at or after `since`, preferring targets with open connections."""
+    """Poll any majority at or after `since`, preferring idle targets with open connections."""
     needed = count_majority(group.monitor) if group.monitor.primary else len(group.targets)
     names = routing.list_by_access_cost(state, group, now)
-    names.sort(key=lambda name: not has_status_since(group, name, since))
+    names.sort(
+        key=lambda name: (
+            not has_status_since(group, name, since),
+            poll_backoff.is_backing_off(group.targets[name], now),
+        )
+    )
     effects: list = []
     for name in names[:needed]:
         effects.extend(poll_unless_known(state, group, name, since, now))
@@ -42,7 +48,9 @@
 def poll_replicas(state: PoolerState, group: GroupView, since: float, now: float) -> list:
     """Poll the nearest targets that form a majority together with the primary."""
     if group.monitor.primary:
-        names = routing.list_replicas_by_access_cost(state, group, now)[: max(group.size // 2, 1)]
+        names = routing.list_replicas_by_access_cost(state, group, now)
+        names.sort(key=lambda name: poll_backoff.is_backing_off(group.targets[name], now))
+        names = names[: max(group.size // 2, 1)]
     else:
         names = list_discovery_targets(state, group, now)
     effects: list = []
@@ -60,10 +68,11 @@
 def poll_unless_known(
     state: PoolerState, group: GroupView, name: str, since: float, now: float
 ) -> list:
-    """Poll a target unless a status as of `since` or later is known or in flight."""
-    if has_status_since(group, name, since):
+    """Poll a target unless it is too busy or a status as of `since` is known or in flight."""
+    target = group.targets[name]
+    if has_status_since(group, name, since) or poll_backoff.is_backing_off(target, now):
         return []
-    job = group.targets[name].status_job
+    job = target.status_job
     if job is not None and job.sent_at is not None and job.sent_at >= since:
         return []
     return connections.submit_status_poll(state, group, name, now)
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -223,6 +223,7 @@
         status_job: Status poll that is queued or in flight, or None.
         poll_again: Whether another poll follows the one in flight.
         next_poll_at: Time before which no further status poll is sent.
+        busy_polls: Status polls in a row that it was too busy to answer.
         next_probe_at: Time before which no further probe is sent because it is silent.
         silent_since: Time of the oldest command that is unanswered since the latest reply.
         unreachable_since: Time since which connection attempts fail, or None.
@@ -251,6 +252,7 @@
     status_job: Job | None = None
     poll_again: bool = False
     next_poll_at: float = 0
+    busy_polls: int = 0
     next_probe_at: float = 0
     silent_since: float | None = None
     unreachable_since: float | None = None
--- a/src/cassiaseam/pooler/targets.py
+++ b/src/cassiaseam/pooler/targets.py
@@ -2,7 +2,7 @@
 
 from cassiaseam.pooler import connections, failover, quorum, replies
 from cassiaseam.pooler.accounts.state import count_event
-from cassiaseam.pooler.admission import failure_streaks, headroom, target_load
+from cassiaseam.pooler.admission import failure_streaks, headroom, poll_backoff, target_load
 from cassiaseam.pooler.commands import (
     CONTROL_COMMANDS,
     ReadStatus,
@@ -242,6 +242,7 @@
     if target.status_job is job:
         target.status_job = None
     target.next_poll_at = now + replies.STATUS_POLL_INTERVAL_S
+    poll_backoff.record_poll_reply(target, reply, state.rng, now)
     concurrency.record_status(target, job, reply, now)
     if reply.status is not None:
         quorum.record_status(group, name, job.sent_at, reply.status, now)
@@ -249,7 +250,8 @@
     effects += failover.handle_control_reply(state, group, name, job, reply, now)
     if target.poll_again and isinstance(job.command, ReadStatus):
         target.poll_again = False
-        effects += connections.submit_status_poll(state, group, name, now)
+        if not poll_backoff.is_backing_off(target, now):
+            effects += connections.submit_status_poll(state, group, name, now)
     return effects + replies.resume_waiting_operations(state, group, now)
 
 
--- a/src/cassiaseam/pooler/ticks.py
+++ b/src/cassiaseam/pooler/ticks.py
@@ -77,6 +77,7 @@
         effects += connections.close_idle_connections(state, target, now)
         effects += full_targets.fail_stranded_jobs(state, group, target, now)
     sample_sharing.expire_sample_requests(state, group, now)
+    effects += sample_sharing.poll_for_waiters(state, group, now)
     effects += shedding.refuse_hopeless_operations(state, group, now)
     effects += operations.expire_operations(state, group, now)
     effects += probe_targets(state, group, now)
--- a/tests/pooler/fake_target.py
+++ b/tests/pooler/fake_target.py
@@ -55,6 +55,7 @@
         self.mute = False
         self.drop_answers = 0
         self.busy = 0
+        self.polls_busy_until = 0
         self.failing_share = 0
         self.leaving = False
         self.incarnation = 1
@@ -160,6 +161,8 @@
         return self.reply(connection)
 
     def read_status(self, connection, command):
+        if self.world.now < self.polls_busy_until:
+            return TargetReply(failure=TargetFailure.BUSY, session_state=SessionState.IDLE)
         return self.reply(connection, status=self.get_status())
 
     def fence(self, connection, command):
--- a/tests/pooler/test_pooler_polls.py
+++ b/tests/pooler/test_pooler_polls.py
@@ -52,3 +52,33 @@
     world.run_until(world.now + 0.5)
     assert all(is_success(call) for call in calls)
     assert count_polls(world) - before <= max_polls
+
+
+@pytest.mark.parametrize('database', ['prices', 'orders'])
+def test_busy_targets_are_not_polled_once_per_round_trip(database):
+    # A target with a full queue answers BUSY to polls as well. Each answer resumed the reads that
+    # waited and made them poll again, so that 123 VMs sent 17,000 polls a second.
+    world = World(vms=1)
+    world.connect('vm0', 1, database)
+    for target in world.targets.values():
+        target.polls_busy_until = 0.8
+    call = world.send('vm0', 1, StatementKind.READ)
+    world.run_until(0.8)
+    # The backoff of a target is at least 0.04 s from the third answer on.
+    assert count_polls(world) <= len(world.targets) * (3 + 0.8 / 0.04)
+    world.run_until(0.95)
+    assert is_success(call)
+
+
+def test_idle_target_is_polled_in_place_of_a_busy_one():
+    world = World(vms=1)
+    world.connect('vm0', 1, 'prices')
+    world.send('vm0', 1, StatementKind.READ)
+    world.run_until(3)
+    polled = [
+        name for name, it in world.vms['vm0'].state.groups['g'].targets.items() if it.connections
+    ]
+    world.targets[polled[0]].polls_busy_until = 9
+    call = world.send('vm0', 1, StatementKind.READ)
+    world.run_until(3.1)
+    assert is_success(call)
--- a/tests/pooler/test_pooler_sample_sharing.py
+++ b/tests/pooler/test_pooler_sample_sharing.py
@@ -171,3 +171,23 @@
     assert len(group.sample_waiters) == 5
     world.run_until(3.3)
     assert not group.sample_waiters
+
+
+def test_sampling_vm_polls_busy_targets_again_for_the_others():
+    # The VM that samples gave up after one poll that was answered BUSY. After 60 ms, all VMs of
+    # its place polled the busy targets themselves.
+    world = World(vms=3, shared=True)
+    sampler = max(world.vms, key=lambda name: peers.rank_vm(name, GROUP))
+    others = [name for name in world.vms if name != sampler]
+    for number, name in enumerate(others):
+        world.connect(name, number, 'prices')
+        world.send(name, number, StatementKind.READ)
+    world.run_until(3)
+    polled = [world.vms[name].state.commands_sent.get('ReadStatus', 0) for name in others]
+    for target in world.targets.values():
+        target.polls_busy_until = 3.01
+    calls = [world.send(name, number, StatementKind.READ) for number, name in enumerate(others)]
+    world.run_until(3.3)
+    assert all(is_success(call) for call in calls)
+    after = [world.vms[name].state.commands_sent.get('ReadStatus', 0) for name in others]
+    assert after == polled
