Relay a session only to a VM with the same version of the configuration

What callers saw: a VM that had served a database under version 7 answered half a second later that there is no such database.

Cause: the VM reached no majority of the group and relayed the session to a peer. The store had refused that peer for three seconds, so it still had version 3 in force, without the route. Neither side of the relay compared versions, so the callers of one VM saw the configuration go back.

Change: the request to relay a session names the version that the VM has in force, and a peer with another one refuses it. When either VM applies another version, relayed sessions are closed as soon as they are idle.

--- a/src/cassiaseam/platform/callers.py
+++ b/src/cassiaseam/platform/callers.py
@@ -24,10 +24,13 @@
 class CallerProtocol(Protocol):
     """Decodes the messages of one caller and encodes its answers."""
 
-    def __init__(self, factory: 'CallerFactory', session_id: int, relayable: bool = True):
+    def __init__(
+        self, factory: 'CallerFactory', session_id: int, relayed_version: int | None = None
+    ):
         self.factory = factory
         self.session_id = session_id
-        self.relayable = relayable
+        self.relayed_version = relayed_version
+        self.relayable = relayed_version is None
         self.relay: Any = None
         # The START message until the session is accepted; a relay passes it on. It has the key.
         self.start_message = b''
@@ -76,7 +79,9 @@
         self.factory.sessions[self.session_id] = self
         database, key = start
         key_digest = digest_key(key.encode(line_protocol.ENCODING))
-        event = CallerConnected(self.session_id, database, key_digest, self.relayable)
+        event = CallerConnected(
+            self.session_id, database, key_digest, self.relayable, self.relayed_version
+        )
         self.factory.dispatch(event)
 
     def _read_query(self, text: str) -> None:
@@ -155,6 +160,6 @@
         """Return the protocol of a new connection."""
         return CallerProtocol(self, next(self.session_ids))
 
-    def build_relayed_protocol(self) -> CallerProtocol:
-        """Return the protocol of a session that another VM relays to this VM."""
-        return CallerProtocol(self, next(self.session_ids), relayable=False)
+    def build_relayed_protocol(self, version: int) -> CallerProtocol:
+        """Return the protocol of a session that another VM relays under a version."""
+        return CallerProtocol(self, next(self.session_ids), version)
--- a/src/cassiaseam/pooler/completion.py
+++ b/src/cassiaseam/pooler/completion.py
@@ -77,7 +77,7 @@
 
 
 def continue_session(state: PoolerState, session: CallerSession, now: float) -> list:
-    """Run the queued statements of a session, or close it if the daemon is stopping."""
+    """Run the queued statements of a session, or close it if it has to end."""
     effects: list = []
     while session.waiting and session.current is None:
         event = StatementArrived(session.session_id, session.waiting.popleft())
@@ -85,7 +85,8 @@
     # A caller that receives the answer and the end of the session together has no statement in
     # flight.
     idle = session.current is None and session.state is SessionState.IDLE
-    if idle and sessions.is_closing_sessions(state, now) and session.session_id in state.sessions:
+    ends = sessions.is_closing_sessions(state, now) or sessions.is_relay_outdated(state, session)
+    if idle and ends and session.session_id in state.sessions:
         effects += sessions.close_session(state, session)
     return effects + revocation.end_if_idle(state, session)
 
--- a/src/cassiaseam/pooler/events.py
+++ b/src/cassiaseam/pooler/events.py
@@ -19,12 +19,15 @@
         database: Database that the caller connects to.
         key_digest: Digest of the key that the caller sent; see `accounts.keys`.
         relayable: Whether the session may be relayed to another VM.
+        relayed_version: Version of the configuration under which a peer relays the session, or
+            None if the caller connected to this VM.
     """
 
     session_id: int
     database: str
     key_digest: bytes
     relayable: bool = True
+    relayed_version: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiaseam/pooler/relay/decisions.py
+++ b/src/cassiaseam/pooler/relay/decisions.py
@@ -148,13 +148,19 @@
     return min(max(lost_s * SEARCH_INTERVAL_RATIO, SEARCH_INTERVAL_S), PROBE_INTERVAL_S)
 
 
-def find_refusal(state: PoolerState, group_name: str, now: float) -> str:
-    """Return why this VM accepts no session of a group from a peer, or '' if it does."""
+def find_refusal(state: PoolerState, group_name: str, version: int, now: float) -> str:
+    """Return why this VM accepts no session of a group from a peer, or '' if it does.
+
+    A peer with another version of the configuration is refused. A caller must not be answered by
+    an older version after a newer one.
+    """
     group = state.groups.get(group_name)
     if state.stopping_since is not None:
         return 'stopping'
     if group is None or state.config is None:
         return 'unknown_group'
+    if version != state.config.version:
+        return 'other_version'
     if group.majority_unreachable_since is not None or routing.is_majority_unreachable(group, now):
         return 'group_lost'
     return 'full' if len(state.relay.incoming) >= MAX_INCOMING else ''
--- a/src/cassiaseam/pooler/relay/events.py
+++ b/src/cassiaseam/pooler/relay/events.py
@@ -7,10 +7,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayRequested:
-    """Event: a peer asks on a connection whether it may relay a session of a group."""
+    """Event: a peer asks on a connection whether it may relay a session of a group.
+
+    Attributes:
+        connection_id: Connection of the peer.
+        group: Database group.
+        version: Version of the configuration that the peer has in force.
+    """
 
     connection_id: int
     group: str
+    version: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,11 +82,19 @@
 
 @dataclass(frozen=True, slots=True)
 class RelaySession:
-    """Effect: relay a session to the first of these peers that accepts it."""
+    """Effect: relay a session to the first of these peers that accepts it.
+
+    Attributes:
+        session_id: Session of the caller.
+        group: Database group.
+        peers: Peers to ask, in this order.
+        version: Version of the configuration in force, which the peer must have too.
+    """
 
     session_id: int
     group: str
     peers: tuple[PeerRecord, ...]
+    version: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,13 +103,15 @@
 
     peer: PeerRecord
     group: str
+    version: int
 
 
 @dataclass(frozen=True, slots=True)
 class AcceptRelay:
-    """Effect: accept the session that a peer relays on a connection."""
+    """Effect: accept the session that a peer relays on a connection under a version."""
 
     connection_id: int
+    version: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiaseam/pooler/relay/handlers.py
+++ b/src/cassiaseam/pooler/relay/handlers.py
@@ -19,12 +19,12 @@
 @handles(RelayRequested)
 def answer_relay_request(state: PoolerState, event: RelayRequested, now: float) -> list:
     """Accept the session of a peer if this VM reaches a majority of the group."""
-    cause = decisions.find_refusal(state, event.group, now)
+    cause = decisions.find_refusal(state, event.group, event.version, now)
     if cause:
         state.relay.counters['incoming_refused', cause] += 1
         return [RefuseRelay(event.connection_id, cause)]
     state.relay.incoming.add(event.connection_id)
-    return [AcceptRelay(event.connection_id)]
+    return [AcceptRelay(event.connection_id, event.version)]
 
 
 @handles(IncomingRelayEnded)
@@ -80,14 +80,15 @@
 @handles(PoolerTick)
 def probe_peers(state: PoolerState, event: PoolerTick, now: float) -> list:
     """Ask peers whether they accept sessions of the groups without a majority."""
-    if not state.relay.enabled:
+    if not state.relay.enabled or state.config is None:
         return []
     effects: list = []
     for group in state.groups.values():
         probes = decisions.choose_probes(state, group, now)
         if probes:
             state.relay.probed_at[group.name] = now
-        effects += [ProbeRelay(record, group.name) for record in probes]
+        version = state.config.version
+        effects += [ProbeRelay(record, group.name, version) for record in probes]
     return effects
 
 
--- a/src/cassiaseam/pooler/relay/listener.py
+++ b/src/cassiaseam/pooler/relay/listener.py
@@ -54,11 +54,11 @@
         self.requested = True
         self.buffer = b''
         self._cancel_timer()
-        group = wire.decode_request(line)
-        if group is None:
+        request = wire.decode_request(line)
+        if request is None:
             self.refuse('malformed')
         else:
-            self.listener.dispatch(RelayRequested(self.connection_id, group))
+            self.listener.dispatch(RelayRequested(self.connection_id, *request))
 
     def accept(self, session: Protocol) -> None:
         """Tell the peer that its session is accepted, and pass further bytes to a protocol."""
--- a/src/cassiaseam/pooler/relay/requests.py
+++ b/src/cassiaseam/pooler/relay/requests.py
@@ -41,7 +41,8 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Send the request."""
         enable_dead_peer_detection(self.transport)
-        self.transport.write(wire.encode_request(self.request.group))
+        request = self.request
+        self.transport.write(wire.encode_request(request.group, request.version))
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Pass on bytes of the session, or read the response."""
@@ -77,10 +78,18 @@
 
     noisy = False
 
-    def __init__(self, reactor: Any, record: PeerRecord, group: str, on_answer: AnswerCallback):
+    def __init__(
+        self,
+        reactor: Any,
+        record: PeerRecord,
+        group: str,
+        version: int,
+        on_answer: AnswerCallback,
+    ):
         self.reactor = reactor
         self.record = record
         self.group = group
+        self.version = version
         self.on_answer = on_answer
         self.finished = False
         self.timer: Any = None
--- a/src/cassiaseam/pooler/relay/service.py
+++ b/src/cassiaseam/pooler/relay/service.py
@@ -30,6 +30,7 @@
 
     Attributes:
         session_id: Session of the caller.
+        version: Version of the configuration under which it is relayed.
         peer: Name of the peer that accepted it, or ''.
         pipe: Both connections, or None before a peer has accepted it.
     """
@@ -39,6 +40,7 @@
         self.caller = caller
         self.session_id = request.session_id
         self.group = request.group
+        self.version = request.version
         self.remaining = list(request.peers)
         self.attempts = 0
         self.started_at = service.reactor.seconds()
@@ -53,7 +55,9 @@
         elif self.remaining:
             self.attempts += 1
             record = self.remaining.pop(0)
-            PeerRequest(self.service.reactor, record, self.group, self.receive_answer).start()
+            PeerRequest(
+                self.service.reactor, record, self.group, self.version, self.receive_answer
+            ).start()
         else:
             self.end('no_peer')
             self.caller.continue_locally()
@@ -135,7 +139,21 @@
                 connection.transport.loseConnection()
             self.dispatch(PeerAnswered(record.vm, effect.group, cause, responded))
 
-        PeerRequest(self.reactor, effect.peer, effect.group, receive_answer).start()
+        PeerRequest(
+            self.reactor, effect.peer, effect.group, effect.version, receive_answer
+        ).start()
+
+    def close_outdated(self, version: int) -> None:
+        """Close the idle sessions that are relayed under another version than the one in force.
+
+        Their callers connect again and are served under one version on both VMs.
+        """
+        for relay in list(self.sessions.values()):
+            pipe = relay.pipe
+            if pipe is None or pipe.cause or relay.version == version:
+                continue
+            if not pipe.tracker.is_outstanding() and not pipe.tracker.in_transaction:
+                pipe.close('other_version')
 
     def close_for_stop(
         self, stopping_s: float | None, grace_s: float, transaction_grace_s: float, limit_s: float
@@ -185,7 +203,8 @@
     """Accept the session of a peer."""
     connection = node.services[RelayService].listener.connections.get(effect.connection_id)
     if connection is not None:
-        connection.accept(node.services[Environment].callers.build_relayed_protocol())
+        callers = node.services[Environment].callers
+        connection.accept(callers.build_relayed_protocol(effect.version))
 
 
 @executes(RefuseRelay)
--- a/src/cassiaseam/pooler/runtime.py
+++ b/src/cassiaseam/pooler/runtime.py
@@ -270,6 +270,8 @@
             self.log('daemon_stopping', sessions=len(self.node.state.sessions))
             self.node.dispatch(PoolerStopping())
         self.node.dispatch(PoolerTick(suspended_s=late_s))
+        if self.node.state.config is not None:
+            self.relay.close_outdated(self.node.state.config.version)
         limit_s = self.settings.stop_limit - STOP_MARGIN_S
         if self.node.state.stopping_since is not None:
             self.relay.close_for_stop(
--- a/src/cassiaseam/pooler/sessions.py
+++ b/src/cassiaseam/pooler/sessions.py
@@ -33,7 +33,11 @@
 def open_session(state: PoolerState, event: CallerConnected, now: float) -> list:
     """Open a session, or keep it pending until the first configuration is known."""
     session = CallerSession(
-        event.session_id, event.database, event.key_digest, relayable=event.relayable
+        event.session_id,
+        event.database,
+        event.key_digest,
+        relayable=event.relayable,
+        relayed_version=event.relayed_version,
     )
     state.sessions[event.session_id] = session
     if not is_configured(state):
@@ -51,6 +55,9 @@
 
     Any other session is refused.
     """
+    if is_relay_outdated(state, session):
+        error = RequestError(ErrorKind.NO_TARGET, 'the configuration changed')
+        return refuse_session(state, session, error, 'other_version')
     route = find_route(state, session)
     if route is None:
         error = RequestError(ErrorKind.UNKNOWN_DATABASE, describe_unknown_database(state, session))
@@ -64,7 +71,7 @@
     if peers:
         del state.sessions[session.session_id]
         state.relay.outgoing.add(session.session_id)
-        return [RelaySession(session.session_id, route.group, peers)]
+        return [RelaySession(session.session_id, route.group, peers, state.config.version)]
     session.account = account
     session.accepted = True
     return [AcceptCaller(session.session_id)]
@@ -180,6 +187,15 @@
     return state.stopping_since is not None and now - state.stopping_since >= STOP_GRACE_S
 
 
+def is_relay_outdated(state: PoolerState, session: CallerSession) -> bool:
+    """Return whether a peer relays a session under another version than the one in force here.
+
+    The caller would see another version on the session than on those that the peer serves itself.
+    """
+    version = session.relayed_version
+    return version is not None and state.config is not None and version != state.config.version
+
+
 def describe_operation(operation: Operation, now: float) -> dict[str, object]:
     """Return the log fields that identify an operation."""
     return {
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -160,6 +160,7 @@
         last_commit: Position of the latest commit of the session.
         accepted: Whether the caller was told that the session is open.
         relayable: Whether it may be relayed to another VM instead of being accepted.
+        relayed_version: Version of the configuration under which a peer relays it, or None.
     """
 
     session_id: int
@@ -175,6 +176,7 @@
     last_commit: LogPosition | None = None
     accepted: bool = False
     relayable: bool = True
+    relayed_version: int | None = None
 
 
 @dataclass(slots=True)
--- a/src/cassiaseam/pooler/ticks.py
+++ b/src/cassiaseam/pooler/ticks.py
@@ -168,7 +168,7 @@
 
 def should_close_session(state: PoolerState, session: CallerSession, now: float) -> bool:
     """Return whether to close an idle session, so that its caller reconnects to another VM."""
-    if sessions.is_closing_sessions(state, now):
+    if sessions.is_closing_sessions(state, now) or sessions.is_relay_outdated(state, session):
         return True
     route = sessions.find_route(state, session)
     group = state.groups.get(route.group) if route else None
--- a/tests/pooler/relay/test_relay_bytes.py
+++ b/tests/pooler/relay/test_relay_bytes.py
@@ -1,6 +1,7 @@
 """Relayed sessions between two VMs over loopback sockets, with the reducers of both."""
 
 import logging
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -152,6 +153,45 @@
     assert near.list_events('relay_ended')[0]['cause'] == 'no_peer'
 
 
+@pytest.mark.parametrize('version', [0, 2])
+def test_session_is_not_relayed_to_a_peer_with_another_version(deploy, version):
+    # A VM relayed a session to a peer that the store had refused for seconds. The peer answered
+    # that there is no such database, although the VM had served it before.
+    world = deploy(True, False)
+    near, far = world.vms
+    far.state.config = replace(far.state.config, version=version)
+    client = world.connect()
+    world.wait(lambda: client.received == READY)
+    assert len(near.state.sessions) == 1
+    assert not far.state.sessions
+    assert near.list_events('relay_refused')[0]['cause'] == 'other_version'
+
+
+@pytest.mark.parametrize(('version', 'closed'), [(1, False), (2, True)])
+def test_relayed_session_ends_when_the_relaying_vm_gets_another_version(deploy, version, closed):
+    world = deploy(True, False)
+    near = world.vms[0]
+    client = world.connect(START + SET)
+    world.wait(lambda: client.received == READY + SET_ANSWER)
+    near.relay.close_outdated(version)
+    world.turn(0.1)
+    assert client.closed is closed
+
+
+def test_outstanding_statement_of_an_outdated_relay_is_not_cut_off(deploy):
+    world = deploy(True, False)
+    near = world.vms[0]
+    client = world.connect()
+    world.wait(lambda: client.received == READY)
+    client.transport.write(b'QUERY r1 SET a')
+    world.turn(0.05)
+    near.relay.close_outdated(2)
+    client.transport.write(b' 1\r\n')
+    world.wait(lambda: client.received == READY + SET_ANSWER)
+    near.relay.close_outdated(2)
+    world.wait(lambda: client.closed)
+
+
 def test_next_peer_is_asked_after_a_refusal(deploy):
     world = deploy(True, True, False)
     clients = [world.connect() for _ in range(4)]
@@ -245,14 +285,25 @@
 def test_probe_changes_only_what_is_known_about_the_peer(deploy):
     world = deploy(True, False)
     near, far = world.vms
-    near.relay.probe(ProbeRelay(far.get_record(), GROUP))
+    near.relay.probe(ProbeRelay(far.get_record(), GROUP, 1))
     world.wait(lambda: near.state.relay.accepting_until.get(GROUP))
     world.wait(lambda: not far.relay.listener.connections)
     assert not far.state.relay.incoming
     assert not far.state.sessions
 
 
-@pytest.mark.parametrize('data', [b'HELLO\r\n', b'RELAY \r\n', b'x' * 600])
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'HELLO\r\n',
+        b'RELAY \r\n',
+        b'RELAY g\r\n',
+        b'RELAY g x\r\n',
+        b'RELAY g -1\r\n',
+        b'RELAY g ' + b'9' * 400 + b'\r\n',
+        b'x' * 600,
+    ],
+)
 def test_malformed_request_is_refused(deploy, data):
     world = deploy(False)
     vm = world.vms[0]
--- a/tests/pooler/relay/test_relay_decisions.py
+++ b/tests/pooler/relay/test_relay_decisions.py
@@ -1,11 +1,13 @@
 """Decisions of the relay, and a replay of the partition that it is for."""
 
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 from pooler_world import GROUP, World
 
-from cassiaseam.pooler.events import CallerConnected, PeerRecord, PeersListed
+from cassiaseam.pooler.completion import continue_session
+from cassiaseam.pooler.events import CallerConnected, PeerRecord, PeersListed, RefuseCaller
 from cassiaseam.pooler.peer_state import PeerState
 from cassiaseam.pooler.relay import decisions, handlers
 from cassiaseam.pooler.relay.events import (
@@ -22,6 +24,7 @@
 
 REGIONS = {'p0': 'west', 'p1': 'west', 'p2': 'east'}
 NOW = 100.0
+VERSION = 1
 
 
 def build_state(peers=(), lost=True):
@@ -39,6 +42,10 @@
     return state
 
 
+def use_version(state, version):
+    state.config = replace(state.config, version=version)
+
+
 def choose(state, session=1, now=NOW):
     group = state.groups[GROUP]
     chosen = decisions.choose_relay_peers(state, group, session, now)
@@ -132,16 +139,40 @@
             lambda state: setattr(state.relay, 'incoming', set(range(decisions.MAX_INCOMING))),
             'full',
         ),
+        (lambda state: use_version(state, VERSION - 1), 'other_version'),
+        (lambda state: use_version(state, VERSION + 1), 'other_version'),
     ],
 )
 def test_peer_accepts_only_sessions_that_it_can_serve(prepare, cause):
     state = build_state(lost=False)
     prepare(state)
-    effects = handlers.answer_relay_request(state, Requested(9999, GROUP), NOW)
-    assert effects == [RefuseRelay(9999, cause) if cause else AcceptRelay(9999)]
+    effects = handlers.answer_relay_request(state, Requested(9999, GROUP, VERSION), NOW)
+    assert effects == [RefuseRelay(9999, cause) if cause else AcceptRelay(9999, VERSION)]
     assert (9999 in state.relay.incoming) is (not cause)
 
 
+def test_session_is_refused_after_the_version_changed_behind_its_acceptance():
+    # The peer would have been told a version that its caller is not served under.
+    state = build_state(lost=False)
+    use_version(state, VERSION + 1)
+    effects = open_session(state, CallerConnected(9, 'orders', b'', False, VERSION), NOW)
+    assert isinstance(effects[-1], RefuseCaller)
+    assert 9 not in state.sessions
+
+
+@pytest.mark.parametrize(('version', 'closed'), [(VERSION, False), (VERSION + 1, True)])
+def test_relayed_session_ends_when_the_version_changes_here(version, closed):
+    # A VM without the store relayed sessions to a peer with a newer configuration, and then served
+    # others itself under the older one: callers of one VM saw the configuration go back.
+    state = build_state(lost=False)
+    open_session(state, CallerConnected(9, 'orders', b'', False, VERSION), NOW)
+    use_version(state, version)
+    assert should_close_session(state, state.sessions[9], NOW) is closed
+    session = state.sessions[9]
+    assert bool(continue_session(state, session, NOW)) is closed
+    assert (9 not in state.sessions) is closed
+
+
 @pytest.mark.parametrize('relayable', [True, False])
 def test_relayed_session_is_never_relayed_again(relayable):
     # Two VMs without a majority would pass a session back and forth.
