Do not tell other VMs connection counts that are only assumed

What callers could see: VMs closed their connections to an idle target after 0.02 s or 0.3 s of idle time, so that statements waited for new ones.

Cause: the VM that samples for its place polls a majority of a group. For the third target it may hold the count that is assumed for a full target, and its responses replaced the counts that targets had reported to the other VMs.

Evidence: test_assumed_connection_counts_are_not_told_to_other_vms failed before.

Change: a sample response leaves out the targets whose count is assumed; the other VM then keeps what it knows.

--- a/src/cassiaseam/pooler/admission/headroom.py
+++ b/src/cassiaseam/pooler/admission/headroom.py
@@ -30,6 +30,14 @@
 FULL_TARGET_CONNECTIONS = 10**6
 
 
+def is_count_assumed(target: TargetState) -> bool:
+    """Return whether the connection count of a target is assumed instead of reported.
+
+    An assumed count changes by the connections that this VM opens and closes.
+    """
+    return target.reported_connections >= FULL_TARGET_CONNECTIONS // 2
+
+
 def find_idle_timeout_s(used_share: float, reopening_s: float | None = None) -> float:
     """Return the idle timeout of a connection in seconds.
 
--- a/src/cassiaseam/pooler/connections.py
+++ b/src/cassiaseam/pooler/connections.py
@@ -173,9 +173,9 @@
 
 def is_usage_unknown(target: TargetState, now: float) -> bool:
     """Return whether the connection count of a target is assumed and a poll can correct it."""
-    assumed = target.reported_connections >= headroom.FULL_TARGET_CONNECTIONS // 2
     connected = any(connection.ready for connection in target.connections.values())
-    return assumed and connected and now >= target.connect_backoff_until
+    is_due = connected and now >= target.connect_backoff_until
+    return is_due and headroom.is_count_assumed(target)
 
 
 def reconnect_to_full_targets(
--- a/src/cassiaseam/pooler/sample_sharing.py
+++ b/src/cassiaseam/pooler/sample_sharing.py
@@ -12,7 +12,7 @@
 from cassiaseam.group.samples import add_sample
 from cassiaseam.group.state import QuorumSample
 from cassiaseam.pooler import peers, routing, sampling
-from cassiaseam.pooler.admission import target_load
+from cassiaseam.pooler.admission import headroom, target_load
 from cassiaseam.pooler.events import (
     AgedPosition,
     SampleReceived,
@@ -142,7 +142,12 @@
     positions = tuple(
         AgedPosition(now - sample.started_at, sample.position, sample.term) for sample in chosen
     )
-    in_use = {name: target.reported_connections for name, target in group.targets.items()}
+    # An assumed count would replace the one that a target has reported to the other VM.
+    in_use = {
+        name: target.reported_connections
+        for name, target in group.targets.items()
+        if not headroom.is_count_assumed(target)
+    }
     loads = target_load.build_reports(state, group, now)
     return SendSample(
         waiter.host, waiter.port, waiter.nonce, group.name, positions, group.size, in_use, loads
--- a/tests/pooler/test_pooler_sample_sharing.py
+++ b/tests/pooler/test_pooler_sample_sharing.py
@@ -6,7 +6,9 @@
 from fake_target import GROUP
 from pooler_world import MAX_AGE_S, World, is_success
 
+from cassiaseam.group.state import QuorumSample
 from cassiaseam.pooler import peers, sample_sharing
+from cassiaseam.pooler.admission import headroom
 from cassiaseam.pooler.commands import StatementKind
 from cassiaseam.pooler.events import (
     AgedPosition,
@@ -15,7 +17,7 @@
     SampleReceived,
     SampleRequested,
 )
-from cassiaseam.pooler.peer_state import PeerState, SampleRequest
+from cassiaseam.pooler.peer_state import PeerState, SampleRequest, SampleWaiter
 from cassiaseam.pooler.state import PoolerState
 from cassiaseam.positions import LogPosition
 from cassiaseam.reducer.registry import reduce_event
@@ -191,3 +193,17 @@
     assert all(is_success(call) for call in calls)
     after = [world.vms[name].state.commands_sent.get('ReadStatus', 0) for name in others]
     assert after == polled
+
+
+def test_assumed_connection_counts_are_not_told_to_other_vms():
+    # The sampling VM polls a majority and may never learn the usage of the third target. It told
+    # the other VMs that this target was full, and they closed their connections to it.
+    world = World(vms=1)
+    state = world.vms['vm0'].state
+    group = state.groups[GROUP]
+    group.monitor.samples.append(QuorumSample(0, LogPosition(1, 1), 1))
+    for name, count in (('t0', 7), ('t1', 0), ('t2', headroom.FULL_TARGET_CONNECTIONS)):
+        group.targets[name].reported_connections = count
+    waiter = SampleWaiter('vm1', 0, 1, 0, 1)
+    response = sample_sharing.build_sample_response(state, group, waiter, 0.5)
+    assert response.connections == {'t0': 7, 't1': 0}
