Count status polls and connections to targets by cause

Cause: `submit_status_poll`, `open_connection` and `close_connection` did not know who called them. They take the cause now, a member of an enumeration, so that the label sets are bounded. A poll counts when it has ended, with its outcome, so that answers as BUSY show.

No decision changes: `poll_again` holds the cause of the follow-up instead of a flag, and the reasons of failed jobs keep their texts.

--- a/src/cassiaseam/pooler/accounts/revocation.py
+++ b/src/cassiaseam/pooler/accounts/revocation.py
@@ -12,6 +12,7 @@
 from cassiaseam.pooler.commands import SessionState
 from cassiaseam.pooler.events import WriteLog
 from cassiaseam.pooler.state import CallerSession, PoolerState
+from cassiaseam.pooler.target_use.causes import CloseCause
 
 
 def find_account(state: PoolerState, session: CallerSession) -> str | None:
@@ -106,7 +107,8 @@
                 if connection.account in names:
                     continue
                 if pool.is_idle(connection):
-                    effects += connections.close_connection(state, target, connection)
+                    cause = CloseCause.ACCOUNT_REMOVED
+                    effects += connections.close_connection(state, target, connection, cause)
                 else:
                     connection.closing = True
     return effects
--- a/src/cassiaseam/pooler/completion.py
+++ b/src/cassiaseam/pooler/completion.py
@@ -8,6 +8,7 @@
 from cassiaseam.pooler.events import CallerDisconnected, StatementArrived, WriteLog
 from cassiaseam.pooler.quotas import tokens
 from cassiaseam.pooler.state import CallerSession, Job, Operation, PoolerState, Purpose
+from cassiaseam.pooler.target_use.causes import CloseCause
 from cassiaseam.reducer.registry import handles, reduce_event
 
 # Connection id of a transaction whose connection was released.
@@ -105,7 +106,8 @@
     target = group.targets[connection.target]
     if connection.job is not None:
         # A statement is still running; closing the connection rolls back the transaction.
-        return connections.close_connection(state, target, connection)
+        cause = CloseCause.OPEN_TRANSACTION
+        return connections.close_connection(state, target, connection, cause)
     connection.pinned_to = 0
     job = Job(connection.target, Rollback(), Purpose.CONTROL, now)
     return connections.start_job(state, target, connection, job, now)
--- a/src/cassiaseam/pooler/connections.py
+++ b/src/cassiaseam/pooler/connections.py
@@ -35,6 +35,8 @@
     Purpose,
     TargetState,
 )
+from cassiaseam.pooler.target_use import polls
+from cassiaseam.pooler.target_use.causes import CloseCause, OpenCause, PollCause
 
 # Connections without a transaction that a VM may open to a target regardless of its usage.
 GUARANTEED_CONNECTIONS = 1
@@ -94,7 +96,8 @@
             continue
         if may_open_connection(state, target, now):
             account = pool.choose_account(state, target, job, now)
-            effects += open_connection(state, target, account, now)
+            cause = polls.find_open_cause(job)
+            effects += open_connection(state, target, account, cause, now)
         elif job.purpose is not Purpose.CONTROL and pool.may_replace(target, now):
             victim = pool.find_replaceable(state, target, job.account, now)
             if victim is not None:
@@ -117,8 +120,8 @@
     fields = {'target': victim.target, 'account': account, 'replaced': victim.account}
     effects = [WriteLog('connection_replaced', fields)]
     pool.record_replacement(state, target, now)
-    effects += close_connection(state, target, victim)
-    return effects + open_connection(state, target, account, now)
+    effects += close_connection(state, target, victim, CloseCause.REPLACED)
+    return effects + open_connection(state, target, account, OpenCause.REPLACEMENT, now)
 
 
 def may_open_connection(state: PoolerState, target: TargetState, now: float) -> bool:
@@ -190,11 +193,14 @@
     effects: list = []
     for target in group.targets.values():
         if is_at_connection_limit(target, now) and now >= target.connect_backoff_until:
-            effects += open_connection(state, target, account, now)
+            cause = OpenCause.FULL_TARGET_RETRY
+            effects += open_connection(state, target, account, cause, now)
     return effects
 
 
-def open_connection(state: PoolerState, target: TargetState, account: str, now: float) -> list:
+def open_connection(
+    state: PoolerState, target: TargetState, account: str, cause: OpenCause, now: float
+) -> list:
     """Open another connection to a target for the statements of a client account."""
     connection = Connection(state.next_connection_id, target.record.name, now, account)
     state.next_connection_id += 1
@@ -202,6 +208,7 @@
     target.connections[connection.connection_id] = connection
     target.reported_connections += 1
     count_event(state.accounts.connections, 'opened')
+    state.target_use.opened[cause] += 1
     return [OpenConnection(connection.connection_id, target.record, account)]
 
 
@@ -352,7 +359,7 @@
     connection.pinned_to = 0
     connection.idle_since = now
     if connection.closing:
-        return close_connection(state, target, connection)
+        return close_connection(state, target, connection, CloseCause.ACCOUNT_REMOVED)
     return start_jobs(state, target, now)
 
 
@@ -365,18 +372,23 @@
 ) -> list:
     """Return a connection to the pool, or close it if the reply leaves a transaction open."""
     if reply.session_state is not SessionState.IDLE:
-        return close_connection(state, target, connection)
+        return close_connection(state, target, connection, CloseCause.OPEN_TRANSACTION)
     return release_connection(state, target, connection, now)
 
 
-def close_connection(state: PoolerState, target: TargetState, connection: Connection) -> list:
+def close_connection(
+    state: PoolerState, target: TargetState, connection: Connection, cause: CloseCause
+) -> list:
     """Close a connection; the target rolls back its transaction."""
-    remove_connection(state, target, connection)
+    remove_connection(state, target, connection, cause)
     return [CloseConnection(connection.connection_id)]
 
 
-def remove_connection(state: PoolerState, target: TargetState, connection: Connection) -> None:
+def remove_connection(
+    state: PoolerState, target: TargetState, connection: Connection, cause: CloseCause
+) -> None:
     """Remove a connection that is closed."""
+    state.target_use.closed[cause] += 1
     state.connections.pop(connection.connection_id, None)
     target.connections.pop(connection.connection_id, None)
     target.reported_connections = max(target.reported_connections - 1, 0)
@@ -404,16 +416,18 @@
     effects: list = []
     for connection in idle:
         if now - connection.idle_since > timeout_s:
-            effects.extend(close_connection(state, target, connection))
+            effects.extend(close_connection(state, target, connection, CloseCause.IDLE))
     return effects
 
 
-def submit_status_poll(state: PoolerState, group: GroupView, name: str, now: float) -> list:
+def submit_status_poll(
+    state: PoolerState, group: GroupView, name: str, cause: PollCause, now: float
+) -> list:
     """Poll the status of a target; if a poll is in flight, poll again after it."""
     target = group.targets[name]
     if target.status_job is not None:
-        target.poll_again = target.status_job.sent_at is not None
+        target.poll_again = cause if target.status_job.sent_at is not None else None
         return []
-    job = Job(name, ReadStatus(), Purpose.CONTROL, now)
+    job = Job(name, ReadStatus(), Purpose.CONTROL, now, poll_cause=cause)
     target.status_job = job
     return submit_job(state, group, job, now)
--- a/src/cassiaseam/pooler/detection.py
+++ b/src/cassiaseam/pooler/detection.py
@@ -5,6 +5,7 @@
 from cassiaseam.pooler import connections, quorum, routing, sampling
 from cassiaseam.pooler.admission import failure_streaks
 from cassiaseam.pooler.state import GroupView, PoolerState, TargetState
+from cassiaseam.pooler.target_use.causes import PollCause
 
 # Seconds without a reply, or of refused connections, after which a target counts as failed.
 SILENCE_TIMEOUT_S = 0.7
@@ -42,8 +43,10 @@
     effects: list = []
     unknown = primary is None
     names = sampling.list_discovery_targets(state, group, now) if unknown else group.targets
+    lost = primary is not None and routing.is_unavailable(primary, now)
+    cause = PollCause.LOST_PRIMARY if lost else PollCause.PRIMARY_DISCOVERY
     for name in names:
-        effects.extend(connections.submit_status_poll(state, group, name, now))
+        effects.extend(connections.submit_status_poll(state, group, name, cause, now))
     return effects
 
 
--- a/src/cassiaseam/pooler/discovery.py
+++ b/src/cassiaseam/pooler/discovery.py
@@ -16,6 +16,7 @@
 from cassiaseam.pooler.model import RoutingConfig, TargetRecord
 from cassiaseam.pooler.state import GroupView, PoolerState, TargetState
 from cassiaseam.pooler.store_era import get_store_era
+from cassiaseam.pooler.target_use.causes import CloseCause, PollCause
 from cassiaseam.reducer.registry import handles
 
 # Seconds after which a target whose record is missing is removed.
@@ -159,7 +160,7 @@
     """
     name = target.record.name
     if target.connections or group.operations or group.promotion is not None:
-        return connections.submit_status_poll(state, group, name, now)
+        return connections.submit_status_poll(state, group, name, PollCause.ROLE_CHANGE, now)
     if target.record.is_primary != (name == group.monitor.primary):
         group.monitor.primary = ''
     return []
@@ -195,7 +196,8 @@
     name = target.record.name
     effects = [build_target_log('target_restarted', target.record)]
     was_in_use = bool(target.connections)
-    effects += close_connections(state, group, target, 'target restarted', now)
+    cause = CloseCause.TARGET_RESTARTED
+    effects += close_connections(state, group, target, cause, now)
     count = headroom.find_initial_connection_count(state)
     fresh = TargetState(target.record, reported_connections=count)
     track_leaving(fresh, now)
@@ -207,7 +209,8 @@
         group.promotion.fenced_positions.pop(name, None)
     quorum.reset_status(group, name)
     if was_in_use or group.operations:
-        effects += connections.submit_status_poll(state, group, name, now)
+        poll_cause = PollCause.TARGET_RESTART
+        effects += connections.submit_status_poll(state, group, name, poll_cause, now)
     return effects
 
 
@@ -241,7 +244,8 @@
     group = state.groups[state.target_groups.pop(name)]
     target = group.targets[name]
     effects = [build_target_log('target_removed', target.record)]
-    effects += close_connections(state, group, target, 'target removed', now)
+    cause = CloseCause.TARGET_REMOVED
+    effects += close_connections(state, group, target, cause, now)
     del group.targets[name]
     if target.record.leaving:
         state.departed[name] = target.record.incarnation
@@ -256,13 +260,14 @@
 
 
 def close_connections(
-    state: PoolerState, group: GroupView, target: TargetState, reason: str, now: float
+    state: PoolerState, group: GroupView, target: TargetState, cause: CloseCause, now: float
 ) -> list:
     """Close all connections to a target and fail their jobs."""
     effects: list = []
     jobs = []
+    reason = cause.value.replace('_', ' ')
     for connection in list(target.connections.values()):
-        effects += connections.close_connection(state, target, connection)
+        effects += connections.close_connection(state, target, connection, cause)
         if connection.job is not None:
             jobs.append(connection.job)
     # Prevents further jobs from being queued at the target while its jobs fail.
--- a/src/cassiaseam/pooler/failover.py
+++ b/src/cassiaseam/pooler/failover.py
@@ -22,6 +22,7 @@
     Promotion,
     PromotionStage,
 )
+from cassiaseam.pooler.target_use.causes import PollCause
 from cassiaseam.reducer.registry import handles
 
 # Maximum jitter in seconds between the claims of the VMs.
@@ -263,7 +264,8 @@
     promotion.sent_at = now
     effects: list = []
     for name in candidates.list_candidates(state, group, now):
-        effects.extend(connections.submit_status_poll(state, group, name, now))
+        cause = PollCause.PROMOTION
+        effects.extend(connections.submit_status_poll(state, group, name, cause, now))
     return effects
 
 
@@ -311,7 +313,7 @@
         return []
     promotion.sent_at = now
     return (
-        connections.submit_status_poll(state, group, promotion.chosen, now)
+        connections.submit_status_poll(state, group, promotion.chosen, PollCause.PROMOTION, now)
         if (promotion.chosen in group.targets)
         else abort_promotion(state, group, 'the promoted target is gone', now)
     )
--- a/src/cassiaseam/pooler/metrics.py
+++ b/src/cassiaseam/pooler/metrics.py
@@ -13,6 +13,7 @@
 from cassiaseam.pooler.pacing.pace_metrics import render_group_paces
 from cassiaseam.pooler.quotas.metrics import render_quota_metrics
 from cassiaseam.pooler.relay.metrics import render_relay_metrics
+from cassiaseam.pooler.target_use.metrics import render_target_use, render_used_shares
 
 # Upper bounds of the latency buckets.
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
@@ -51,11 +52,13 @@
         lines.append(f'cassiaseam_statements_shed_total{{route="{route}"}} {count}')
     for kind, count in sorted(state.commands_sent.items()):
         lines.append(f'cassiaseam_target_commands_total{{command="{kind}"}} {count}')
+    lines += render_target_use(state)
     for group in state.groups.values():
         labels = f'group="{group.name}"'
         lines.append(f'cassiaseam_group_term{{{labels}}} {group.monitor.term}')
         lines.append(f'cassiaseam_group_operations{{{labels}}} {len(group.operations)}')
         lines.extend(render_group_paces(group))
+        lines.extend(render_used_shares(state, group))
         if state.adaptive_admission:
             lines.extend(admission_metrics.render_group(group))
     lines += render_account_metrics(state)
--- a/src/cassiaseam/pooler/replies.py
+++ b/src/cassiaseam/pooler/replies.py
@@ -23,6 +23,7 @@
 from cassiaseam.pooler.events import AnswerCaller, SampleReceived, WriteLog
 from cassiaseam.pooler.quotas import tokens
 from cassiaseam.pooler.state import Connection, GroupView, Job, Operation, PoolerState, Purpose
+from cassiaseam.pooler.target_use.causes import PollCause
 from cassiaseam.reducer.registry import handles
 
 # Seconds that a commit waits for the nearest replicas before all replicas are polled.
@@ -140,7 +141,8 @@
         return completion.fail_operation(
             state, operation, ErrorKind.TRANSACTION_ABORTED, 'primary replaced', now
         )
-    return sampling.poll_majority_with_primary(state, group, operation.started_at, now)
+    cause = PollCause.PRIMARY_CONFIRMATION
+    return sampling.poll_majority_with_primary(state, group, operation.started_at, cause, now)
 
 
 def request_commit_evidence(
@@ -154,7 +156,8 @@
     for name in names:
         target = group.targets[name]
         if target.status_job is None and now >= target.next_poll_at:
-            effects += connections.submit_status_poll(state, group, name, now)
+            cause = PollCause.COMMIT_CONFIRMATION
+            effects += connections.submit_status_poll(state, group, name, cause, now)
     return effects
 
 
--- a/src/cassiaseam/pooler/sample_sharing.py
+++ b/src/cassiaseam/pooler/sample_sharing.py
@@ -22,6 +22,7 @@
 )
 from cassiaseam.pooler.peer_state import SampleRequest, SampleWaiter
 from cassiaseam.pooler.state import GroupView, PoolerState
+from cassiaseam.pooler.target_use.causes import PollCause
 from cassiaseam.reducer.registry import handles
 
 # Covers a round trip within a place and a poll of targets in other regions, with headroom for a
@@ -43,7 +44,7 @@
         return []
     peer = peers.choose_sampler(state, group.name, now)
     if peer is None or now < group.samples_locally_until:
-        return sampling.poll_majority(state, group, since, now)
+        return sampling.poll_majority(state, group, since, PollCause.OWN_SAMPLE, now)
     nonce = state.rng.getrandbits(32)
     group.sample_request = SampleRequest(nonce, peer.record.vm, now)
     host, port = peer.record.host, peer.record.port
@@ -60,7 +61,8 @@
         return []
     if now - group.monitor.samples[-1].started_at < max_age_s * REFRESH_AGE_RATIO:
         return []
-    return sampling.poll_majority(state, group, now - max_age_s * REUSE_AGE_RATIO, now)
+    since = now - max_age_s * REUSE_AGE_RATIO
+    return sampling.poll_majority(state, group, since, PollCause.SAMPLE_REFRESH, now)
 
 
 def expire_sample_requests(state: PoolerState, group: GroupView, now: float) -> None:
@@ -101,7 +103,7 @@
     )
     if not samples or samples[-1].started_at < since:
         group.sample_waiters.append(waiter)
-        return sampling.poll_majority(state, group, since, now)
+        return sampling.poll_majority(state, group, since, PollCause.PEER_SAMPLE, now)
     response = build_sample_response(state, group, waiter, now)
     return [response, *refresh_sample(state, group, event.max_age_s, now)]
 
--- a/src/cassiaseam/pooler/sampling.py
+++ b/src/cassiaseam/pooler/sampling.py
@@ -3,29 +3,32 @@
 from cassiaseam.group.quorum import count_majority
 from cassiaseam.pooler import connections, routing
 from cassiaseam.pooler.state import GroupView, PoolerState
+from cassiaseam.pooler.target_use.causes import PollCause
 
 # Seconds without a primary after which all targets are polled instead of a majority.
 POLL_ALL_TARGETS_AFTER_S = 0.1
 
 
-def poll_majority(state: PoolerState, group: GroupView, since: float, now: float) -> list:
+def poll_majority(
+    state: PoolerState, group: GroupView, since: float, cause: PollCause, now: float
+) -> list:
     """Poll any majority at or after `since`, preferring targets with open connections."""
     needed = count_majority(group.monitor) if group.monitor.primary else len(group.targets)
     names = routing.list_by_access_cost(state, group, now)
     names.sort(key=lambda name: not has_status_since(group, name, since))
     effects: list = []
     for name in names[:needed]:
-        effects.extend(poll_unless_known(state, group, name, since, now))
+        effects.extend(poll_unless_known(state, group, name, since, cause, now))
     return effects
 
 
 def poll_majority_with_primary(
-    state: PoolerState, group: GroupView, since: float, now: float
+    state: PoolerState, group: GroupView, since: float, cause: PollCause, now: float
 ) -> list:
     """Poll a majority, including the primary if one is known, at or after `since`."""
-    effects = poll_replicas(state, group, since, now)
+    effects = poll_replicas(state, group, since, cause, now)
     if group.monitor.primary in group.targets:
-        effects += poll_unless_known(state, group, group.monitor.primary, since, now)
+        effects += poll_unless_known(state, group, group.monitor.primary, since, cause, now)
     return effects
 
 
@@ -39,7 +42,9 @@
     return names[: count_majority(group.monitor)]
 
 
-def poll_replicas(state: PoolerState, group: GroupView, since: float, now: float) -> list:
+def poll_replicas(
+    state: PoolerState, group: GroupView, since: float, cause: PollCause, now: float
+) -> list:
     """Poll the nearest targets that form a majority together with the primary."""
     if group.monitor.primary:
         names = routing.list_replicas_by_access_cost(state, group, now)[: max(group.size // 2, 1)]
@@ -47,7 +52,7 @@
         names = list_discovery_targets(state, group, now)
     effects: list = []
     for name in names:
-        effects.extend(poll_unless_known(state, group, name, since, now))
+        effects.extend(poll_unless_known(state, group, name, since, cause, now))
     return effects
 
 
@@ -58,7 +63,12 @@
 
 
 def poll_unless_known(
-    state: PoolerState, group: GroupView, name: str, since: float, now: float
+    state: PoolerState,
+    group: GroupView,
+    name: str,
+    since: float,
+    cause: PollCause,
+    now: float,
 ) -> list:
     """Poll a target unless a status as of `since` or later is known or in flight."""
     if has_status_since(group, name, since):
@@ -66,4 +76,4 @@
     job = group.targets[name].status_job
     if job is not None and job.sent_at is not None and job.sent_at >= since:
         return []
-    return connections.submit_status_poll(state, group, name, now)
+    return connections.submit_status_poll(state, group, name, cause, now)
--- a/src/cassiaseam/pooler/sending.py
+++ b/src/cassiaseam/pooler/sending.py
@@ -18,6 +18,7 @@
     Purpose,
     TransactionState,
 )
+from cassiaseam.pooler.target_use.causes import PollCause
 
 # Backoff in seconds before a statement that has not run is retried.
 RETRY_BACKOFF_S = 0.03
@@ -43,7 +44,9 @@
         effects = connections.reconnect_to_full_targets(state, group, session.account, now)
         return effects + completion.fail_operation(state, operation, *refusal, now)
     if is_commit_of_writes(operation, transaction) and not quorum.can_acknowledge(group, now):
-        return sampling.poll_majority_with_primary(state, group, now - MAX_STATUS_AGE_S, now)
+        since = now - MAX_STATUS_AGE_S
+        cause = PollCause.HELD_WRITE
+        return sampling.poll_majority_with_primary(state, group, since, cause, now)
     if transaction is not None and transaction.connection_id:
         return send_in_transaction(state, operation, transaction, now)
     decision = tokens.take_token(state, operation, now)
@@ -184,7 +187,8 @@
     if operation.needs_confirmation:
         # The reply to the read itself carries the position of the primary, so only replicas are
         # polled.
-        return sampling.poll_replicas(state, group, operation.started_at, now)
+        cause = PollCause.PRIMARY_CONFIRMATION
+        return sampling.poll_replicas(state, group, operation.started_at, cause, now)
     samples = group.monitor.samples
     if operation.floor is None or not samples:
         return []
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -20,6 +20,7 @@
 from cassiaseam.pooler.peer_state import PeerState, SampleRequest, SampleWaiter
 from cassiaseam.pooler.quotas.quota_state import QuotaState, Token
 from cassiaseam.pooler.relay.state import RelayState
+from cassiaseam.pooler.target_use.causes import PollCause, TargetUse
 from cassiaseam.positions import LogPosition
 
 
@@ -103,6 +104,7 @@
         sent_at: Time at which the command was sent, or None.
         cancelled: Whether its reply is discarded.
         token: Quota token that it spends when it is sent, or None without a limit.
+        poll_cause: Why the status is polled, or None for other commands.
     """
 
     target: str
@@ -115,6 +117,7 @@
     sent_at: float | None = None
     cancelled: bool = False
     token: Token | None = None
+    poll_cause: PollCause | None = None
 
 
 @dataclass(slots=True)
@@ -221,7 +224,7 @@
         connections: Connections to it that are open or being opened.
         queue: Jobs that wait for a connection.
         status_job: Status poll that is queued or in flight, or None.
-        poll_again: Whether another poll follows the one in flight.
+        poll_again: Why another poll follows the one in flight, or None.
         next_poll_at: Time before which no further status poll is sent.
         next_probe_at: Time before which no further probe is sent because it is silent.
         silent_since: Time of the oldest command that is unanswered since the latest reply.
@@ -249,7 +252,7 @@
     connections: dict[int, Connection] = field(default_factory=dict)
     queue: deque[Job] = field(default_factory=deque)
     status_job: Job | None = None
-    poll_again: bool = False
+    poll_again: PollCause | None = None
     next_poll_at: float = 0
     next_probe_at: float = 0
     silent_since: float | None = None
@@ -409,6 +412,7 @@
         counters: Number of final answers per route and outcome.
         latencies: Latency histogram from arrival to final answer, per route.
         commands_sent: Number of commands sent to targets per kind.
+        target_use: Number of status polls and connections by cause.
         admission: Mode of admission.
         account_use: Recent use of targets per client account, with adaptive admission.
         shed: Number of early refusals per route.
@@ -443,6 +447,7 @@
     lease: LeaseState = field(default_factory=LeaseState)
     counters: dict[tuple[str, str], int] = field(default_factory=dict)
     commands_sent: dict[str, int] = field(default_factory=dict)
+    target_use: TargetUse = field(default_factory=TargetUse)
     latencies: dict[str, Histogram] = field(default_factory=dict)
     admission: Admission = Admission.FIXED
     account_use: AccountUse = field(default_factory=AccountUse)
--- a/src/cassiaseam/pooler/targets.py
+++ b/src/cassiaseam/pooler/targets.py
@@ -26,6 +26,8 @@
     Purpose,
     TargetState,
 )
+from cassiaseam.pooler.target_use import polls
+from cassiaseam.pooler.target_use.causes import CloseCause
 from cassiaseam.reducer.registry import handles
 
 # Weight of the latest statement in the moving averages of a target.
@@ -75,7 +77,7 @@
     if found is None:
         return []
     connection, group, target = found
-    connections.remove_connection(state, target, connection)
+    connections.remove_connection(state, target, connection, CloseCause.REFUSED)
     log = WriteLog(
         'target_connection_refused',
         {'target': target.record.name, 'group': group.name, 'cause': event.reason},
@@ -111,10 +113,11 @@
 
 def fail_job(state: PoolerState, group: GroupView, job: Job, reason: str, now: float) -> list:
     """Handle a job whose reply will not arrive."""
+    polls.count_poll_loss(state, job)
     target = group.targets.get(job.target)
     if target is not None and target.status_job is job:
         target.status_job = None
-        target.poll_again = False
+        target.poll_again = None
     if target is not None:
         concurrency.record_loss(state, target, job, now)
     return replies.handle_job_loss(state, group, job, reason, now)
@@ -127,7 +130,7 @@
     if found is None:
         return []
     connection, group, target = found
-    connections.remove_connection(state, target, connection)
+    connections.remove_connection(state, target, connection, CloseCause.LOST)
     if not target.connections:
         target.disconnected_at = now
         concurrency.restart(target, now)
@@ -162,7 +165,8 @@
     connection, group, target = found
     job = connection.job
     if job is None:
-        return connections.close_connection(state, target, connection)
+        cause = CloseCause.UNEXPECTED_REPLY
+        return connections.close_connection(state, target, connection, cause)
     if connection.setup:
         return handle_setup_reply(state, group, target, connection, event.reply, now)
     connection.job = None
@@ -195,7 +199,8 @@
     if reply.failure is not None:
         job = connection.job
         connection.job = None
-        effects = connections.close_connection(state, target, connection)
+        cause = CloseCause.SETUP_FAILED
+        effects = connections.close_connection(state, target, connection, cause)
         return effects + fail_job(state, group, job, f'setup failed: {reply.message}', now)
     connection.setup.popleft()
     if connection.setup:
@@ -223,7 +228,8 @@
 ) -> list:
     """Return the connection of a rolled-back transaction to the pool."""
     if reply.failure is not None:
-        return connections.close_connection(state, target, connection)
+        cause = CloseCause.OPEN_TRANSACTION
+        return connections.close_connection(state, target, connection, cause)
     return connections.reuse_connection(state, target, connection, reply, now)
 
 
@@ -238,6 +244,7 @@
 ) -> list:
     """Handle the reply to a control command; every control command returns a status."""
     name = target.record.name
+    polls.count_poll_reply(state, job, reply)
     effects = connections.release_connection(state, target, connection, now)
     if target.status_job is job:
         target.status_job = None
@@ -247,9 +254,9 @@
         quorum.record_status(group, name, job.sent_at, reply.status, now)
         target_load.record_running(target, reply.status.running, now)
     effects += failover.handle_control_reply(state, group, name, job, reply, now)
-    if target.poll_again and isinstance(job.command, ReadStatus):
-        target.poll_again = False
-        effects += connections.submit_status_poll(state, group, name, now)
+    if target.poll_again is not None and isinstance(job.command, ReadStatus):
+        cause, target.poll_again = target.poll_again, None
+        effects += connections.submit_status_poll(state, group, name, cause, now)
     return effects + replies.resume_waiting_operations(state, group, now)
 
 
@@ -282,11 +289,13 @@
         job = connection.job
         if not connection.ready:
             if now - connection.opened_at > CONNECT_TIMEOUT_S:
-                effects += connections.close_connection(state, target, connection)
+                cause = CloseCause.OPENING_TIMED_OUT
+                effects += connections.close_connection(state, target, connection, cause)
                 effects += handle_open_timeout(state, group, target, now)
         elif job is not None and is_overdue(job, now):
             connection.job = None
-            effects += connections.close_connection(state, target, connection)
+            cause = CloseCause.REPLY_TIMED_OUT
+            effects += connections.close_connection(state, target, connection, cause)
             effects += fail_job(state, group, job, 'no reply in time', now)
             effects += connections.start_jobs(state, target, now)
     return effects
--- a/src/cassiaseam/pooler/ticks.py
+++ b/src/cassiaseam/pooler/ticks.py
@@ -20,6 +20,7 @@
 from cassiaseam.pooler.events import PoolerStopping, PoolerTick, WriteLog
 from cassiaseam.pooler.relay.decisions import find_close_delay_s
 from cassiaseam.pooler.state import CallerSession, GroupView, PoolerState
+from cassiaseam.pooler.target_use.causes import PollCause
 from cassiaseam.reducer.registry import handles
 
 # Interval in seconds between ticks while statements, polls or promotions are in progress. Ticks
@@ -143,9 +144,16 @@
         lost = target.unreachable_since is not None or (
             name == group.monitor.primary and target.disconnected_at is not None
         )
-        if silent or lost or at_limit or connections.is_usage_unknown(target, now):
+        causes = {
+            PollCause.SILENT_TARGET: silent,
+            PollCause.UNREACHABLE_TARGET: lost,
+            PollCause.FULL_TARGET: at_limit,
+            PollCause.UNKNOWN_CONNECTION_COUNT: connections.is_usage_unknown(target, now),
+        }
+        cause = next((it for it, holds in causes.items() if holds), None)
+        if cause is not None:
             target.next_probe_at = now + PROBE_INTERVAL_S
-            effects += connections.submit_status_poll(state, group, name, now)
+            effects += connections.submit_status_poll(state, group, name, cause, now)
     return effects
 
 
