--- a/tests/pooler/pooler_world.py
+++ b/tests/pooler/pooler_world.py
@@ -166,16 +166,23 @@
             vm.follow_store()
         self.now = 0
         for vm in self.vms.values():
-            vm.dispatch(StoreReachability(True))
-            vm.dispatch(SizesRead(tuple(self.sizes.values())))
-            vm.dispatch(ConfigurationRead(build_config(max_connections=max_connections)))
             names = (listed or {}).get(vm.name, self.targets)
-            records = tuple(self.targets[name].get_record() for name in names)
-            vm.dispatch(TargetsListed(records))
-            self.after(TICK_S * self.rng.random(), vm.tick)
+            self.start_vm(vm, build_config(max_connections=max_connections), names)
         if shared:
             self.list_peers()
 
+    def start_vm(self, vm, config, names):
+        """Send a VM what it reads from the store at its start, and start its ticks."""
+        vm.dispatch(StoreReachability(True))
+        vm.dispatch(SizesRead(tuple(self.sizes.values())))
+        vm.dispatch(ConfigurationRead(config))
+        vm.dispatch(TargetsListed(tuple(self.targets[name].get_record() for name in names)))
+        self.after(TICK_S * self.rng.random(), vm.tick)
+
+    def complete_handshake(self, target, report):
+        """Report that a connection to a target is ready, once it is."""
+        self.after(2 * LATENCY_S, report)
+
     def list_peers(self):
         """Send the list of all VMs to each VM."""
         records = tuple(
--- a/tests/pooler/virtual_vm.py
+++ b/tests/pooler/virtual_vm.py
@@ -147,7 +147,7 @@
             self.links[number] = (target, ConnectionState(effect.account), target.incarnation)
             world.opened_connections += 1
             ready = ConnectionReady(number, TargetReply(position=target.visible))
-            world.after(2 * LATENCY_S, lambda: self.dispatch(ready))
+            world.complete_handshake(target, lambda: self.dispatch(ready))
 
     def send_commands(self, effect):
         for command in effect.commands:
