--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -332,6 +332,37 @@
         'pass\n',
     ),
     Guard('pooler/relay/pipe.py', 'transport.registerProducer(other, True)', 'pass'),
+    Guard('pooler/relay/decisions.py', 'if version != state.config.version:', 'if False:'),
+    Guard('pooler/relay/service.py', ' or relay.version == version:', ':'),
+    Guard(
+        'pooler/relay/service.py',
+        'if not pipe.tracker.is_outstanding() and not pipe.tracker.in_transaction:',
+        'if True:',
+    ),
+    Guard(
+        'pooler/sessions.py',
+        'if is_relay_outdated(state, session):\n',
+        'if False:\n',
+    ),
+    Guard('pooler/ticks.py', ' or sessions.is_relay_outdated(state, session):', ':'),
+    Guard(
+        'pooler/completion.py',
+        'sessions.is_closing_sessions(state, now) or sessions.is_relay_outdated(state, session)',
+        'sessions.is_closing_sessions(state, now)',
+    ),
+    Guard(
+        'pooler/admission/headroom.py',
+        'max(_find_step(HEADROOM_IDLE_TIMEOUT_STEPS, used_share), min(longest_s, reopening_s))',
+        '_find_step(HEADROOM_IDLE_TIMEOUT_STEPS, used_share)',
+    ),
+    Guard('pooler/sampling.py', ' or poll_backoff.is_backing_off(target, now):', ':'),
+    Guard(
+        'pooler/sampling.py',
+        'poll_backoff.is_backing_off(group.targets[name], now),\n',
+        '0,\n',
+    ),
+    Guard('pooler/sample_sharing.py', 'if not headroom.is_count_assumed(target)', 'if True'),
+    Guard('pooler/ticks.py', 'sample_sharing.poll_for_waiters(state, group, now)', '[]'),
     Guard('pooler/relay/pipe.py', 'self.close(cause)', 'self.on_end()'),
     Guard('pooler/accounts/revocation.py', 'changed.setdefault(session.session_id, now)', 'pass'),
     Guard(
