Send a position with BEGIN also when the first statement writes

Callers on bounded_staleness and read_your_writes routes could read data from before a promotion, in a transaction that began with a write (STALE). The statement that pins a transaction decided whether its BEGIN carried a position, and a write needs none. A VM that had lost sight of the new primary sent BEGIN without a position to the former one, which accepted it, and the reads that followed in the transaction were answered at once: they wait for no confirmation on these routes. Only the COMMIT failed.

Now every BEGIN on such a route carries the position, as for a transaction that begins with a read. On primary routes each read of a transaction is confirmed until one was, so nothing changes there.

The callers of the property tests never began a transaction with a write, which is why no play of them showed it.

--- a/src/cassiaseam/pooler/sending.py
+++ b/src/cassiaseam/pooler/sending.py
@@ -58,12 +58,14 @@
 ) -> list:
     """Send an operation to a target, or obtain what it needs for that.
 
-    The evidence for a read is obtained while its quota token is on the way.
+    The evidence for a read is obtained while its quota token is on the way. A transaction may read
+    after its first statement, so that its BEGIN carries a floor also when that one writes.
     """
     floor = None
-    if operation.route.consistency is not Consistency.PRIMARY and not operation.is_write:
-        last_commit = state.sessions[operation.session_id].last_commit
-        floor = quorum.find_required_position(group, operation, last_commit)
+    session = state.sessions[operation.session_id]
+    may_read = session.transaction is not None or not operation.is_write
+    if operation.route.consistency is not Consistency.PRIMARY and may_read:
+        floor = quorum.find_required_position(group, operation, session.last_commit)
         if floor is None:
             return sample_sharing.obtain_sample(
                 state, group, quorum.find_freshness_bound(operation), now
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -112,6 +112,11 @@
         'if group.floor:\n        count += group.floor - staying',
         'if False:\n        count = 0',
     ),
+    Guard(
+        'pooler/sending.py',
+        'session.transaction is not None or not operation.is_write',
+        'not operation.is_write',
+    ),
     Guard('pooler/sessions.py', ' and state.sizes.known', ''),
     Guard('pooler/failover.py', 'state.sizes.known and ', ''),
     Guard('pooler/discovery.py', 'state.sizes.differing.clear()', 'pass'),
