Keep a session's commit unless the primary proves that it was lost

A session on a read_your_writes route could read without its own commit around a promotion (STALE). A refusal as behind from the target that this VM took for the primary of a later term cleared the position of the session's latest commit, whatever had been asked and whenever: the refusal may have been given while the target was a replica that had yet to apply the commit (a frozen VM reads the status of the new primary before the older refusal), or it was about a higher position of a sample. The next read of the session went to a lagging replica.

The position is now given up only if the command asked for exactly that position and was sent after this VM knew that the target leads the later term. The position that a target lacks is taken from the command as well: a hedged read could have asked for another one than its operation.

test_refusal_that_proves_no_loss_keeps_the_session_commit fails for both cases on the code before and passes now; test_session_commit_that_the_new_primary_lacks_is_given_up keeps sessions usable after a commit was lost. Two guards cover the conditions.

--- a/src/cassiaseam/pooler/quorum.py
+++ b/src/cassiaseam/pooler/quorum.py
@@ -123,13 +123,13 @@
     view.answered_at = now
     group.monitor.known_term = max(group.monitor.known_term, reported.term)
     if reported.is_primary:
-        adopt_primary(group, name, reported.term)
+        adopt_primary(group, name, reported.term, now)
     elif name == group.monitor.primary and reported.term >= group.monitor.term:
         group.monitor.primary = ''
     add_quorum_samples(group.monitor, members_are_fixed=False)
 
 
-def adopt_primary(group: GroupView, name: str, term: int) -> None:
+def adopt_primary(group: GroupView, name: str, term: int, now: float) -> None:
     """Adopt a target as the current primary unless a newer term is known."""
     monitor = group.monitor
     if term < monitor.term or (term == monitor.term and name == monitor.primary):
@@ -138,6 +138,7 @@
         group.former_primary = monitor.primary
     monitor.primary = name
     monitor.term = term
+    group.primary_adopted_at = now
     group.without_primary_since = None
 
 
--- a/src/cassiaseam/pooler/replies.py
+++ b/src/cassiaseam/pooler/replies.py
@@ -23,6 +23,7 @@
 from cassiaseam.pooler.events import AnswerCaller, SampleReceived, WriteLog
 from cassiaseam.pooler.quotas import tokens
 from cassiaseam.pooler.state import Connection, GroupView, Job, Operation, PoolerState, Purpose
+from cassiaseam.positions import LogPosition
 from cassiaseam.reducer.registry import handles
 
 # Seconds that a commit waits for the nearest replicas before all replicas are polled.
@@ -54,7 +55,7 @@
         return handle_begin_reply(state, group, connection, job, reply, now)
     if reply.failure is None:
         return handle_success(state, group, connection, operation, reply, now)
-    return handle_failure(state, group, connection, operation, reply, now)
+    return handle_failure(state, group, connection, job, reply, now)
 
 
 def handle_begin_reply(
@@ -68,7 +69,7 @@
     """Pin the connection to a transaction that has begun and run its first statement."""
     operation = job.operation
     if reply.failure is not None:
-        return handle_failure(state, group, connection, operation, reply, now)
+        return handle_failure(state, group, connection, job, reply, now)
     transaction = state.sessions[operation.session_id].transaction
     transaction.connection_id = connection.connection_id
     transaction.target = connection.target
@@ -210,15 +211,16 @@
     state: PoolerState,
     group: GroupView,
     connection: Connection,
-    operation: Operation,
+    job: Job,
     reply: TargetReply,
     now: float,
 ) -> list:
     """Retry a statement if that is safe, or answer with its failure."""
+    operation = job.operation
     target = group.targets[connection.target]
     session = state.sessions[operation.session_id]
     transaction = session.transaction
-    record_failure(state, group, operation, connection.target, reply, now)
+    record_failure(state, group, job, reply, now)
     operation.may_have_run = operation.may_have_run or reply.failure not in NOT_RUN
     if transaction is not None and transaction.connection_id == connection.connection_id:
         return handle_transaction_failure(state, connection, operation, reply, now)
@@ -238,31 +240,37 @@
 
 
 def record_failure(
-    state: PoolerState,
-    group: GroupView,
-    operation: Operation,
-    name: str,
-    reply: TargetReply,
-    now: float,
+    state: PoolerState, group: GroupView, job: Job, reply: TargetReply, now: float
 ) -> None:
     """Update the state of a target from a failed command."""
-    target = group.targets[name]
+    target = group.targets[job.target]
     if reply.failure is TargetFailure.BEHIND:
         target.lag_refusals += 1
         target.lagging_until = now + lagging.find_backoff_s(
             target.lag_refusals, state.adaptive_admission
         )
-        target.missing_position = operation.floor
-        session = state.sessions[operation.session_id]
-        # A commit of an earlier term that the primary lacks was lost in a failover.
-        known = session.last_commit
-        outdated = known is not None and known.term < group.monitor.term
-        if outdated and name == group.monitor.primary:
+        target.missing_position = job.command.floor
+        session = state.sessions[job.operation.session_id]
+        if proves_loss(group, job, session.last_commit):
             session.last_commit = None
-    if reply.failure is TargetFailure.READ_ONLY and name == group.monitor.primary:
+    if reply.failure is TargetFailure.READ_ONLY and job.target == group.monitor.primary:
         group.monitor.primary = ''
 
 
+def proves_loss(group: GroupView, job: Job, commit: LogPosition | None) -> bool:
+    """Return whether a target that is behind proves that a failover lost a commit.
+
+    Only the primary of a later term proves it, if it was asked for that position, and after this
+    VM knew that it leads: before that, it may have been a replica that had yet to catch up.
+    """
+    if commit is None or commit.term >= group.monitor.term:
+        return False
+    asked_as_primary = (
+        job.target == group.monitor.primary and job.sent_at >= group.primary_adopted_at
+    )
+    return asked_as_primary and job.command.floor == commit
+
+
 def retry(
     state: PoolerState, group: GroupView, operation: Operation, reply: TargetReply, now: float
 ) -> list:
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -117,6 +117,8 @@
         'session.transaction is not None or not operation.is_write',
         'not operation.is_write',
     ),
+    Guard('pooler/replies.py', ' and job.sent_at >= group.primary_adopted_at', ''),
+    Guard('pooler/replies.py', ' and job.command.floor == commit', ''),
     Guard('pooler/sessions.py', ' and state.sizes.known', ''),
     Guard('pooler/failover.py', 'state.sizes.known and ', ''),
     Guard('pooler/discovery.py', 'state.sizes.differing.clear()', 'pass'),
--- a/tests/pooler/test_pooler_stale_reads.py
+++ b/tests/pooler/test_pooler_stale_reads.py
@@ -1,9 +1,14 @@
 """Reads that could lack an acknowledged commit, each in the state that two VMs differ in."""
 
 import pytest
+from fake_target import GROUP
 from pooler_world import MAX_AGE_S, World, is_success
 
-from cassiaseam.pooler.commands import StatementKind
+from cassiaseam.group.state import QuorumSample
+from cassiaseam.pooler import quorum
+from cassiaseam.pooler.commands import ReportedStatus, StatementKind, TargetFailure, TargetReply
+from cassiaseam.pooler.events import CallerConnected, CommandAnswered
+from cassiaseam.positions import LogPosition
 
 CUT_S = 30.0
 
@@ -43,3 +48,44 @@
             break
     stale = [call for call in reads if is_success(call) and 'new' not in call.answer.rows]
     assert not stale
+
+
+def refuse_read_at_new_primary(adopted_first, sampled_offset=1):
+    """Return the session of a read that t1, which becomes the primary, refuses as behind."""
+    world = World(vms=2)
+    vm = world.vms['vm1']
+    vm.dispatch(CallerConnected(1, 'stock', b'key'))
+    world.run_until(0.1)
+    written = world.send('vm1', 1, StatementKind.WRITE, 'own')
+    world.run_until(0.5)
+    assert is_success(written)
+    group = vm.state.groups[GROUP]
+    leads = ReportedStatus(True, 2, LogPosition(1, 0), 0, 0, 0, 1)
+    world.lossy[('vm1', 't1')] = CUT_S
+    group.monitor.samples[:] = [QuorumSample(0.49, LogPosition(1, sampled_offset), 1)]
+    if adopted_first:
+        quorum.record_status(group, 't1', world.now, leads, world.now)
+    world.send('vm1', 1, StatementKind.READ)
+    world.run_until(0.51)
+    running = [it for it in vm.state.connections.values() if it.job and it.job.operation]
+    assert [it.target for it in running] == ['t1']
+    quorum.record_status(group, 't1', world.now, leads, world.now)
+    refusal = TargetReply(failure=TargetFailure.BEHIND, position=LogPosition(1, 0))
+    vm.dispatch(CommandAnswered(running[0].connection_id, refusal))
+    return vm.state.sessions[1]
+
+
+@pytest.mark.parametrize(
+    ('adopted_first', 'sampled_offset'), [(False, 1), (True, 2)], ids=['as replica', 'more']
+)
+def test_refusal_that_proves_no_loss_keeps_the_session_commit(adopted_first, sampled_offset):
+    # A frozen VM reads the status of the new primary before the refusal that it sent as a replica,
+    # or the primary was asked for more than the session's commit. The session lost its position,
+    # and a lagging replica served it without its own commit.
+    session = refuse_read_at_new_primary(adopted_first, sampled_offset)
+    assert session.last_commit == LogPosition(1, 1)
+
+
+def test_session_commit_that_the_new_primary_lacks_is_given_up():
+    # Otherwise the session could not read any more after a failover that lost its commit.
+    assert refuse_read_at_new_primary(adopted_first=True).last_commit is None
