Confirm a read only in the term in which its target was chosen

A read on a primary route could be answered from a log that lacked a commit (STALE) if its target led again shortly after. A VM that had missed two promotions sent the read to a former primary, by then a replica that lagged. Until the confirmation was complete that target was promoted again, and the statuses of the newer term confirmed the reply that it had given as a replica: the confirmation compared the name of the primary, not its term.

The operation keeps the term of the primary known when its target was chosen. Another term at the confirmation counts as a replaced primary: a single read runs again and a transaction is aborted. A target that led the term before the read was sent and still leads it at a later status led it when the read ran.

test_read_of_a_replica_that_leads_again_is_not_confirmed was answered without the commit of the term in between before the change and reads it now. A guard removes the comparison.

--- a/src/cassiaseam/pooler/quorum.py
+++ b/src/cassiaseam/pooler/quorum.py
@@ -194,6 +194,23 @@
     )
 
 
+def is_read_confirmed(group: GroupView, operation: Operation) -> bool:
+    """Return whether a majority confirmed that a read ran on the current primary.
+
+    A target that leads again in a later term may have been a lagging replica in between.
+    """
+    return operation.sent_term == group.monitor.term and is_primary_confirmed(
+        group, operation.reply_target, operation.started_at
+    )
+
+
+def is_replaced(group: GroupView, operation: Operation) -> bool:
+    """Return whether the primary that answered a read has been replaced, perhaps by itself."""
+    if group.monitor.primary not in {'', operation.reply_target}:
+        return True
+    return operation.sent_term != group.monitor.term
+
+
 def has_commit_quorum(group: GroupView, position: LogPosition) -> bool:
     """Return whether a majority holds a commit that the primary reported."""
     return is_committed(group.monitor, position, position.term)
--- a/src/cassiaseam/pooler/replies.py
+++ b/src/cassiaseam/pooler/replies.py
@@ -122,8 +122,7 @@
             return request_commit_evidence(state, group, operation, now)
         session.last_commit = operation.commit
     elif operation.needs_confirmation:
-        target = operation.reply_target
-        if not quorum.is_primary_confirmed(group, target, operation.started_at):
+        if not quorum.is_read_confirmed(group, operation):
             return rerun_or_wait(state, group, operation, now)
         if session.transaction is not None:
             session.transaction.confirmed = True
@@ -132,7 +131,7 @@
 
 def rerun_or_wait(state: PoolerState, group: GroupView, operation: Operation, now: float) -> list:
     """Rerun a read whose primary was replaced, or request confirmation of the primary."""
-    replaced = group.monitor.primary not in {'', operation.reply_target}
+    replaced = quorum.is_replaced(group, operation)
     if replaced and state.sessions[operation.session_id].transaction is None:
         operation.reply = None
         operation.may_have_run = True
--- a/src/cassiaseam/pooler/sending.py
+++ b/src/cassiaseam/pooler/sending.py
@@ -140,6 +140,7 @@
 ) -> list:
     """Send a statement, or the BEGIN of its transaction, to a target."""
     transaction = state.sessions[operation.session_id].transaction
+    operation.sent_term = group.monitor.term
     if transaction is None:
         job = build_job(state, operation, name, Forward(operation.statement, floor), now)
     else:
@@ -171,6 +172,7 @@
         )
     group = state.groups[operation.route.group]
     target = group.targets[connection.target]
+    operation.sent_term = group.monitor.term
     transaction.has_written = transaction.has_written or operation.is_write
     command = Forward(operation.statement)
     job = build_job(state, operation, connection.target, command, now)
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -52,6 +52,7 @@
         retry_at: Time of the next attempt while none is in flight, or None.
         reply: Successful reply that awaits confirmation.
         reply_target: Target of `reply`.
+        sent_term: Term of the primary that this VM knew when it last chose the target.
         commit: Position of a commit that awaits a majority, or None.
         sent_at: Time at which it was first sent, or None.
         floor: Position that its latest target had to hold, or None.
@@ -78,6 +79,7 @@
     retry_at: float | None = None
     reply: TargetReply | None = None
     reply_target: str = ''
+    sent_term: int = 0
     commit: LogPosition | None = None
     sent_at: float | None = None
     floor: LogPosition | None = None
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -119,6 +119,7 @@
     ),
     Guard('pooler/replies.py', ' and job.sent_at >= group.primary_adopted_at', ''),
     Guard('pooler/replies.py', ' and job.command.floor == commit', ''),
+    Guard('pooler/quorum.py', 'return operation.sent_term == group.monitor.term and ', 'return '),
     Guard('pooler/sessions.py', ' and state.sizes.known', ''),
     Guard('pooler/failover.py', 'state.sizes.known and ', ''),
     Guard('pooler/discovery.py', 'state.sizes.differing.clear()', 'pass'),
--- a/tests/pooler/test_pooler_stale_reads.py
+++ b/tests/pooler/test_pooler_stale_reads.py
@@ -89,3 +89,29 @@
 def test_session_commit_that_the_new_primary_lacks_is_given_up():
     # Otherwise the session could not read any more after a failover that lost its commit.
     assert refuse_read_at_new_primary(adopted_first=True).last_commit is None
+
+
+def lead_group(world, name, term):
+    """Make a target the primary of a term that all targets know."""
+    for target in world.targets.values():
+        target.is_primary, target.term = target.name == name, term
+        target.log = [(1, 'old'), (2, 'new')]
+        target.applied = 2
+
+
+def test_read_of_a_replica_that_leads_again_is_not_confirmed():
+    # A VM that had missed two promotions read from a replica that lagged, and confirmed the answer
+    # by the statuses of the term in which the same target led again.
+    world = World(vms=1)
+    world.cut('vm0', 't1', CUT_S)
+    world.connect('vm0', 1, 'orders')
+    world.send('vm0', 1, StatementKind.READ)
+    world.run_until(0.3)
+    lead_group(world, 't1', 2)
+    world.targets['t0'].applied = 1
+    read = world.send('vm0', 1, StatementKind.READ)
+    world.run_until(0.33)
+    lead_group(world, 't0', 3)
+    world.run_until(1.5)
+    assert is_success(read)
+    assert read.answer.rows == ('old', 'new')
