Count a former primary for a commit once it has applied it

A read on a primary route could lack an acknowledged commit (STALE) after a planned handover. A VM without the store went on reading from the former primary, which by then was a replica of its successor. The reply to a read counts as the vote of the primary, because polling it for each read would take a slot of the busiest target, and the nearest replica supported it, as it had not heard of the new term. Majorities met all the same: the former primary was the common member. But it had only received the commit that another VM acknowledged with it, and its readers did not see that yet.

Commits now count a target that led before, or was recorded as primary, by the position that it has applied (the one in READY after STATUS), not by the one that it has received. Any other member that the two majorities have in common reports the new term and does not support the former primary. Reads cost nothing more; a commit waits for the former primary only if no other replica holds it.

test_former_primary_counts_for_a_commit_once_it_has_applied_it plays the handover with a replica that applies late, for a VM that saw the former primary lead and one that knows it from records; both were answered without the commit before. test_commit_of_a_new_primary_is_acknowledged_with_a_former_one keeps writes going. Two guards cover the set of former primaries. A VM that started after the handover does not know who led before.

--- a/src/cassiaseam/pooler/discovery.py
+++ b/src/cassiaseam/pooler/discovery.py
@@ -131,6 +131,8 @@
     effects: list = []
     if former_group not in {None, record.group}:
         effects += remove_target(state, record.name, now)
+    if record.is_primary:
+        group.leaders.add(record.name)
     target = group.targets.get(record.name)
     if target is None:
         return effects + add_target(state, group, record, now)
@@ -243,6 +245,7 @@
     effects = [build_target_log('target_removed', target.record)]
     effects += close_connections(state, group, target, 'target removed', now)
     del group.targets[name]
+    group.leaders.discard(name)
     if target.record.leaving:
         state.departed[name] = target.record.incarnation
         if len(state.departed) > MAX_DEPARTED_TARGETS:
--- a/src/cassiaseam/pooler/targets.py
+++ b/src/cassiaseam/pooler/targets.py
@@ -244,7 +244,7 @@
     target.next_poll_at = now + replies.STATUS_POLL_INTERVAL_S
     concurrency.record_status(target, job, reply, now)
     if reply.status is not None:
-        quorum.record_status(group, name, job.sent_at, reply.status, now)
+        quorum.record_status(group, name, job.sent_at, reply.status, now, reply.position)
         target_load.record_running(target, reply.status.running, now)
     effects += failover.handle_control_reply(state, group, name, job, reply, now)
     if target.poll_again and isinstance(job.command, ReadStatus):
--- a/tests/pooler/fake_target.py
+++ b/tests/pooler/fake_target.py
@@ -51,6 +51,7 @@
         self.fenced = 0
         self.log = []
         self.applied = 0
+        self.apply_delay_s = APPLY_DELAY_S
         self.down = False
         self.mute = False
         self.drop_answers = 0
@@ -205,7 +206,7 @@
             return
         self.log = list(primary.log[:count])
         self.applied = min(self.applied, shared)
-        self.world.after(APPLY_DELAY_S, lambda: self.apply(count))
+        self.world.after(self.apply_delay_s, lambda: self.apply(count))
 
     def apply(self, count):
         if not self.is_primary:
--- a/tests/pooler/test_pooler_stale_reads.py
+++ b/tests/pooler/test_pooler_stale_reads.py
@@ -115,3 +115,48 @@
     world.run_until(1.5)
     assert is_success(read)
     assert read.answer.rows == ('old', 'new')
+
+
+@pytest.mark.parametrize('writer', ['vm1', 'vm2'], ids=['saw the handover', 'knows records'])
+def test_former_primary_counts_for_a_commit_once_it_has_applied_it(writer):
+    # The former primary follows its successor and has received a commit that it has yet to apply;
+    # the third target has not heard of the new term. A VM that missed the handover took the answer
+    # of the former primary for that of the primary, confirmed by the third target.
+    world = World(vms=3)
+    world.vms['vm2'].state.place = 'p0'
+    for vm in world.vms:
+        world.connect(vm, 1, 'orders')
+    for vm in ('vm0', 'vm1'):
+        world.send(vm, 1, StatementKind.READ)
+    world.run_until(0.3)
+    world.cut_store('vm0', CUT_S)
+    for side in ('vm0', 't2'):
+        world.cut('t1', side, CUT_S)
+    former = world.targets['t0']
+    former.apply_delay_s = 3.0
+    former.leaving = True
+    world.announce(former)
+    world.run_until(2)
+    assert world.find_primary().name == 't1'
+    written = world.send(writer, 1, StatementKind.WRITE, 'new')
+    world.run_until(2.5)
+    acknowledged = is_success(written)
+    read = world.send('vm0', 1, StatementKind.READ)
+    world.run_until(2.6)
+    assert not acknowledged or not is_success(read) or 'new' in read.answer.rows
+
+
+def test_commit_of_a_new_primary_is_acknowledged_with_a_former_one():
+    # Writes go on while only the former primary follows its successor.
+    world = World(vms=1)
+    world.connect('vm0', 1, 'orders')
+    world.send('vm0', 1, StatementKind.READ)
+    world.run_until(0.3)
+    world.mute('t2', CUT_S)
+    world.targets['t0'].leaving = True
+    world.announce(world.targets['t0'])
+    world.run_until(3)
+    assert world.find_primary().name == 't1'
+    written = world.send('vm0', 1, StatementKind.WRITE, 'new')
+    world.run_until(3.3)
+    assert is_success(written)
