--- a/src/cassiaseam/pooler/sending.py
+++ b/src/cassiaseam/pooler/sending.py
@@ -61,12 +61,14 @@
 ) -> list:
     """Send an operation to a target, or obtain what it needs for that.
 
-    The evidence for a read is obtained while its quota token is on the way.
+    The evidence for a read is obtained while its quota token is on the way. A transaction may read
+    after its first statement, so that its BEGIN carries a floor also when that one writes.
     """
     floor = None
-    if operation.route.consistency is not Consistency.PRIMARY and not operation.is_write:
-        last_commit = state.sessions[operation.session_id].last_commit
-        floor = quorum.find_required_position(group, operation, last_commit)
+    session = state.sessions[operation.session_id]
+    may_read = session.transaction is not None or not operation.is_write
+    if operation.route.consistency is not Consistency.PRIMARY and may_read:
+        floor = quorum.find_required_position(group, operation, session.last_commit)
         if floor is None:
             return sample_sharing.obtain_sample(
                 state, group, quorum.find_freshness_bound(operation), now
@@ -141,6 +143,7 @@
 ) -> list:
     """Send a statement, or the BEGIN of its transaction, to a target."""
     transaction = state.sessions[operation.session_id].transaction
+    operation.sent_term = group.monitor.term
     if transaction is None:
         job = build_job(state, operation, name, Forward(operation.statement, floor), now)
     else:
@@ -172,6 +175,7 @@
         )
     group = state.groups[operation.route.group]
     target = group.targets[connection.target]
+    operation.sent_term = group.monitor.term
     transaction.has_written = transaction.has_written or operation.is_write
     command = Forward(operation.statement)
     job = build_job(state, operation, connection.target, command, now)
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -53,6 +53,7 @@
         retry_at: Time of the next attempt while none is in flight, or None.
         reply: Successful reply that awaits confirmation.
         reply_target: Target of `reply`.
+        sent_term: Term of the primary that this VM knew when it last chose the target.
         commit: Position of a commit that awaits a majority, or None.
         sent_at: Time at which it was first sent, or None.
         floor: Position that its latest target had to hold, or None.
@@ -79,6 +80,7 @@
     retry_at: float | None = None
     reply: TargetReply | None = None
     reply_target: str = ''
+    sent_term: int = 0
     commit: LogPosition | None = None
     sent_at: float | None = None
     floor: LogPosition | None = None
@@ -336,6 +338,7 @@
         shrunk_at: Time since which fewer targets than `size` are known, or None.
         floor: Recorded number of targets that are not leaving, or 0 once as many were known.
         logged_size: Size in the latest log line about it.
+        leaders: Targets that have led or were recorded as primary.
         operations: Operations without a final answer.
         without_primary_since: Time since which no primary works, or None.
         promotion: Promotion that this daemon attempts, or None.
@@ -346,6 +349,7 @@
         demote_until: Time until which demote commands are sent to a former primary.
         demote_sent_at: Time of the latest demote command.
         promotion_not_before: Time from which the primary may be replaced, or None without a cause.
+        primary_adopted_at: Time since which this VM knows that the primary leads.
         former_primary: Former primary that may still accept writes, or ''.
         majority_unreachable_since: Time since which this VM reaches no majority, or None.
         unconfirmed: Latest commit with an unknown outcome because no majority held it, or None.
@@ -363,6 +367,7 @@
     shrunk_at: float | None = None
     floor: int = 0
     logged_size: int = 0
+    leaders: set[str] = field(default_factory=set)
     operations: list[Operation] = field(default_factory=list)
     without_primary_since: float | None = None
     promotion: Promotion | None = None
@@ -373,6 +378,7 @@
     demote_until: float = 0
     demote_sent_at: float = -1
     promotion_not_before: float | None = None
+    primary_adopted_at: float = 0
     former_primary: str = ''
     majority_unreachable_since: float | None = None
     unconfirmed: LogPosition | None = None
