--- a/tests/pooler/test_pooler_stale_reads.py
+++ b/tests/pooler/test_pooler_stale_reads.py
@@ -160,3 +160,95 @@
     written = world.send('vm0', 1, StatementKind.WRITE, 'new')
     world.run_until(3.3)
     assert is_success(written)
+
+
+def hand_over(world, apply_delay_s):
+    """Hand the group over to t1 while vm0 does not see it, and let t0 apply its log late."""
+    for vm in world.vms:
+        world.connect(vm, 1, 'orders')
+        world.send(vm, 1, StatementKind.READ)
+    world.run_until(0.3)
+    world.cut_store('vm0', CUT_S)
+    for side in ('vm0', 't2'):
+        world.cut('t1', side, CUT_S)
+    former = world.targets['t0']
+    former.apply_delay_s = apply_delay_s
+    former.leaving = True
+    world.announce(former)
+    world.run_until(2)
+    assert world.find_primary().name == 't1'
+
+
+@pytest.mark.parametrize('pause_s', [0, quorum.PRIMARY_STATUS_TTL_S + 1])
+def test_vm_that_missed_a_handover_does_not_read_from_the_former_primary_forever(pause_s):
+    # The former primary replies like a primary. A VM without the store confirmed its reads by the
+    # third target, which had not heard of the new term, however long ago the handover was.
+    world = World(vms=2)
+    hand_over(world, apply_delay_s=CUT_S)
+    keep_reading(world, pause_s)
+    written = world.send('vm1', 1, StatementKind.WRITE, 'new')
+    world.run_until(world.now + 0.4)
+    acknowledged = is_success(written)
+    read = world.send('vm0', 1, StatementKind.READ)
+    world.run_until(world.now + 0.5)
+    assert not acknowledged or not is_success(read) or 'new' in read.answer.rows
+
+
+def keep_reading(world, for_s):
+    """Send reads of vm0 for a while, so that replies of the former primary keep coming."""
+    end = world.now + for_s
+    while world.now < end:
+        world.send('vm0', 1, StatementKind.READ)
+        world.run_until(world.now + 1)
+
+
+def test_commit_waits_for_a_former_primary_to_apply_only_for_a_while():
+    # Replicas lag by seconds at times. After some promotions each of them has led, and every
+    # commit would wait for one to apply it.
+    world = World(vms=2)
+    hand_over(world, apply_delay_s=CUT_S)
+    world.run_until(world.now + quorum.PRIMARY_STATUS_TTL_S + 1)
+    written = world.send('vm1', 1, StatementKind.WRITE, 'new')
+    world.run_until(world.now + 0.3)
+    assert is_success(written)
+
+
+def test_primary_is_polled_once_in_a_while_for_its_reads():
+    world = World(vms=1)
+    world.connect('vm0', 1, 'orders')
+    calls = []
+    for _ in range(40):
+        calls.append(world.send('vm0', 1, StatementKind.READ))
+        world.run_until(world.now + 0.5)
+    assert all(is_success(call) and call.answered_at - call.sent_at < 0.05 for call in calls)
+    polls = world.vms['vm0'].state.target_use.polls.total()
+    assert polls <= len(calls) + 20 / (0.8 * quorum.PRIMARY_STATUS_TTL_S) + 2
+
+
+def build_led_group():
+    """Return a group whose primary t0 reported at 10 s that it leads term 1."""
+    group = World(vms=1).vms['vm0'].state.groups[GROUP]
+    quorum.record_status(
+        group, 't0', 10, ReportedStatus(True, 1, LogPosition(1, 5), 0, 0, 0, 1), 10
+    )
+    return group
+
+
+@pytest.mark.parametrize(
+    ('age_s', 'confirmed_at'),
+    [(1, 11), (quorum.PRIMARY_STATUS_TTL_S, 15), (quorum.PRIMARY_STATUS_TTL_S + 0.1, 10)],
+)
+def test_reply_is_no_evidence_long_after_the_primary_reported_that_it_leads(age_s, confirmed_at):
+    # All polls of a busy primary may be refused while it serves reads, also after a handover.
+    group = build_led_group()
+    quorum.record_primary_position(group, 't0', 10 + age_s, LogPosition(1, 5), 10 + age_s)
+    assert group.monitor.targets['t0'].status_started_at == confirmed_at
+
+
+def test_primary_that_is_found_again_in_its_term_is_no_recent_one():
+    # A record that is late makes a VM forget the primary. Each commit would then wait for the
+    # replicas that led before to apply it.
+    group = build_led_group()
+    group.monitor.primary = ''
+    quorum.adopt_primary(group, 't0', 1, 30)
+    assert group.primary_adopted_at == 10
