Refuse records whose values are out of range

Callers saw errors while a good target was there: a record with the port 70000, a name for an address or a negative number of slots counted as a member of its group, although every connection to it failed. The port 70000 or a host name in the record of a VM raised an exception with each datagram, and a port of 5,000 digits in that of a target ended the reading of all records with a ValueError.

Cause: the models checked the type of a number but not its range, and the port of a target was converted without a limit on its digits. The arithmetic behind it knows neither infinity nor integers that a float cannot hold.

Numbers are now within 2^53, which a float holds exactly; ports are 1 to 65535, slots 1 to 10,000, sizes of groups 1 to 10,000, eras as long as in the header of the store, and words at most 512 characters. Addresses of targets are IPv4 literals with a port, as the platform writes them; those of VMs are IP literals, as their settings demand. The name and the group of a target are fields of a line to it, so each must be one printable word in Latin-1. A known target whose record becomes invalid is handled as before: it is missing, and removed after the time-out.

`decode_duty` returns the reason like its neighbours.

--- a/src/cassiaseam/platform/records.py
+++ b/src/cassiaseam/platform/records.py
@@ -1,13 +1,14 @@
 """Decodes and encodes the objects in the store: configuration, target records and own records."""
 
 import dataclasses
-from typing import Annotated, Any
+import ipaddress
+from typing import Annotated, Any, TypeVar
 
 from pydantic import BaseModel, BeforeValidator, Field, StrictBool, ValidationError
-from pydantic_core import ErrorDetails
+from pydantic_core import ErrorDetails, PydanticCustomError
 from result import Err, Ok, Result
 
-from cassiaseam.pooler.accounts.decoding import build_directory
+from cassiaseam.pooler.accounts.decoding import build_directory, is_single_word
 from cassiaseam.pooler.events import LeaseRecord, PeerRecord
 from cassiaseam.pooler.group_sizes import SizeRecord
 from cassiaseam.pooler.model import (
@@ -18,6 +19,7 @@
     TargetRecord,
 )
 from cassiaseam.pooler.quotas.shares import ShareRecord
+from cassiaseam.settings.units import IpAddress
 
 CONFIG_KIND = 'config'
 CONFIG_NAME = 'main'
@@ -37,17 +39,40 @@
 _ROLES = ('primary', 'replica')
 
 
+# Largest integer that a float holds exactly, so that arithmetic with numbers of either type has no
+# overflow.
+MAX_NUMBER = 1 << 53
+MAX_PORT = 65535
+# Longest name or word that targets and VMs write about themselves.
+MAX_WORD_CHARS = 512
+MAX_SLOTS = 10_000
+MAX_COLD_MS = 86_400_000
+MAX_GROUP_SIZE = 10_000
+MAX_ERA = 999_999
+# Longest text of the input in a log line.
+MAX_SHOWN_CHARS = 80
+MAX_REASON_CHARS = 200
+
+
 def _require_number(given: Any) -> Any:
     if isinstance(given, bool) or not isinstance(given, int | float):
         # The input is left out, because it may be a key in the wrong place.
         raise ValueError(f'a {type(given).__name__} is not a number')
+    # False for NaN as well.
+    if not -MAX_NUMBER <= given <= MAX_NUMBER:
+        raise PydanticCustomError('number_out_of_range', 'the number is out of range')
     return given
 
 
 Number = Annotated[float, BeforeValidator(_require_number)]
-Limit = Annotated[Number, Field(ge=0, allow_inf_nan=False)]
+Limit = Annotated[Number, Field(ge=0)]
 Integer = Annotated[int, BeforeValidator(_require_number)]
+Counter = Annotated[Integer, Field(ge=0)]
+Era = Annotated[Counter, Field(le=MAX_ERA)]
+Port = Annotated[Integer, Field(ge=1, le=MAX_PORT)]
 Text = Annotated[str, Field(strict=True, min_length=1)]
+Word = Annotated[Text, Field(max_length=MAX_WORD_CHARS)]
+DocumentT = TypeVar('DocumentT', bound=BaseModel)
 
 
 class RouteDocument(BaseModel):
@@ -107,52 +132,62 @@
 class TargetDocument(BaseModel):
     """The record that a target writes about itself."""
 
-    service: Text
-    address: Text
-    zone: Text
-    slots: Integer = 1
-    state: Text
-    cold_ms: Number = Field(alias='coldRemainingMs', default=0)
-    role: Text = Field(alias='databaseRole')
+    service: Word
+    address: Word
+    zone: Word
+    slots: Annotated[Integer, Field(ge=1, le=MAX_SLOTS)] = 1
+    state: Word
+    cold_ms: Annotated[Limit, Field(le=MAX_COLD_MS)] = Field(alias='coldRemainingMs', default=0)
+    role: Word = Field(alias='databaseRole')
     # Start time in Unix milliseconds.
-    born: Integer = 0
+    born: Counter = 0
 
 
 class DutyDocument(BaseModel):
     """The VM that holds the promotion lease; an object kind of this project."""
 
-    holder: str
-    nonce: str
+    holder: Annotated[str, Field(max_length=MAX_WORD_CHARS)]
+    nonce: Annotated[str, Field(max_length=MAX_WORD_CHARS)]
     released: StrictBool
-    era: Integer = 0
+    era: Era = 0
 
 
 class VmDocument(BaseModel):
     """The address of a VM for its peers; an object kind of this project."""
 
-    place: Text
-    host: Text
-    port: Integer
+    place: Word
+    host: IpAddress
+    port: Port
 
 
 class SizeDocument(BaseModel):
     """The number of targets of a group; an object kind of this project."""
 
-    size: Annotated[Integer, Field(ge=1)]
-    era: Integer = 0
+    size: Annotated[Integer, Field(ge=1, le=MAX_GROUP_SIZE)]
+    era: Era = 0
 
 
 class ShareDocument(BaseModel):
     """The VM that holds a share of the quotas; an object kind of this project."""
 
-    holder: Text
-    place: Text
-    host: Text
-    port: Integer
-    nonce: Text
-    era: Integer
+    holder: Word
+    place: Word
+    host: IpAddress
+    port: Port
+    nonce: Word
+    era: Era
     released: StrictBool = False
-    renewals: Integer = 0
+    renewals: Counter = 0
+
+
+def _validate(model: type[DocumentT], spec: Any) -> Result[DocumentT, str]:
+    """Return the validated document, or the reason why it is invalid."""
+    try:
+        return Ok(model.model_validate(spec))
+    except ValidationError as error:
+        problem = error.errors(include_input=False, include_url=False, include_context=False)[0]
+        place = '.'.join(str(part) for part in problem['loc'])
+        return Err(f'{place or "the record"} is not valid: {problem["msg"]}'[:MAX_REASON_CHARS])
 
 
 def validate_config(spec: Any) -> Result[ConfigDocument, list[ErrorDetails]]:
@@ -204,21 +239,26 @@
 
 def decode_target(name: str, spec: Any) -> Result[TargetRecord, str]:
     """Return the record of a target, or the reason why it is invalid."""
-    try:
-        document = TargetDocument.model_validate(spec)
-    except ValidationError as error:
-        return Err(f'target {name!r}: {error.errors()[0]["loc"]} is not valid')
-    host, _, port = document.address.rpartition(':')
-    if not host or not port.isdecimal():
-        return Err(f'target {name!r}: address {document.address!r}')
+    validated = _validate(TargetDocument, spec)
+    if isinstance(validated, Err):
+        return Err(f'target {name!r}: {validated.err_value}')
+    document = validated.ok_value
+    if not is_word_of_lines(name) or not is_word_of_lines(document.service):
+        # Both are fields of the first line on a connection.
+        return Err(f'target {name!r}: its name or service is not a single word')
+    address = decode_address(document.address)
+    if address is None:
+        return Err(f'target {name!r}: address {document.address[:MAX_SHOWN_CHARS]!r}')
+    host, port = address
     if document.state not in _STATES or document.role not in _ROLES:
-        return Err(f'target {name!r}: state {document.state!r}, role {document.role!r}')
+        state, role = document.state[:MAX_SHOWN_CHARS], document.role[:MAX_SHOWN_CHARS]
+        return Err(f'target {name!r}: state {state!r}, role {role!r}')
     return Ok(
         TargetRecord(
             name=name,
             group=document.service,
             host=host,
-            port=int(port),
+            port=port,
             place=document.zone,
             slots=document.slots,
             leaving=document.state == 'draining',
@@ -229,13 +269,31 @@
     )
 
 
-def decode_duty(spec: Any) -> LeaseRecord | None:
-    """Return the lease record, or None if it is invalid."""
+def decode_address(text: str) -> tuple[str, int] | None:
+    """Return the IPv4 address and the port in a text, or None if one of them is invalid."""
+    host, _, digits = text.rpartition(':')
+    if not digits.isdecimal() or len(digits) > len(str(MAX_PORT)):
+        return None
     try:
-        document = DutyDocument.model_validate(spec)
-    except ValidationError:
+        host = str(ipaddress.IPv4Address(host))
+    except ValueError:
         return None
-    return LeaseRecord(document.holder, document.nonce, document.released, document.era)
+    port = int(digits)
+    return (host, port) if 1 <= port <= MAX_PORT else None
+
+
+def is_word_of_lines(name: str) -> bool:
+    """Return whether a name can be one field of a line to a target, which is in Latin-1."""
+    return bool(name) and is_single_word(name) and max(name) <= '\xff'
+
+
+def decode_duty(spec: Any) -> Result[LeaseRecord, str]:
+    """Return the lease record, or the reason why it is invalid."""
+    validated = _validate(DutyDocument, spec)
+    if isinstance(validated, Err):
+        return validated
+    document = validated.ok_value
+    return Ok(LeaseRecord(document.holder, document.nonce, document.released, document.era))
 
 
 def encode_duty(record: LeaseRecord) -> dict[str, Any]:
@@ -250,10 +308,10 @@
 
 def decode_vm(name: str, spec: Any) -> Result[PeerRecord, str]:
     """Return the record of a VM, or the reason why it is invalid."""
-    try:
-        document = VmDocument.model_validate(spec)
-    except ValidationError as error:
-        return Err(f'VM {name!r}: {error.errors()[0]["loc"]} is not valid')
+    validated = _validate(VmDocument, spec)
+    if isinstance(validated, Err):
+        return Err(f'VM {name!r}: {validated.err_value}')
+    document = validated.ok_value
     return Ok(PeerRecord(name, document.place, document.host, document.port))
 
 
@@ -264,11 +322,10 @@
 
 def decode_size(group: str, revision: int, spec: Any) -> Result[SizeRecord, str]:
     """Return the record of the size of a group, or the reason why it is invalid."""
-    try:
-        document = SizeDocument.model_validate(spec)
-    except ValidationError as error:
-        return Err(f'{error.errors()[0]["loc"]} is not valid')
-    return Ok(SizeRecord(group, document.size, revision, document.era))
+    validated = _validate(SizeDocument, spec)
+    if isinstance(validated, Err):
+        return validated
+    return Ok(SizeRecord(group, validated.ok_value.size, revision, validated.ok_value.era))
 
 
 def encode_size(record: SizeRecord) -> dict[str, Any]:
@@ -278,11 +335,10 @@
 
 def decode_share(spec: Any) -> Result[ShareRecord, str]:
     """Return the record of a quota share, or the reason why it is invalid."""
-    try:
-        document = ShareDocument.model_validate(spec)
-    except ValidationError as error:
-        return Err(f'{error.errors()[0]["loc"]} is not valid')
-    return Ok(ShareRecord(**document.model_dump()))
+    validated = _validate(ShareDocument, spec)
+    if isinstance(validated, Err):
+        return validated
+    return Ok(ShareRecord(**validated.ok_value.model_dump()))
 
 
 def encode_share(record: ShareRecord) -> dict[str, Any]:
--- a/src/cassiaseam/platform/store.py
+++ b/src/cassiaseam/platform/store.py
@@ -150,7 +150,7 @@
         if answer.status != _OK or not isinstance(content, dict):
             return Err(StoreError(f'status {answer.status}'))
         revision = _read_revision(content, read_era(answer))
-        return Ok(DutySnapshot(revision, records.decode_duty(content.get('spec'))))
+        return Ok(DutySnapshot(revision, records.decode_duty(content.get('spec')).ok()))
 
     async def write_duty(self, record: LeaseRecord, revision: int) -> WriteResult:
         """Write the lease record if it still has a revision; 0 creates it."""
