Refuse odd numbers in the answers of targets

Callers could see a group without a primary and connections that are lost again and again: a target whose STATUS row or position has a number of more than 4,300 digits, or a fraction where an integer stands, raised a ValueError in the reading of its answer, which closed the connection with everything on it.

Cause: `int` was called with every text of digits, and the check for a number let a decimal point pass for each field, not only for the lag. And an answer without an end of line was buffered without a limit.

Integers from targets now have at most 18 digits and so fit into 63 bits; only the lag may have decimals. A position or a status beyond that counts as none, as a malformed one did before. A message longer than the protocol allows ends its connection, as it does for callers.

Why it works: no text reaches `int` or `float` that they refuse.

--- a/src/cassiaseam/platform/line_protocol.py
+++ b/src/cassiaseam/platform/line_protocol.py
@@ -33,6 +33,8 @@
 MAX_MESSAGE_BYTES = 1 << 20
 # Maps bytes to characters one to one, so that statements are forwarded unchanged.
 ENCODING = 'latin-1'
+# Maximum number of digits of a number from a target, so that it fits into 63 bits.
+MAX_DIGITS = 18
 NO_REQUEST_ID = '-'
 EMPTY_FIELD = '-'
 
@@ -260,7 +262,7 @@
 def decode_position(text: str) -> LogPosition | None:
     """Return the log position in a text, or None if it is malformed."""
     term, _, offset = text.partition('.')
-    if not (term.isdecimal() and offset.isdecimal()):
+    if not (_is_integer(term) and _is_integer(offset)):
         return None
     return LogPosition(int(term), int(offset))
 
@@ -286,8 +288,10 @@
     if len(words) < 7 or words[0] not in {'primary', 'replica'}:
         return None
     last = decode_position(words[2])
-    numbers = [words[1], *words[3:7]]
-    if last is None or not all(_is_number(word) for word in numbers):
+    integers = [words[1], words[3], words[5], words[6]]
+    if last is None or not all(_is_integer(word) for word in integers):
+        return None
+    if not _is_number(words[4]):
         return None
     return ReportedStatus(
         is_primary=words[0] == 'primary',
@@ -300,5 +304,9 @@
     )
 
 
+def _is_integer(word: str) -> bool:
+    return word.isdecimal() and len(word) <= MAX_DIGITS
+
+
 def _is_number(word: str) -> bool:
-    return word.replace('.', '', 1).isdecimal()
+    return _is_integer(word.replace('.', '', 1))
--- a/src/cassiaseam/platform/targets.py
+++ b/src/cassiaseam/platform/targets.py
@@ -51,6 +51,9 @@
         self.buffer += data
         while self.connection_id in self.connector.connections:
             line, found, rest = self.buffer.partition(line_protocol.LINE_END)
+            if len(line) > line_protocol.MAX_MESSAGE_BYTES:
+                self._fail('the message is too long')
+                return
             if not found:
                 return
             self.buffer = rest
