Let an odd entry in an answer of the store cost only itself

It happened here too: an entry nested 100,000 deep raised RecursionError in each list and watch, and one with a number of 5,000 digits made the whole page unreadable for as long as it stood, so that VMs neither saw new targets nor a new configuration. A page whose entries all lacked a usable name ended the list, and targets of the next pages counted as gone.

Cause: the answer was decoded as a whole, bytes that are no UTF-8 were replaced by characters, and the loop over the pages took every page that did not get it further for the last one. A write whose answer named no revision counted as written at revision 0, which stands for no record.

`json_parts` decodes the answer at once, as before. Only if that fails it reads the known levels of the answer itself, decodes each part with the decoder of the standard library, and puts `Unreadable` for one that fails; brackets of such a part are counted without recursion, in one pass. If the parts cannot be told apart, the call has failed and is repeated with backoff. The name and the revision of an entry are known even if its spec or another field beside them is odd, so a watcher sees that a known target became invalid, and another record can replace an odd lease. A list goes on after the last usable name, and is an error if `hasMore` is true and the page names nothing new, so an unread page is never an empty one.

--- a/src/cassiaseam/platform/records.py
+++ b/src/cassiaseam/platform/records.py
@@ -8,6 +8,7 @@
 from pydantic_core import ErrorDetails, PydanticCustomError
 from result import Err, Ok, Result
 
+from cassiaseam.platform.json_parts import Unreadable
 from cassiaseam.pooler.accounts.decoding import build_directory, is_single_word
 from cassiaseam.pooler.events import LeaseRecord, PeerRecord
 from cassiaseam.pooler.group_sizes import SizeRecord
@@ -182,6 +183,8 @@
 
 def _validate(model: type[DocumentT], spec: Any) -> Result[DocumentT, str]:
     """Return the validated document, or the reason why it is invalid."""
+    if isinstance(spec, Unreadable):
+        return Err(spec.reason)
     try:
         return Ok(model.model_validate(spec))
     except ValidationError as error:
@@ -201,6 +204,8 @@
 
 def decode_config(spec: Any) -> Result[RoutingConfig, str]:
     """Return the configuration, or the reason why it is invalid."""
+    if isinstance(spec, Unreadable):
+        return Err(f'configuration: {spec.reason}')
     validated = validate_config(spec)
     if isinstance(validated, Err):
         problem = validated.err_value[0]
--- a/src/cassiaseam/platform/store.py
+++ b/src/cassiaseam/platform/store.py
@@ -9,6 +9,14 @@
 
 from cassiaseam.httpio import HttpCallFailed, HttpClient, HttpResponse
 from cassiaseam.platform import records
+from cassiaseam.platform.json_parts import Unreadable, decode_parts
+from cassiaseam.platform.store_answers import (
+    decode_events,
+    decode_objects,
+    is_revision_number,
+    read_page_end,
+    read_revision,
+)
 from cassiaseam.pooler.events import LeaseRecord, PeerRecord, StoreEraObserved, WriteOutcome
 from cassiaseam.pooler.group_sizes import SizeRecord
 from cassiaseam.pooler.quotas.shares import ShareRecord
@@ -37,6 +45,11 @@
 # Number in each answer of the store that rises by one when the store is restored from a copy.
 ERA_HEADER = 'store-era'
 MAX_ERA_DIGITS = 6
+# Levels of an answer that are decoded part by part if it cannot be decoded as a whole. A list has
+# items and their fields, a watch has events, their objects and the fields of these.
+LIST_LEVELS = 3
+WATCH_LEVELS = 4
+OBJECT_LEVELS = 1
 _OK = 200
 _CREATED = 201
 _NOT_FOUND = 404
@@ -84,25 +97,34 @@
             allow_stale: Whether the list may be seconds old, at a tenth of the price.
         """
         changes: list[Change] = []
+        nameless = 0
         stale = ALLOW_STALE_PARAM if allow_stale else ''
         after = ''
+        asked = set()
         eras = set()
-        while True:
+        while after not in asked:
+            asked.add(after)
             path = f'/objects/{kind}?after={quote(after)}{stale}'
-            reply = await self._call(self.clients[kind], 'GET', path)
+            reply = await self._call(self.clients[kind], path)
             if isinstance(reply, Err):
                 return reply
             content, era = reply.ok_value
-            items = content.get('items')
-            if not isinstance(items, list) or not isinstance(content.get('at'), int):
-                return Err(StoreError('the list response lacks items or a revision'))
+            page_end = read_page_end(content)
+            if isinstance(page_end, Err):
+                return page_end
             eras.add(era)
             if len(eras) > 1:
                 return Err(StoreError('the store was restored between two pages of the list'))
-            changes += _decode_objects(items, era)
-            if not content.get('hasMore') or not changes or changes[-1].name <= after:
-                return Ok(Listing(tuple(changes), join_revision(era, content['at'])))
-            after = changes[-1].name
+            page, page_nameless = decode_objects(content['items'], era)
+            changes += page
+            nameless += page_nameless
+            if page_end.ok_value.is_last:
+                revision = join_revision(era, page_end.ok_value.at)
+                return Ok(Listing(tuple(changes), revision, nameless))
+            if page:
+                after = page[-1].name
+        # A list that ended here would lack the objects of the next pages.
+        return Err(StoreError('a page of the list names no object to continue after'))
 
     async def watch_objects(
         self, kind: str, revision: int, wait_s: float, allow_stale: bool = False
@@ -128,14 +150,15 @@
             self.watched_eras.pop(kind)
         if answer.status == _GONE:
             return Ok(HistoryGone())
-        content = _decode_body(answer)
+        content = decode_parts(answer.body, WATCH_LEVELS)
         if answer.status != _OK or not isinstance(content, dict):
-            return Err(StoreError(f'status {answer.status}'))
+            return Err(describe_failure(answer, content))
         events = content.get('events')
-        if not isinstance(events, list) or not isinstance(content.get('at'), int):
+        if not isinstance(events, list) or not is_revision_number(content.get('at')):
             return Err(StoreError('the watch response lacks events or a revision'))
         era = read_era(answer)
-        return Ok(Listing(tuple(_decode_events(events, era)), join_revision(era, content['at'])))
+        changes, nameless = decode_events(events, era)
+        return Ok(Listing(tuple(changes), join_revision(era, content['at']), nameless))
 
     async def read_duty(self) -> Result[DutySnapshot, StoreError]:
         """Return the lease record and its revision, or revision 0 if there is none."""
@@ -146,11 +169,17 @@
             return Err(StoreError(str(failure)))
         if answer.status == _NOT_FOUND:
             return Ok(DutySnapshot(0, None))
-        content = _decode_body(answer)
+        content = decode_parts(answer.body, OBJECT_LEVELS)
         if answer.status != _OK or not isinstance(content, dict):
-            return Err(StoreError(f'status {answer.status}'))
-        revision = _read_revision(content, read_era(answer))
-        return Ok(DutySnapshot(revision, records.decode_duty(content.get('spec')).ok()))
+            return Err(describe_failure(answer, content))
+        revision = read_revision(content, read_era(answer))
+        if not revision:
+            return Err(StoreError('the response lacks a revision'))
+        record = records.decode_duty(content.get('spec'))
+        if isinstance(record, Err):
+            # The revision is kept, so that a valid record can replace this one.
+            return Ok(DutySnapshot(revision, None, record.err_value))
+        return Ok(DutySnapshot(revision, record.ok_value))
 
     async def write_duty(self, record: LeaseRecord, revision: int) -> WriteResult:
         """Write the lease record if it still has a revision; 0 creates it."""
@@ -205,8 +234,9 @@
             unknown = failure.may_have_arrived
             return WriteResult(WriteOutcome.UNKNOWN if unknown else WriteOutcome.CONFLICT)
         if answer.status in {_OK, _CREATED}:
-            content = _decode_body(answer)
-            return WriteResult(WriteOutcome.WRITTEN, _read_revision(content, read_era(answer)))
+            content = decode_parts(answer.body, OBJECT_LEVELS)
+            written = read_revision(content, read_era(answer))
+            return WriteResult(WriteOutcome.WRITTEN if written else WriteOutcome.UNKNOWN, written)
         if answer.status in {_CONFLICT, _NOT_FOUND, _UNAVAILABLE, _TOO_MANY}:
             return WriteResult(WriteOutcome.CONFLICT)
         return WriteResult(WriteOutcome.UNKNOWN)
@@ -245,17 +275,27 @@
             if era < self.era:
                 self.clients[kind].cancel_call('the store was restored')
 
-    async def _call(self, client: HttpClient, method: str, path: str):
+    async def _call(
+        self, client: HttpClient, path: str
+    ) -> Result[tuple[dict[str, Any], int], StoreError]:
+        """Return the page of a list and its era."""
         try:
-            answer = await self._run_call(client, method, path, READ_TIMEOUT_S)
+            answer = await self._run_call(client, 'GET', path, READ_TIMEOUT_S)
         except HttpCallFailed as failure:
             return Err(StoreError(str(failure)))
-        content = _decode_body(answer)
+        content = decode_parts(answer.body, LIST_LEVELS)
         if answer.status != _OK or not isinstance(content, dict):
-            return Err(StoreError(f'status {answer.status}'))
+            return Err(describe_failure(answer, content))
         return Ok((content, read_era(answer)))
 
 
+def describe_failure(answer: HttpResponse, content: Any) -> StoreError:
+    """Return why an answer cannot be used."""
+    if answer.status == _OK and isinstance(content, Unreadable):
+        return StoreError(f'the response cannot be decoded: {content.reason}')
+    return StoreError(f'status {answer.status}')
+
+
 def read_era(answer: HttpResponse) -> int:
     """Return the era of an answer; 0 for a store that names none.
 
@@ -312,39 +352,3 @@
 
 def _encode(document: dict[str, Any]) -> bytes:
     return json.dumps(document, separators=(',', ':')).encode()
-
-
-def _decode_body(answer: HttpResponse) -> Any:
-    try:
-        return json.loads(answer.body.decode('utf-8', 'replace'))
-    except ValueError:
-        return None
-
-
-def _read_revision(content: Any, era: int) -> int:
-    meta = content.get('meta') if isinstance(content, dict) else None
-    revision = meta.get('revision') if isinstance(meta, dict) else None
-    return join_revision(era, revision) if isinstance(revision, int) else 0
-
-
-def _decode_objects(items: list[Any], era: int) -> list[Change]:
-    changes = [_decode_object(entry, era, deleted=False) for entry in items]
-    return [change for change in changes if change is not None]
-
-
-def _decode_object(entry: Any, era: int, deleted: bool) -> Change | None:
-    meta = entry.get('meta') if isinstance(entry, dict) else None
-    name = meta.get('name') if isinstance(meta, dict) else None
-    if not isinstance(name, str):
-        return None
-    return Change(name, entry.get('spec'), deleted, _read_revision(entry, era))
-
-
-def _decode_events(events: list[Any], era: int) -> list[Change]:
-    changes = []
-    for event in events:
-        if isinstance(event, dict):
-            change = _decode_object(event.get('object'), era, bool(event.get('deleted')))
-            if change is not None:
-                changes.append(change)
-    return changes
--- a/src/cassiaseam/pooler/store_types.py
+++ b/src/cassiaseam/pooler/store_types.py
@@ -25,10 +25,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """Objects or changes of one kind and the revision up to which they are complete."""
+    """Objects or changes of one kind and the revision up to which they are complete.
+
+    Attributes:
+        changes: Objects or changes that have a name.
+        revision: Revision up to which they are complete.
+        nameless: Number of further entries, of which not even the name can be used.
+    """
 
     changes: tuple[Change, ...]
     revision: int
+    nameless: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,10 +45,17 @@
 
 @dataclass(frozen=True, slots=True)
 class DutySnapshot:
-    """The lease record with its revision, or revision 0 without a record."""
+    """The lease record with its revision, or revision 0 without a record.
+
+    Attributes:
+        revision: Revision of the record, 0 if there is none.
+        record: The record, or None if there is none or it is invalid.
+        problem: Why the record is invalid, or ''.
+    """
 
     revision: int
     record: LeaseRecord | None
+    problem: str = ''
 
 
 @dataclass(frozen=True, slots=True)
