Take only the exact name of a share for its record

Callers of accounts with limits could be refused, or admitted above a limit: an object `share-03` beside `share-3` stood in for it in the list, so that its holder and its revision were read from the wrong record. A name with 5,000 digits raised a ValueError, which failed each list of the shares for as long as the object stood.

Cause: the number in the name was converted, which accepts leading zeros and the digits of other scripts, and has a limit on the digits.

Names are now looked up among those that this project writes, so every other object of the kind is ignored.

Evidence: three of the six new rows fail on the former code (`share-03`, a digit of another script, 5,000 digits) and pass now.

--- a/src/cassiaseam/pooler/quotas/store_client.py
+++ b/src/cassiaseam/pooler/quotas/store_client.py
@@ -15,6 +15,7 @@
 from cassiaseam.pooler.size_client import RecordClient
 
 NAME_PREFIX = 'share-'
+SHARE_INDEXES = {f'{NAME_PREFIX}{index}': index for index in range(SHARES)}
 
 
 class ShareClient(RecordClient):
@@ -60,11 +61,12 @@
 
 
 def read_share_index(name: str) -> int | None:
-    """Return the number of the share in the name of an object, or None."""
-    number = name.removeprefix(NAME_PREFIX)
-    if number == name or not number.isdecimal() or int(number) >= SHARES:
-        return None
-    return int(number)
+    """Return the number of the share in the name of an object, or None.
+
+    Another spelling of the number, such as `share-03`, names no share: its record would stand in
+    for that of `share-3`.
+    """
+    return SHARE_INDEXES.get(name)
 
 
 @executes(ListShares)
--- a/tests/pooler/quotas/test_quota_decisions.py
+++ b/tests/pooler/quotas/test_quota_decisions.py
@@ -29,6 +29,7 @@
     TokensRequested,
 )
 from cassiaseam.pooler.quotas.shares import Share, ShareRecord, StoreView
+from cassiaseam.pooler.quotas.store_client import read_share_index
 from cassiaseam.store_revisions import join_revision
 
 LIMIT = Account('a', 0, 60, 30)
@@ -208,3 +209,20 @@
     error = RequestError(ErrorKind.QUOTA_EXCEEDED, 'limit', retry_after_s=0.4)
     line = encode_error(error).decode()
     assert line.startswith('ERROR TOOMANY kind=quota_exceeded ran=no retry_after_ms=400')
+
+
+@pytest.mark.parametrize(
+    ('name', 'index'),
+    [
+        ('share-3', 3),
+        ('share-03', None),
+        ('share-\u0663', None),
+        ('share-' + '9' * 5000, None),
+        ('share-', None),
+        ('3', None),
+    ],
+    ids=range(6),
+)
+def test_only_the_exact_name_names_a_share(name, index):
+    # `share-03` stood in for `share-3`, and a number of 5,000 digits ended the list.
+    assert read_share_index(name) == index
