Log a refused record once, not with every read

Operators who look for the cause of a failure could find the log full of the same refusal: an odd record was logged with each list, which is every 20 s per VM for the records of VMs, and an invalid lease record not at all.

Cause: the readers logged what they refused without knowing that they had logged it before.

`RefusalLog` remembers the cause per kind of line and name of the entry. An entry is logged when it appears and when its problem changes, and again after it was accepted or gone.

--- a/src/cassiaseam/pooler/quotas/store_client.py
+++ b/src/cassiaseam/pooler/quotas/store_client.py
@@ -13,6 +13,7 @@
     WriteShare,
 )
 from cassiaseam.pooler.size_client import RecordClient
+from cassiaseam.pooler.store_watcher import report_nameless_entries
 
 NAME_PREFIX = 'share-'
 SHARE_INDEXES = {f'{NAME_PREFIX}{index}': index for index in range(SHARES)}
@@ -31,17 +32,23 @@
             self.log('quota_shares_list_failed', cause=listing.err_value.reason)
             self.dispatch(SharesListFailed())
             return
+        report_nameless_entries(self.refusals, kind, listing.ok_value)
+        changes = listing.ok_value.changes
+        self.refusals.retain('quota_share_refused', {change.name for change in changes})
         records = {}
-        for change in listing.ok_value.changes:
+        for change in changes:
             index = read_share_index(change.name)
             if index is None:
                 continue
             decoded = self.environment.decode_share(change.spec)
             if isinstance(decoded, Err):
                 # Keep the revision, so that a valid record can replace this one.
-                self.log('quota_share_refused', share=index, cause=decoded.err_value)
+                self.refusals.report(
+                    'quota_share_refused', change.name, decoded.err_value, share=index
+                )
                 records[index] = (change.revision, None)
             else:
+                self.refusals.forget('quota_share_refused', change.name)
                 records[index] = (change.revision, decoded.ok_value)
         self.dispatch(SharesListed(records, allow_stale))
 
--- a/src/cassiaseam/pooler/runtime.py
+++ b/src/cassiaseam/pooler/runtime.py
@@ -14,6 +14,7 @@
 from cassiaseam.httpio import HttpServerFactory
 from cassiaseam.observability.bounded_output import BoundedOutput
 from cassiaseam.observability.logs import format_log_event
+from cassiaseam.observability.refusals import RefusalLog
 from cassiaseam.pooler import (
     discovery,
     failover,
@@ -58,6 +59,7 @@
 from cassiaseam.pooler.settings import PoolerSettings, load_pooler_settings
 from cassiaseam.pooler.size_client import SizeClient
 from cassiaseam.pooler.state import PoolerState
+from cassiaseam.pooler.store_types import DutySnapshot
 from cassiaseam.pooler.store_watcher import StoreWatcher
 from cassiaseam.pooler.vm_registry import VmRegistry
 
@@ -97,6 +99,7 @@
         environment: Adapter for callers, targets and the store.
         output: Writer of log lines.
         signals: Signals that the next tick handles.
+        refusals: Refused records that no other service reads.
         exit_code: Exit code of the process.
     """
 
@@ -114,6 +117,7 @@
             started_at=read_clock(),
             regions=dict(settings.regions),
         )
+        self.refusals = RefusalLog(self.log)
         self.node = Node(state, read_clock)
         builder = find_environment(settings.environment)
         if builder is None:
@@ -172,6 +176,13 @@
         """Write a log line."""
         self.output.write_line(format_log_event(kind, fields))
 
+    def log_refused_lease(self, snapshot: DutySnapshot) -> None:
+        """Log once that the lease record is invalid."""
+        if snapshot.problem:
+            self.refusals.report('duty_record_refused', '', snapshot.problem)
+        else:
+            self.refusals.forget('duty_record_refused', '')
+
     def log_failure(self, failure: Any) -> None:
         """Log an unhandled exception."""
         self.log('task_failed', cause=failure.getTraceback(), level='error')
@@ -412,6 +423,7 @@
             node.dispatch(LeaseReadFailed())
         else:
             snapshot = found.ok_value
+            node.services[PoolerRuntime].log_refused_lease(snapshot)
             node.dispatch(LeaseRead(snapshot.revision, snapshot.record))
 
     run_coroutine(node, read())
--- a/src/cassiaseam/pooler/size_client.py
+++ b/src/cassiaseam/pooler/size_client.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import ensureDeferred
 
 from cassiaseam.daemon.node import Node, executes
+from cassiaseam.observability.refusals import RefusalLog
 from cassiaseam.pooler.events import WriteOutcome
 from cassiaseam.pooler.group_sizes import (
     ReadSizes,
@@ -17,6 +18,7 @@
     SizeWritten,
     WriteSize,
 )
+from cassiaseam.pooler.store_watcher import report_nameless_entries
 
 
 class RecordClient:
@@ -24,6 +26,7 @@
 
     Attributes:
         failure_event: Name of the log line about an exception in a call.
+        refusals: Refused records.
     """
 
     failure_event = 'size_call_failed'
@@ -34,6 +37,7 @@
         self.environment = environment
         self.dispatch = dispatch
         self.log = log
+        self.refusals = RefusalLog(log)
 
     def start(self, call: Any, failed: Any) -> None:
         """Run a call; on an exception, log it and dispatch the event `failed`."""
@@ -56,14 +60,20 @@
             self.log('sizes_read_failed', cause=listing.err_value.reason)
             self.dispatch(SizesReadFailed())
             return
+        report_nameless_entries(self.refusals, kind, listing.ok_value)
+        changes = listing.ok_value.changes
+        self.refusals.retain('size_record_refused', {change.name for change in changes})
         records = []
-        for change in listing.ok_value.changes:
+        for change in changes:
             decoded = self.environment.decode_size(change.name, change.revision, change.spec)
             if isinstance(decoded, Err):
                 # Keep the revision, so that a valid record can replace this one.
-                self.log('size_record_refused', group=change.name, cause=decoded.err_value)
+                self.refusals.report(
+                    'size_record_refused', change.name, decoded.err_value, group=change.name
+                )
                 records.append(SizeRecord(change.name, 0, change.revision))
             else:
+                self.refusals.forget('size_record_refused', change.name)
                 records.append(decoded.ok_value)
         self.dispatch(SizesRead(tuple(records)))
 
--- a/src/cassiaseam/pooler/store_watcher.py
+++ b/src/cassiaseam/pooler/store_watcher.py
@@ -9,6 +9,7 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import deferLater
 
+from cassiaseam.observability.refusals import RefusalLog
 from cassiaseam.pooler.events import (
     ConfigurationRead,
     StoreListed,
@@ -17,6 +18,7 @@
     TargetRemoved,
     TargetsListed,
 )
+from cassiaseam.pooler.model import TargetRecord
 from cassiaseam.pooler.store_types import Change, HistoryGone, Listing
 from cassiaseam.store_revisions import get_era, get_number
 
@@ -68,6 +70,15 @@
     return {'era': get_era(revision), 'revision': get_number(revision)}
 
 
+def report_nameless_entries(refusals: RefusalLog, kind: str, listing: Listing) -> None:
+    """Log how many entries in the list of a kind have no usable name, if that has changed."""
+    if listing.nameless:
+        cause = f'{listing.nameless} entries without a usable name'
+        refusals.report('store_entries_refused', kind, cause, kind=kind)
+    else:
+        refusals.forget('store_entries_refused', kind)
+
+
 def is_history_gone(reply: Listing | HistoryGone, revision: int) -> bool:
     """Return whether a watch from a revision may have missed changes.
 
@@ -95,6 +106,7 @@
     Attributes:
         watch_timeout_s: Seconds that a watch waits for a change.
         reachable: Whether the latest call succeeded, per kind.
+        refusals: Refused records, by kind of log line and name.
     """
 
     def __init__(
@@ -114,6 +126,7 @@
         self.rng = rng
         self.watch_timeout_s = watch_timeout_s
         self.reachable: dict[str, bool] = {}
+        self.refusals = RefusalLog(log)
         self.started_at = reactor.seconds()
 
     def start(self) -> None:
@@ -158,6 +171,7 @@
             self.log('store_listed', kind=kind, **describe_revision(revision))
             self.dispatch(StoreListed(revision))
             self.report_reachability(kind, True)
+            report_nameless_entries(self.refusals, kind, listing.ok_value)
             on_list(listing.ok_value.changes)
             await self.watch(kind, revision, on_change)
 
@@ -178,6 +192,8 @@
                 self.log('store_history_gone', kind=kind, **describe_revision(revision))
                 return
             listing: Listing = reply.ok_value
+            if listing.nameless:
+                report_nameless_entries(self.refusals, kind, listing)
             newer_changes = select_newer_changes(listing.changes, revision)
             revision = max(revision, listing.revision)
             if newer_changes:
@@ -217,31 +233,36 @@
                 continue
             decoded = self.environment.decode_config(change.spec)
             if isinstance(decoded, Err):
-                self.log('configuration_refused', cause=decoded.err_value)
+                self.refusals.report('configuration_refused', change.name, decoded.err_value)
                 continue
+            self.refusals.forget('configuration_refused', change.name)
             self.dispatch(ConfigurationRead(decoded.ok_value))
             return
 
     def handle_target_list(self, changes: tuple[Change, ...]) -> None:
         """Dispatch all valid target records."""
-        records = []
-        for change in changes:
-            decoded = self.environment.decode_target(change.name, change.spec)
-            if isinstance(decoded, Err):
-                self.log('target_record_refused', cause=decoded.err_value)
-            else:
-                records.append(decoded.ok_value)
-        self.dispatch(TargetsListed(tuple(records)))
+        decoded = [self.decode_target(change) for change in changes]
+        self.refusals.retain('target_record_refused', {change.name for change in changes})
+        self.dispatch(TargetsListed(tuple(record for record in decoded if record is not None)))
 
     def handle_target_changes(self, changes: tuple[Change, ...]) -> None:
         """Dispatch changed target records; one that has become invalid counts as removed."""
         for change in changes:
             if change.deleted:
+                self.refusals.forget('target_record_refused', change.name)
                 self.dispatch(TargetRemoved(change.name))
                 continue
-            decoded = self.environment.decode_target(change.name, change.spec)
-            if isinstance(decoded, Err):
-                self.log('target_record_refused', cause=decoded.err_value)
+            record = self.decode_target(change)
+            if record is None:
                 self.dispatch(TargetRemoved(change.name))
             else:
-                self.dispatch(TargetChanged(decoded.ok_value))
+                self.dispatch(TargetChanged(record))
+
+    def decode_target(self, change: Change) -> TargetRecord | None:
+        """Return the record of a target, or None if it is invalid."""
+        decoded = self.environment.decode_target(change.name, change.spec)
+        if isinstance(decoded, Err):
+            self.refusals.report('target_record_refused', change.name, decoded.err_value)
+            return None
+        self.refusals.forget('target_record_refused', change.name)
+        return decoded.ok_value
--- a/src/cassiaseam/pooler/vm_registry.py
+++ b/src/cassiaseam/pooler/vm_registry.py
@@ -12,9 +12,10 @@
 from result import Err
 from twisted.internet.defer import Deferred, ensureDeferred
 
+from cassiaseam.observability.refusals import RefusalLog
 from cassiaseam.pooler.events import PeerRecord, PeersListed, WriteOutcome
 from cassiaseam.pooler.store_types import Change
-from cassiaseam.pooler.store_watcher import sleep_with_jitter
+from cassiaseam.pooler.store_watcher import report_nameless_entries, sleep_with_jitter
 
 # Seconds before each of the first lists; the last interval repeats. The VMs of a deployment start
 # at the same time, and each of them registers after its first list.
@@ -32,6 +33,7 @@
     Attributes:
         own: Record of this VM.
         registered_at: Time at which the record was written, or None.
+        refusals: Refused records of VMs.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         self.rng = rng
         self.count_failures = count_failures
         self.registered_at: float | None = None
+        self.refusals = RefusalLog(log)
 
     def start(self) -> None:
         """Start the listing loop."""
@@ -82,19 +85,23 @@
         if isinstance(listing, Err):
             self.log('vm_list_failed', cause=listing.err_value.reason)
             return
+        report_nameless_entries(self.refusals, self.environment.kinds.vms, listing.ok_value)
+        changes = listing.ok_value.changes
+        self.refusals.retain('vm_record_refused', {change.name for change in changes})
         records = []
         own_change = None
-        for change in listing.ok_value.changes:
+        for change in changes:
             if change.name == self.own.vm:
                 own_change = change
             decoded = self.environment.decode_vm(change.name, change.spec)
             if isinstance(decoded, Err):
-                self.log('vm_record_refused', cause=decoded.err_value)
+                self.refusals.report('vm_record_refused', change.name, decoded.err_value)
             else:
+                self.refusals.forget('vm_record_refused', change.name)
                 records.append(decoded.ok_value)
         self.dispatch(PeersListed(tuple(records)))
         await self.register(own_change, self.own in records)
-        await self.delete_abandoned(listing.ok_value.changes)
+        await self.delete_abandoned(changes)
 
     async def register(self, known: Change | None, up_to_date: bool) -> None:
         """Write the record of this VM unless the list has it or may be too stale to have it."""
