Drop datagrams with odd numbers and those that cannot be sent

Callers could wait for a read that nobody answered: the address of a peer is from its record or from that of a share, and sending to a port out of range raises OverflowError, to a name InvalidAddressError. Only OSError was handled, so that the rest of the effects logged a traceback with each datagram. A peer could also send nonces, terms and positions of hundreds of digits, which were taken into the state.

Cause: the handler expected the errors of the network and not those of the address, and integers in datagrams had no upper bound.

`PeerProtocol.send` is the one place that sends; it now handles all three errors. Integers in datagrams fit into 63 bits. A refused datagram is logged once per peer and cause, and a failed send once until one to that peer succeeds. Opening a TCP connection needs no such handling: a trial with ports out of range and a host name showed that Twisted reports each as a failed connection, or lets the time limit of the connection end it.

--- a/src/cassiaseam/pooler/datagrams.py
+++ b/src/cassiaseam/pooler/datagrams.py
@@ -4,8 +4,10 @@
 from typing import Annotated, Any, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
+from twisted.internet.error import InvalidAddressError
 from twisted.internet.protocol import DatagramProtocol
 
+from cassiaseam.observability.refusals import RefusalLog
 from cassiaseam.pooler.admission.load_state import TargetReport
 from cassiaseam.pooler.events import (
     AgedPosition,
@@ -23,7 +25,9 @@
 )
 from cassiaseam.positions import LogPosition
 
-NonNegativeInt = Annotated[int, Field(strict=True, ge=0)]
+# Largest number that a VM sends: revisions and nonces have 63 bits.
+MAX_NUMBER = (1 << 63) - 1
+NonNegativeInt = Annotated[int, Field(strict=True, ge=0, le=MAX_NUMBER)]
 Seconds = Annotated[float, Field(ge=0, le=3600, allow_inf_nan=False)]
 Weight = Annotated[float, Field(ge=0, le=1e6, allow_inf_nan=False)]
 # Served and failed reads, their answer times, running statements and the age of these.
@@ -140,12 +144,12 @@
 
     Attributes:
         dispatch: Callback for events.
-        log: Callback that writes a log line.
+        refusals: Refused datagrams and failed sends, by address of the peer.
     """
 
     def __init__(self, dispatch: Callable[[Any], None], log: Callable[..., None]):
         self.dispatch = dispatch
-        self.log = log
+        self.refusals = RefusalLog(log)
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
         """Decode a datagram; log and drop a malformed one."""
@@ -153,15 +157,23 @@
         try:
             event = decode_datagram(datagram, host, port)
         except ValidationError as error:
-            self.log('datagram_refused', peer=host, cause=error.errors()[0]['type'])
+            cause = error.errors(include_input=False, include_context=False)[0]['type']
+            self.refusals.report('datagram_refused', host, cause, peer=host)
             return
         self.dispatch(event)
 
     def send(self, effect: DatagramEffect) -> None:
-        """Send a request or a response; log and drop one that cannot be sent."""
+        """Send a request or a response; log and drop one that cannot be sent.
+
+        The address is from a record of another VM, so any part of it may be invalid.
+        """
         if self.transport is None:
             return
+        peer = f'{effect.host}:{effect.port}'
+        datagram = encode_datagram(effect)
         try:
-            self.transport.write(encode_datagram(effect), (effect.host, effect.port))
-        except OSError as error:
-            self.log('datagram_not_sent', peer=effect.host, cause=str(error))
+            self.transport.write(datagram, (effect.host, effect.port))
+        except (OSError, OverflowError, InvalidAddressError) as error:
+            self.refusals.report('datagram_not_sent', peer, str(error), peer=effect.host)
+        else:
+            self.refusals.forget('datagram_not_sent', peer)
--- a/src/cassiaseam/pooler/quotas/messages.py
+++ b/src/cassiaseam/pooler/quotas/messages.py
@@ -15,7 +15,7 @@
 # Maximum number of tokens in one datagram; a larger one is malformed.
 MAX_TOKENS = 10_000
 TokenCount = Annotated[int, Field(strict=True, ge=0, le=MAX_TOKENS)]
-Nonce = Annotated[int, Field(strict=True, ge=0)]
+Nonce = Annotated[int, Field(strict=True, ge=0, lt=1 << 63)]
 Milliseconds = Annotated[int, Field(strict=True, ge=0, le=3_600_000)]
 
 
