Refuse names of targets that break the page of metrics

Operators could lose all metrics of a VM: the name and the group of a target are labels of metrics, and a record of another writer with a quote or a backslash in one of them made a page that no scraper can read, so one odd entry cost the counters of all others.

Cause: labels are written without escapes, which is right for the names that the platform and the operators give, but records of targets were checked for line ends and blanks only.

`is_word_of_lines` refuses both characters in the name and the group of a target, before either reaches the state.

Evidence: the two names and the service with such a character in test_platform_records.py were accepted on the former code and are refused now. Why it works: a label comes from a valid record or from the configuration, which operators write and the store checks.

--- a/src/cassiaseam/platform/records.py
+++ b/src/cassiaseam/platform/records.py
@@ -288,8 +288,12 @@
 
 
 def is_word_of_lines(name: str) -> bool:
-    """Return whether a name can be one field of a line to a target, which is in Latin-1."""
-    return bool(name) and is_single_word(name) and max(name) <= '\xff'
+    """Return whether a name can be a field of a line to a target and a label of a metric.
+
+    Lines are in Latin-1, and labels of metrics are written without escapes.
+    """
+    is_word = bool(name) and is_single_word(name) and max(name) <= '\xff'
+    return is_word and '"' not in name and '\\' not in name
 
 
 def decode_duty(spec: Any) -> Result[LeaseRecord, str]:
--- a/tests/platform/test_platform_records.py
+++ b/tests/platform/test_platform_records.py
@@ -90,6 +90,7 @@
     ('service', 'a b'),
     ('service', 'a\r\nQUERY'),
     ('service', '\u4e2d'),
+    ('service', 'a"b'),
     ('slots', 0),
     ('slots', -1),
     ('slots', 10**6),
@@ -111,9 +112,9 @@
     assert isinstance(records.decode_target('i-1', {**TARGET, field: invalid_value}), Err)
 
 
-@pytest.mark.parametrize('name', ['a b', 'a\r\nQUERY', '\ud800', '\u4e2d', ''])
-def test_target_whose_name_breaks_the_line_protocol_is_rejected(name):
-    # The name is a field of the first line on a connection.
+@pytest.mark.parametrize('name', ['a b', 'a\r\nQUERY', '\ud800', '\u4e2d', '', 'a"b', 'a\\b'])
+def test_target_whose_name_breaks_a_line_or_a_label_is_rejected(name):
+    # The name is a field of the first line on a connection, and a label of metrics.
     assert isinstance(records.decode_target(name, TARGET), Err)
 
 
