Count a deeply nested answer of the owner's store as no JSON

Callers of the owner role could be refused as if the platform were down: an answer of the store that is nested too deeply raised RecursionError in the client of the owner role. It was classified as a failed connection, and some of these in a row open the circuit breaker for every call.

Cause: `parse_json` expected ValueError only, which covers bytes that are no UTF-8 and numbers of too many digits, but not the depth.

RecursionError is now handled like the other two: the call has an answer that is not valid, and its error names the place without the content, which may be as large as the answer. One such object still costs the batch that it is in; only daemons write to this store.

Evidence: two of the five rows of `test_content_that_cannot_be_decoded_is_none` fail on the former code and pass now.

--- a/src/cassiaseam/objectstore/client.py
+++ b/src/cassiaseam/objectstore/client.py
@@ -313,7 +313,7 @@
     try:
         return Ok(model.model_validate(reply.content))
     except ValidationError as error:
-        message = f'answer of the platform: {error.errors()[0]}'
+        message = f'answer of the platform: {error.errors(include_input=False)[0]}'
         return Err(RequestError(ErrorKind.INTERNAL, message))
 
 
--- a/src/cassiaseam/objectstore/http.py
+++ b/src/cassiaseam/objectstore/http.py
@@ -223,8 +223,8 @@
 
 
 def parse_json(content: bytes) -> Any:
-    """Parse the JSON content of a response; None if it is not JSON."""
+    """Parse the JSON content of a response; None if it is not JSON or nested too deeply."""
     try:
         return json.loads(content)
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -8,6 +8,7 @@
 from cassiaseam.errors import ErrorKind
 from cassiaseam.objectstore.breaker import BackoffSettings
 from cassiaseam.objectstore.client import PlatformClient
+from cassiaseam.objectstore.http import parse_json
 from cassiaseam.objectstore.model import VmDocument
 from cassiaseam.objectstore.terms import claim_term, record_primary
 from cassiaseam.reducer.target_io import ClaimTerm, RecordPrimary, TermClaim
@@ -250,3 +251,11 @@
         assert value['term'] == max(term, 3)
 
     run_with_platform(scenario)
+
+
+@pytest.mark.parametrize(
+    'content', [b'', b'\xff', b'[' * 100_000, b'{"a":' * 100_000, b'9' * 5000], ids=range(5)
+)
+def test_content_that_cannot_be_decoded_is_none(content):
+    # RecursionError counted as a failure of the platform, which opens the circuit breaker.
+    assert parse_json(content) is None
