Shorten the readers in the test of odd records

The test built each reader with a function of its own and kept it in an attribute that it looked up by name, which was longer than the readers.

All readers over one listing are now built at once; they start nothing by themselves.

--- a/tests/pooler/test_odd_records.py
+++ b/tests/pooler/test_odd_records.py
@@ -39,15 +39,20 @@
 
 
 class Reader:
-    """One reader of the store with its events and log lines."""
+    """The readers of the store over one listing, with their events and log lines."""
 
     def __init__(self):
         self.events, self.lines = [], []
-        self.store = SimpleNamespace(list_objects=self.list_objects)
         self.listing = Listing((), 1)
         decoders = {name: getattr(records, name) for name in dir(records) if 'decode_' in name}
-        self.environment = SimpleNamespace(store=self.store, kinds=KINDS, **decoders)
-        self.parts = (self.environment, self.events.append, self.log)
+        environment = SimpleNamespace(store=self, kinds=KINDS, **decoders)
+        parts = (environment, self.events.append, self.log)
+        self.watcher = StoreWatcher(Clock(), *parts, None, 17)
+        rest = (random.Random(1), lambda vm: 0)
+        self.registry = VmRegistry(Clock(), environment, OWN, *parts[1:], *rest)
+        self.registry.registered_at = 0
+        self.sizes = SizeClient(*parts)
+        self.shares = ShareClient(*parts)
 
     async def list_objects(self, kind, allow_stale=False):
         return Ok(self.listing)
@@ -56,33 +61,19 @@
         self.lines.append((event, fields))
 
     def read_targets(self):
-        watcher = self.build('watcher', lambda: StoreWatcher(Clock(), *self.parts, None, 17))
-        watcher.handle_target_list(self.listing.changes)
+        self.watcher.handle_target_list(self.listing.changes)
 
     def read_config(self):
-        watcher = self.build('watcher', lambda: StoreWatcher(Clock(), *self.parts, None, 17))
-        watcher.handle_config(self.listing.changes)
+        self.watcher.handle_config(self.listing.changes)
 
     def read_vms(self):
-        environment, *rest = self.parts
-        build = lambda: VmRegistry(  # noqa: E731
-            Clock(), environment, OWN, *rest, random.Random(1), lambda vm: 0
-        )
-        registry = self.build('registry', build)
-        registry.registered_at = 0
-        ensureDeferred(registry.list_once())
+        ensureDeferred(self.registry.list_once())
 
     def read_sizes(self):
-        ensureDeferred(self.build('sizes', lambda: SizeClient(*self.parts)).read())
+        ensureDeferred(self.sizes.read())
 
     def read_shares(self):
-        ensureDeferred(self.build('shares', lambda: ShareClient(*self.parts)).list_shares(True))
-
-    def build(self, name, factory):
-        """Return the service that a test has used before, or a new one."""
-        if not hasattr(self, name):
-            setattr(self, name, factory())
-        return getattr(self, name)
+        ensureDeferred(self.shares.list_shares(allow_stale=True))
 
 
 # Per kind: the reader, the log line, names that are odd and good, a good spec, and what is read.
