Bound the exponent of the backoff of a silent peer

Callers could lose a VM's samples for good: after 1,024 failed requests to one peer in a row, which take about 8.5 hours at the longest backoff, its next failure raised OverflowError in the tick, and from then on each time.

Cause: the backoff was computed as a float times a power of two of the number of failures, and limited only afterwards. The record of such a peer is deleted after 10 failures, but a VM that the store refuses cannot delete it, and another writer may write it again.

The exponent is limited to four doublings, from which on the backoff is the longest one, as the circuit breaker of the owner role does it.

Evidence: the rows of 1,024 and 1,000,000 failures in `test_peer_that_never_responds_keeps_the_longest_backoff` fail on the former code and pass now; the rows up to 1,023 show the same backoff.

--- a/src/cassiaseam/pooler/peers.py
+++ b/src/cassiaseam/pooler/peers.py
@@ -14,6 +14,8 @@
 # Backoff of a peer that did not respond; it doubles with each consecutive failure.
 INITIAL_BACKOFF_S = 2.0
 MAX_BACKOFF_S = 30.0
+# Doublings after which the backoff has reached its maximum; 2**1024 does not fit into a float.
+MAX_DOUBLINGS = 4
 
 
 @handles(PeersListed)
@@ -55,7 +57,8 @@
 
 def mark_unresponsive(peer: PeerState, now: float) -> None:
     """Start or extend the backoff of a peer that did not respond."""
-    backoff_s = min(INITIAL_BACKOFF_S * 2**peer.failures, MAX_BACKOFF_S)
+    doublings = min(peer.failures, MAX_DOUBLINGS)
+    backoff_s = min(INITIAL_BACKOFF_S * 2**doublings, MAX_BACKOFF_S)
     peer.failures += 1
     peer.backoff_until = now + backoff_s
 
--- a/tests/pooler/test_odd_datagrams.py
+++ b/tests/pooler/test_odd_datagrams.py
@@ -4,7 +4,9 @@
 from twisted.internet.error import InvalidAddressError
 
 from cassiaseam.pooler.datagrams import PeerProtocol, decode_datagram
-from cassiaseam.pooler.events import SendSampleRequest
+from cassiaseam.pooler.events import PeerRecord, SendSampleRequest
+from cassiaseam.pooler.peer_state import PeerState
+from cassiaseam.pooler.peers import mark_unresponsive
 
 
 class BrokenTransport:
@@ -74,3 +76,14 @@
     assert not events
     assert lines == ['datagram_refused']
     assert decode_datagram(message, '10.0.0.9', 1)
+
+
+@pytest.mark.parametrize(
+    ('failures', 'backoff_s'), [(0, 2), (3, 16), (4, 30), (1023, 30), (1024, 30), (10**6, 30)]
+)
+def test_peer_that_never_responds_keeps_the_longest_backoff(failures, backoff_s):
+    # The record of a VM that nobody can delete raised OverflowError after 1,024 failures.
+    peer = PeerState(PeerRecord('vm-b', 'p0', '10.0.0.9', 1))
+    peer.failures = failures
+    mark_unresponsive(peer, 100)
+    assert (peer.failures, peer.backoff_until) == (failures + 1, 100 + backoff_s)
