--- a/src/cassiaseam/pooler/quotas/store_client.py
+++ b/src/cassiaseam/pooler/quotas/store_client.py
@@ -13,8 +13,10 @@
     WriteShare,
 )
 from cassiaseam.pooler.size_client import RecordClient
+from cassiaseam.pooler.store_watcher import report_nameless_entries
 
 NAME_PREFIX = 'share-'
+SHARE_INDEXES = {f'{NAME_PREFIX}{index}': index for index in range(SHARES)}
 
 
 class ShareClient(RecordClient):
@@ -30,17 +32,23 @@
             self.log('quota_shares_list_failed', cause=listing.err_value.reason)
             self.dispatch(SharesListFailed())
             return
+        report_nameless_entries(self.refusals, kind, listing.ok_value)
+        changes = listing.ok_value.changes
+        self.refusals.retain('quota_share_refused', {change.name for change in changes})
         records = {}
-        for change in listing.ok_value.changes:
+        for change in changes:
             index = read_share_index(change.name)
             if index is None:
                 continue
             decoded = self.environment.decode_share(change.spec)
             if isinstance(decoded, Err):
                 # Keep the revision, so that a valid record can replace this one.
-                self.log('quota_share_refused', share=index, cause=decoded.err_value)
+                self.refusals.report(
+                    'quota_share_refused', change.name, decoded.err_value, share=index
+                )
                 records[index] = (change.revision, None)
             else:
+                self.refusals.forget('quota_share_refused', change.name)
                 records[index] = (change.revision, decoded.ok_value)
         self.dispatch(SharesListed(records, allow_stale))
 
@@ -60,11 +68,12 @@
 
 
 def read_share_index(name: str) -> int | None:
-    """Return the number of the share in the name of an object, or None."""
-    number = name.removeprefix(NAME_PREFIX)
-    if number == name or not number.isdecimal() or int(number) >= SHARES:
-        return None
-    return int(number)
+    """Return the number of the share in the name of an object, or None.
+
+    Another spelling of the number, such as `share-03`, names no share: its record would stand in
+    for that of `share-3`.
+    """
+    return SHARE_INDEXES.get(name)
 
 
 @executes(ListShares)
