List the guards of names and of the peers' backoff

Without them, a record would break the page of metrics, a VM would lose the samples of its place after hours, and another spelling of a name would stand in for a share.

--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -303,6 +303,13 @@
     Guard('platform/targets.py', 'if len(line) > line_protocol.MAX_MESSAGE_BYTES:', 'if False:'),
     Guard('pooler/datagrams.py', '(OSError, OverflowError, InvalidAddressError)', 'OSError'),
     Guard('pooler/datagrams.py', ', le=MAX_NUMBER)]', ')]'),
+    Guard('platform/records.py', " and '\"' not in name", ''),
+    Guard('pooler/peers.py', 'min(peer.failures, MAX_DOUBLINGS)', 'peer.failures'),
+    Guard(
+        'pooler/quotas/store_client.py',
+        'return SHARE_INDEXES.get(name)',
+        'return int(name[6:])',
+    ),
     Guard('observability/refusals.py', 'if known == cause:', 'if False:'),
     Guard('observability/refusals.py', 'len(self.causes) >= MAX_REFUSALS', 'False'),
     Guard(
