--- a/src/cassiaseam/pooler/quorum.py
+++ b/src/cassiaseam/pooler/quorum.py
@@ -28,10 +28,6 @@
 # a promotion that relies on the fence takes effect up to 3.5 s after its claim (`pooler.duty`).
 # The rest covers the delay of the record that announces the restart.
 RESTART_DISTRUST_S = 4.0
-# Seconds for which the replies of a primary to statements stand for its status. A former primary
-# that follows its successor replies like a primary, so a VM that missed the handover would read
-# from it without end; other VMs allow for such reads for the same time after a handover.
-PRIMARY_STATUS_TTL_S = 5.0
 
 
 def build_monitor(name: str) -> GroupState:
@@ -133,7 +129,6 @@
     group.monitor.known_term = max(group.monitor.known_term, reported.term)
     if reported.is_primary:
         adopt_primary(group, name, reported.term, now)
-        record_lead(group, name, started_at)
     elif name == group.monitor.primary and reported.term >= group.monitor.term:
         group.monitor.primary = ''
     add_quorum_samples(group.monitor, members_are_fixed=False)
@@ -148,28 +143,18 @@
         group.former_primary = monitor.primary
     monitor.primary = name
     group.leaders.add(name)
-    if term > monitor.term:
-        group.primary_adopted_at = now
     monitor.term = term
+    group.primary_adopted_at = now
     group.without_primary_since = None
 
 
-def record_lead(group: GroupView, name: str, started_at: float) -> None:
-    """Record that a target led when it ran a command that was sent at `started_at`."""
-    if name == group.monitor.primary:
-        group.primary_reported_at = max(group.primary_reported_at, started_at)
-
-
 def record_primary_position(
     group: GroupView, name: str, started_at: float, position: LogPosition, now: float
 ) -> None:
     """Update the status of the primary by the position in one of its replies.
 
-    The reply belongs to a command that was sent at `started_at`. It is no evidence if the primary
-    has not reported for long that it leads.
+    The reply belongs to a command that was sent at `started_at`.
     """
-    if started_at - group.primary_reported_at > PRIMARY_STATUS_TTL_S:
-        return
     monitor = group.monitor
     view = monitor.targets.get(name)
     if name != monitor.primary or view is None or view.status is None:
@@ -232,16 +217,13 @@
     return operation.sent_term != group.monitor.term
 
 
-def has_commit_quorum(group: GroupView, position: LogPosition, now: float) -> bool:
+def has_commit_quorum(group: GroupView, position: LogPosition) -> bool:
     """Return whether a majority holds a commit that the primary reported.
 
-    A VM that missed a handover reads from the former primary for up to `PRIMARY_STATUS_TTL_S`, and
-    may find a majority that has not heard of the new term. Until then, replicas that led count
-    once their readers see the commit.
+    A VM that missed a handover reads from the former primary, and may find a majority that has not
+    heard of the new term. Replicas that led count once their readers see the commit, therefore.
     """
-    is_recent = now - group.primary_adopted_at <= PRIMARY_STATUS_TTL_S
-    former = group.leaders if is_recent else frozenset()
-    return is_committed(group.monitor, position, position.term, applied_by=former)
+    return is_committed(group.monitor, position, position.term, applied_by=group.leaders)
 
 
 def can_acknowledge(group: GroupView, now: float) -> bool:
@@ -262,7 +244,7 @@
         return False
     missing = group.unconfirmed
     if missing is not None and missing.term == monitor.term:
-        if not has_commit_quorum(group, missing, now):
+        if not has_commit_quorum(group, missing):
             return False
         group.unconfirmed = None
     return not any(
--- a/src/cassiaseam/pooler/sampling.py
+++ b/src/cassiaseam/pooler/sampling.py
@@ -3,14 +3,11 @@
 from cassiaseam.group.quorum import count_majority
 from cassiaseam.pooler import connections, routing
 from cassiaseam.pooler.admission import poll_backoff
-from cassiaseam.pooler.quorum import PRIMARY_STATUS_TTL_S
 from cassiaseam.pooler.state import GroupView, PoolerState
 from cassiaseam.pooler.target_use.causes import PollCause
 
 # Seconds without a primary after which all targets are polled instead of a majority.
 POLL_ALL_TARGETS_AFTER_S = 0.1
-# Part of the time for which replies stand for the status of the primary after which it is polled.
-REFRESH_STATUS_RATIO = 0.8
 
 
 def poll_majority(
@@ -41,18 +38,6 @@
     return effects
 
 
-def refresh_primary_status(state: PoolerState, group: GroupView, now: float) -> list:
-    """Poll the primary before its replies to statements cease to stand for its status."""
-    primary = group.targets.get(group.monitor.primary)
-    age_s = now - group.primary_reported_at
-    if primary is None or age_s < PRIMARY_STATUS_TTL_S * REFRESH_STATUS_RATIO:
-        return []
-    if primary.status_job is not None or poll_backoff.is_backing_off(primary, now):
-        return []
-    cause = PollCause.PRIMARY_CONFIRMATION
-    return connections.submit_status_poll(state, group, group.monitor.primary, cause, now)
-
-
 def list_discovery_targets(state: PoolerState, group: GroupView, now: float) -> list[str]:
     """Return the targets to poll for a primary: a majority with the announced one, then all."""
     since = group.without_primary_since
--- a/src/cassiaseam/pooler/sending.py
+++ b/src/cassiaseam/pooler/sending.py
@@ -189,11 +189,10 @@
 ) -> list:
     """Poll the statuses that this answer needs, or renew the sample for later reads."""
     if operation.needs_confirmation:
-        # The reply to the read itself carries the position of the primary, so mostly only replicas
-        # are polled.
+        # The reply to the read itself carries the position of the primary, so only replicas are
+        # polled.
         cause = PollCause.PRIMARY_CONFIRMATION
-        effects = sampling.refresh_primary_status(state, group, now)
-        return effects + sampling.poll_replicas(state, group, operation.started_at, cause, now)
+        return sampling.poll_replicas(state, group, operation.started_at, cause, now)
     samples = group.monitor.samples
     if operation.floor is None or not samples:
         return []
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -350,8 +350,6 @@
         demote_sent_at: Time of the latest demote command.
         promotion_not_before: Time from which the primary may be replaced, or None without a cause.
         primary_adopted_at: Time since which this VM knows that the primary leads.
-        primary_reported_at: Time at which the latest command was sent whose reply shows that the
-            primary leads.
         former_primary: Former primary that may still accept writes, or ''.
         majority_unreachable_since: Time since which this VM reaches no majority, or None.
         unconfirmed: Latest commit with an unknown outcome because no majority held it, or None.
@@ -381,7 +379,6 @@
     demote_sent_at: float = -1
     promotion_not_before: float | None = None
     primary_adopted_at: float = 0
-    primary_reported_at: float = 0
     former_primary: str = ''
     majority_unreachable_since: float | None = None
     unconfirmed: LogPosition | None = None
--- a/src/cassiaseam/pooler/targets.py
+++ b/src/cassiaseam/pooler/targets.py
@@ -5,7 +5,6 @@
 from cassiaseam.pooler.admission import failure_streaks, headroom, poll_backoff, target_load
 from cassiaseam.pooler.commands import (
     CONTROL_COMMANDS,
-    Begin,
     ReadStatus,
     Rollback,
     TargetFailure,
@@ -174,8 +173,6 @@
     connections.mark_reply_received(target, now)
     reply = event.reply
     if reply.position is not None and job.sent_at is not None:
-        if proves_lead(job, reply):
-            quorum.record_lead(group, target.record.name, job.sent_at)
         quorum.record_primary_position(group, target.record.name, job.sent_at, reply.position, now)
     if isinstance(job.command, CONTROL_COMMANDS):
         return handle_control_reply(state, group, target, connection, job, reply, now)
@@ -189,18 +186,6 @@
     return replies.handle_job_reply(state, group, connection, job, reply, now)
 
 
-def proves_lead(job: Job, reply: TargetReply) -> bool:
-    """Return whether a reply shows that the target led when it ran the command.
-
-    Replicas refuse writes and the BEGIN of transactions that may write.
-    """
-    if reply.failure is not None:
-        return False
-    if isinstance(job.command, Begin):
-        return not job.command.read_only
-    return job.operation is not None and job.operation.is_write
-
-
 def handle_setup_reply(
     state: PoolerState,
     group: GroupView,
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -120,17 +120,7 @@
     Guard('pooler/replies.py', ' and job.sent_at >= group.primary_adopted_at', ''),
     Guard('pooler/replies.py', ' and job.command.floor == commit', ''),
     Guard('pooler/quorum.py', 'return operation.sent_term == group.monitor.term and ', 'return '),
-    Guard('pooler/quorum.py', ', applied_by=former', ''),
-    Guard('pooler/targets.py', 'if proves_lead(job, reply):', 'if True:'),
-    Guard('pooler/quorum.py', '    if term > monitor.term:\n        group', '    group'),
-    Guard(
-        'pooler/quorum.py', 'former = group.leaders if is_recent else', 'former = group.leaders or'
-    ),
-    Guard(
-        'pooler/quorum.py',
-        'if started_at - group.primary_reported_at > PRIMARY_STATUS_TTL_S:',
-        'if False:',
-    ),
+    Guard('pooler/quorum.py', ', applied_by=group.leaders', ''),
     Guard(
         'pooler/discovery.py',
         '    if record.is_primary:\n        group.leaders.add(record.name)\n',
--- a/tests/pooler/test_pooler_polls.py
+++ b/tests/pooler/test_pooler_polls.py
@@ -4,8 +4,6 @@
 from pooler_world import World, is_success
 
 from cassiaseam.pooler.commands import StatementKind
-from cassiaseam.pooler.quorum import PRIMARY_STATUS_TTL_S
-from cassiaseam.pooler.sampling import REFRESH_STATUS_RATIO
 
 READS = 20
 
@@ -53,9 +51,7 @@
         world.run_until(world.now + pause_s)
     world.run_until(world.now + 0.5)
     assert all(is_success(call) for call in calls)
-    # The replies of the primary stand for its status for a limited time only.
-    primary_polls = (world.now - 0.5) / (REFRESH_STATUS_RATIO * PRIMARY_STATUS_TTL_S)
-    assert count_polls(world) - before <= max_polls + primary_polls
+    assert count_polls(world) - before <= max_polls
 
 
 @pytest.mark.parametrize('database', ['prices', 'orders'])
