Revert "Count a former primary for a commit once it has applied it"

Whether a target has led before is not known to a VM that started after the handover, that missed a term, or that removed the target's record in between; for each of these a test reads without an acknowledged commit.

The cause that the commit names is right: the reply to a read counted as the vote of the primary although it does not tell whether the target leads. The rule for commits worked around it and made commits wait for replicas to apply their logs.

--- a/src/cassiaseam/group/view.py
+++ b/src/cassiaseam/group/view.py
@@ -1,7 +1,5 @@
 """Queries of the owner role on the monitored state of a group."""
 
-from collections.abc import Collection
-
 from cassiaseam.group.quorum import (
     count_majority,
     has_confirmed_primary,
@@ -40,12 +38,7 @@
     return reached < count_majority(group)
 
 
-def is_committed(
-    group: GroupState,
-    position: LogPosition,
-    term: int,
-    applied_by: Collection[str] = (),
-) -> bool:
+def is_committed(group: GroupState, position: LogPosition, term: int) -> bool:
     """Return whether a majority holds a write of the primary of `term`.
 
     Only statuses that the instances report count, including that of the primary. An old status
@@ -53,23 +46,15 @@
     it when it grants a later fence, and every later promoter needs a grant from at least one
     instance of this majority. An entry of a term older than `term` is never confirmed here,
     because a log that ends in `term` need not contain it.
-
-    Args:
-        group: State of the group.
-        position: Position of the write.
-        term: Term of the primary that ran it.
-        applied_by: Names of the replicas that count only once they have applied it.
     """
     if position.term != term or position == ZERO_POSITION:
         return False
     holders = 0
-    for name, view in group.targets.items():
+    for view in group.targets.values():
         status = view.status
         if status is None or status.term != term or status.fenced_term > term:
             continue
-        must_apply = name in applied_by and status.role is TargetRole.REPLICA
-        held = status.applied if must_apply else status.last
-        if held.covers(position):
+        if status.last.covers(position):
             holders += 1
     return holders >= count_majority(group)
 
--- a/src/cassiaseam/pooler/discovery.py
+++ b/src/cassiaseam/pooler/discovery.py
@@ -132,8 +132,6 @@
     effects: list = []
     if former_group not in {None, record.group}:
         effects += remove_target(state, record.name, now)
-    if record.is_primary:
-        group.leaders.add(record.name)
     target = group.targets.get(record.name)
     if target is None:
         return effects + add_target(state, group, record, now)
@@ -249,7 +247,6 @@
     cause = CloseCause.TARGET_REMOVED
     effects += close_connections(state, group, target, cause, now)
     del group.targets[name]
-    group.leaders.discard(name)
     if target.record.leaving:
         state.departed[name] = target.record.incarnation
         if len(state.departed) > MAX_DEPARTED_TARGETS:
--- a/src/cassiaseam/pooler/quorum.py
+++ b/src/cassiaseam/pooler/quorum.py
@@ -94,14 +94,9 @@
 
 
 def record_status(
-    group: GroupView,
-    name: str,
-    started_at: float,
-    reported: ReportedStatus,
-    now: float,
-    applied: LogPosition | None = None,
+    group: GroupView, name: str, started_at: float, reported: ReportedStatus, now: float
 ) -> None:
-    """Record the status, and what is applied, of a target for a poll sent at `started_at`."""
+    """Record the status that a target reported for a poll sent at `started_at`."""
     view = group.monitor.targets.get(name)
     target = group.targets.get(name)
     if view is None or target is None:
@@ -116,7 +111,7 @@
         # A promotion ends the fence; the newer term then excludes older primaries.
         fenced_term=max(reported.fenced_term, reported.term),
         last=reported.last,
-        applied=applied or ZERO_POSITION,
+        applied=ZERO_POSITION,
         role=TargetRole.PRIMARY if reported.is_primary else TargetRole.REPLICA,
         primary_contact_age_s=reported.lag_s,
         leaving=target.record.leaving,
@@ -142,7 +137,6 @@
     if monitor.primary and monitor.primary != name:
         group.former_primary = monitor.primary
     monitor.primary = name
-    group.leaders.add(name)
     monitor.term = term
     group.primary_adopted_at = now
     group.without_primary_since = None
@@ -218,12 +212,8 @@
 
 
 def has_commit_quorum(group: GroupView, position: LogPosition) -> bool:
-    """Return whether a majority holds a commit that the primary reported.
-
-    A VM that missed a handover reads from the former primary, and may find a majority that has not
-    heard of the new term. Replicas that led count once their readers see the commit, therefore.
-    """
-    return is_committed(group.monitor, position, position.term, applied_by=group.leaders)
+    """Return whether a majority holds a commit that the primary reported."""
+    return is_committed(group.monitor, position, position.term)
 
 
 def can_acknowledge(group: GroupView, now: float) -> bool:
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -338,7 +338,6 @@
         shrunk_at: Time since which fewer targets than `size` are known, or None.
         floor: Recorded number of targets that are not leaving, or 0 once as many were known.
         logged_size: Size in the latest log line about it.
-        leaders: Targets that have led or were recorded as primary.
         operations: Operations without a final answer.
         without_primary_since: Time since which no primary works, or None.
         promotion: Promotion that this daemon attempts, or None.
@@ -367,7 +366,6 @@
     shrunk_at: float | None = None
     floor: int = 0
     logged_size: int = 0
-    leaders: set[str] = field(default_factory=set)
     operations: list[Operation] = field(default_factory=list)
     without_primary_since: float | None = None
     promotion: Promotion | None = None
--- a/src/cassiaseam/pooler/targets.py
+++ b/src/cassiaseam/pooler/targets.py
@@ -252,7 +252,7 @@
     poll_backoff.record_poll_reply(target, reply, state.rng, now)
     concurrency.record_status(target, job, reply, now)
     if reply.status is not None:
-        quorum.record_status(group, name, job.sent_at, reply.status, now, reply.position)
+        quorum.record_status(group, name, job.sent_at, reply.status, now)
         target_load.record_running(target, reply.status.running, now)
     effects += failover.handle_control_reply(state, group, name, job, reply, now)
     if target.poll_again is not None and isinstance(job.command, ReadStatus):
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -120,12 +120,6 @@
     Guard('pooler/replies.py', ' and job.sent_at >= group.primary_adopted_at', ''),
     Guard('pooler/replies.py', ' and job.command.floor == commit', ''),
     Guard('pooler/quorum.py', 'return operation.sent_term == group.monitor.term and ', 'return '),
-    Guard('pooler/quorum.py', ', applied_by=group.leaders', ''),
-    Guard(
-        'pooler/discovery.py',
-        '    if record.is_primary:\n        group.leaders.add(record.name)\n',
-        '',
-    ),
     Guard('pooler/sessions.py', ' and state.sizes.known', ''),
     Guard('pooler/failover.py', 'state.sizes.known and ', ''),
     Guard('pooler/discovery.py', 'state.sizes.differing.clear()', 'pass'),
--- a/tests/pooler/fake_target.py
+++ b/tests/pooler/fake_target.py
@@ -51,7 +51,6 @@
         self.fenced = 0
         self.log = []
         self.applied = 0
-        self.apply_delay_s = APPLY_DELAY_S
         self.down = False
         self.mute = False
         self.drop_answers = 0
@@ -209,7 +208,7 @@
             return
         self.log = list(primary.log[:count])
         self.applied = min(self.applied, shared)
-        self.world.after(self.apply_delay_s, lambda: self.apply(count))
+        self.world.after(APPLY_DELAY_S, lambda: self.apply(count))
 
     def apply(self, count):
         if not self.is_primary:
