Confirm reads by the status of the primary, not by their own reply

What callers could see: a read on a primary route without an acknowledged commit (STALE). A VM that had missed a handover read from the former primary, which had received the commit from its successor and not applied it yet. The same replies also became samples, by which bounded reads were served too late.

Cause: the reply to a read counted as the vote of the primary, to save a poll of the busiest target. It does not tell whether the target leads: a replica answers reads too, and the position in the reply is that of its log.

Change: a reply counts as the vote of the primary only if it proves that the target led, as replies to writes and in transactions that may write do, which replicas refuse. For other reads the primary is polled at or after their start, on a connection that is idle, mostly the one that ran the read. A poll whose reply is late by 0.2 s is repeated, so that a lost one does not hold up the reads. A poll that shows a newer term counts although a later reply was handled first. A connection for a poll is no longer opened for an account that the configuration does not have any more.

Why it works: a majority with the primary's own status, all taken after the read began, shares a target with each majority that acknowledged a commit before. That target reports the newer term, or it is the primary and led a newer term itself, which the comparison of terms rejects. Commits wait for nothing more.

--- a/src/cassiaseam/pooler/accounts/pool.py
+++ b/src/cassiaseam/pooler/accounts/pool.py
@@ -195,10 +195,15 @@
     if not has_accounts(state) or job.purpose is not Purpose.CONTROL:
         return job.account
     held = count_connections(target)
+    names = {ANONYMOUS, *state.config.accounts.accounts}
     group = state.groups.get(target.record.group)
     for operation in group.operations if group is not None else ():
         session = state.sessions.get(operation.session_id)
-        if session is not None and not held[session.account]:
+        if session is not None and session.account in names and not held[session.account]:
             return session.account
     rates = usage.estimate_rates(state, target, now)
-    return max(rates, key=lambda account: rates[account] / (1 + held[account]), default=ANONYMOUS)
+    return max(
+        rates.keys() & names,
+        key=lambda account: (rates[account] / (1 + held[account]), account),
+        default=ANONYMOUS,
+    )
--- a/src/cassiaseam/pooler/connections.py
+++ b/src/cassiaseam/pooler/connections.py
@@ -50,6 +50,9 @@
 # Seconds that statements wait for a connection to a full target before they are refused, because
 # another VM may have one.
 FULL_TARGET_WAIT_S = 0.15
+# Seconds after which the reply to a status poll is probably lost. A full queue drains in 0.07 s,
+# and reads on the primary would wait for the poll until its connection is closed after 1 s.
+LATE_POLL_S = 0.2
 # Backoff in seconds between failed attempts to connect to a target.
 RECONNECT_BACKOFF_S = 0.2
 
@@ -422,12 +425,17 @@
     return effects
 
 
+def is_poll_late(job: Job, now: float) -> bool:
+    """Return whether the reply to a status poll is probably lost, so that another one is sent."""
+    return job.sent_at is not None and now - job.sent_at > LATE_POLL_S
+
+
 def submit_status_poll(
     state: PoolerState, group: GroupView, name: str, cause: PollCause, now: float
 ) -> list:
-    """Poll the status of a target; if a poll is in flight, poll again after it."""
+    """Poll the status of a target; if a poll is in flight and not late, poll again after it."""
     target = group.targets[name]
-    if target.status_job is not None:
+    if target.status_job is not None and not is_poll_late(target.status_job, now):
         target.poll_again = cause if target.status_job.sent_at is not None else None
         return []
     job = Job(name, ReadStatus(), Purpose.CONTROL, now, poll_cause=cause)
--- a/src/cassiaseam/pooler/quorum.py
+++ b/src/cassiaseam/pooler/quorum.py
@@ -116,12 +116,15 @@
         primary_contact_age_s=reported.lag_s,
         leaving=target.record.leaving,
     )
+    group.monitor.known_term = max(group.monitor.known_term, reported.term)
     if view.status is not None and started_at < view.status_started_at:
+        has_lost_lead = reported.term > group.monitor.term and not reported.is_primary
+        if has_lost_lead and name == group.monitor.primary:
+            group.monitor.primary = ''
         return
     view.status = status
     view.status_started_at = started_at
     view.answered_at = now
-    group.monitor.known_term = max(group.monitor.known_term, reported.term)
     if reported.is_primary:
         adopt_primary(group, name, reported.term, now)
     elif name == group.monitor.primary and reported.term >= group.monitor.term:
@@ -145,7 +148,7 @@
 def record_primary_position(
     group: GroupView, name: str, started_at: float, position: LogPosition, now: float
 ) -> None:
-    """Update the status of the primary by the position in one of its replies.
+    """Update the status of the primary by the position in a reply that proves its lead.
 
     The reply belongs to a command that was sent at `started_at`.
     """
--- a/src/cassiaseam/pooler/sampling.py
+++ b/src/cassiaseam/pooler/sampling.py
@@ -2,6 +2,7 @@
 
 from cassiaseam.group.quorum import count_majority
 from cassiaseam.pooler import connections, routing
+from cassiaseam.pooler.accounts import pool
 from cassiaseam.pooler.admission import poll_backoff
 from cassiaseam.pooler.state import GroupView, PoolerState
 from cassiaseam.pooler.target_use.causes import PollCause
@@ -38,6 +39,19 @@
     return effects
 
 
+def poll_idle_primary(state: PoolerState, group: GroupView, since: float, now: float) -> list:
+    """Poll the primary at or after `since` if this needs no further connection to it.
+
+    Otherwise it is polled once the statement in progress has returned its connection.
+    """
+    name = group.monitor.primary
+    primary = group.targets.get(name)
+    if primary is None or not any(pool.is_idle(it) for it in primary.connections.values()):
+        return []
+    cause = PollCause.PRIMARY_CONFIRMATION
+    return poll_unless_known(state, group, name, since, cause, now)
+
+
 def list_discovery_targets(state: PoolerState, group: GroupView, now: float) -> list[str]:
     """Return the targets to poll for a primary: a majority with the announced one, then all."""
     since = group.without_primary_since
@@ -83,6 +97,7 @@
     if has_status_since(group, name, since) or poll_backoff.is_backing_off(target, now):
         return []
     job = target.status_job
-    if job is not None and job.sent_at is not None and job.sent_at >= since:
+    is_sent = job is not None and job.sent_at is not None and job.sent_at >= since
+    if is_sent and not connections.is_poll_late(job, now):
         return []
     return connections.submit_status_poll(state, group, name, cause, now)
--- a/src/cassiaseam/pooler/sending.py
+++ b/src/cassiaseam/pooler/sending.py
@@ -78,7 +78,10 @@
     if not name:
         return []
     effects = refresh_evidence(state, group, operation, now)
-    return effects + send_to_target(state, group, operation, name, floor, now)
+    effects += send_to_target(state, group, operation, name, floor, now)
+    if operation.needs_confirmation:
+        effects += sampling.poll_idle_primary(state, group, operation.started_at, now)
+    return effects
 
 
 def find_busy_backoff_s(state: PoolerState, attempts: int) -> float:
@@ -189,8 +192,7 @@
 ) -> list:
     """Poll the statuses that this answer needs, or renew the sample for later reads."""
     if operation.needs_confirmation:
-        # The reply to the read itself carries the position of the primary, so only replicas are
-        # polled.
+        # The primary is polled after the read, on the same connection; see `poll_idle_primary`.
         cause = PollCause.PRIMARY_CONFIRMATION
         return sampling.poll_replicas(state, group, operation.started_at, cause, now)
     samples = group.monitor.samples
--- a/src/cassiaseam/pooler/targets.py
+++ b/src/cassiaseam/pooler/targets.py
@@ -5,8 +5,10 @@
 from cassiaseam.pooler.admission import failure_streaks, headroom, poll_backoff, target_load
 from cassiaseam.pooler.commands import (
     CONTROL_COMMANDS,
+    Begin,
     ReadStatus,
     Rollback,
+    StatementKind,
     TargetFailure,
     TargetReply,
 )
@@ -172,7 +174,7 @@
     connection.job = None
     connections.mark_reply_received(target, now)
     reply = event.reply
-    if reply.position is not None and job.sent_at is not None:
+    if reply.position is not None and proves_lead(state, job, reply):
         quorum.record_primary_position(group, target.record.name, job.sent_at, reply.position, now)
     if isinstance(job.command, CONTROL_COMMANDS):
         return handle_control_reply(state, group, target, connection, job, reply, now)
@@ -186,6 +188,26 @@
     return replies.handle_job_reply(state, group, connection, job, reply, now)
 
 
+def proves_lead(state: PoolerState, job: Job, reply: TargetReply) -> bool:
+    """Return whether a reply shows that the target led when it ran the command.
+
+    Replicas refuse writes, and whatever belongs to a transaction that may write. A former primary
+    that follows its successor answers other reads like a primary.
+    """
+    operation = job.operation
+    if reply.failure is not None or operation is None:
+        return False
+    if isinstance(job.command, Begin):
+        return not job.command.read_only
+    if operation.is_write:
+        return True
+    session = state.sessions.get(operation.session_id)
+    transaction = session.transaction if session is not None else None
+    if transaction is None or transaction.statement.read_only:
+        return False
+    return operation.statement.kind is not StatementKind.COMMIT or transaction.has_written
+
+
 def handle_setup_reply(
     state: PoolerState,
     group: GroupView,
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -401,6 +401,14 @@
         'max(_find_step(HEADROOM_IDLE_TIMEOUT_STEPS, used_share), min(longest_s, reopening_s))',
         '_find_step(HEADROOM_IDLE_TIMEOUT_STEPS, used_share)',
     ),
+    Guard(
+        'pooler/targets.py',
+        'if reply.position is not None and proves_lead(state, job, reply):',
+        'if reply.position is not None and job.sent_at is not None:',
+    ),
+    Guard('pooler/targets.py', 'transaction is None or transaction.statement.read_only', 'False'),
+    Guard('pooler/quorum.py', 'if has_lost_lead and name == group.monitor.primary:', 'if False:'),
+    Guard('pooler/connections.py', ' and not is_poll_late(target.status_job, now):', ':'),
     Guard('pooler/sampling.py', ' or poll_backoff.is_backing_off(target, now):', ':'),
     Guard(
         'pooler/sampling.py',
--- a/tests/pooler/loaded_world.py
+++ b/tests/pooler/loaded_world.py
@@ -136,6 +136,7 @@
         queue_limit=QUEUE_LIMIT,
         handshake_s=0,
         poll_s=0,
+        reports_running=False,
         **args,
     ):
         """Build a deployment.
@@ -149,6 +150,7 @@
             handshake_s: Time in seconds that opening a connection occupies a slot, or 0.
             poll_s: Time in seconds that a status poll occupies a slot, or 0 if targets answer
                 polls regardless of their load.
+            reports_running: Whether targets report how many statements run on them, or none.
             **args: Further arguments of `World`.
         """
         super().__init__(**args)
@@ -157,6 +159,8 @@
             name: LoadedTarget(self, target, slots, service_s, queue_limit, handshake_s, poll_s)
             for name, target in self.targets.items()
         }
+        for server in self.servers.values() if reports_running else ():
+            server.target.count_running = lambda server=server: server.running
         self.lingering = []
         for vm in self.vms.values():
             vm.state.admission = admission
--- a/tests/pooler/test_pooler_stale_reads.py
+++ b/tests/pooler/test_pooler_stale_reads.py
@@ -115,3 +115,172 @@
     world.run_until(1.5)
     assert is_success(read)
     assert read.answer.rows == ('old', 'new')
+
+
+def is_stale(written, read):
+    """Return whether a read lacks a write that was acknowledged before it was sent."""
+    acknowledged = is_success(written) and written.answered_at < read.sent_at
+    return acknowledged and is_success(read) and 'new' not in read.answer.rows
+
+
+def step_down_unseen(world, apply_delay_s=CUT_S):
+    """Hand the group over to t1; vm0 and t2 do not see it, and t0 applies its log late."""
+    for vm in world.vms:
+        world.connect(vm, 1, 'orders')
+        world.send(vm, 1, StatementKind.READ)
+    world.run_until(0.3)
+    world.cut_store('vm0', CUT_S)
+    for side in ('vm0', 't2'):
+        world.cut('t1', side, CUT_S)
+    former = world.targets['t0']
+    former.apply_delay_s = apply_delay_s
+    former.leaving = True
+    world.announce(former)
+    world.run_until(2)
+    assert world.find_primary().name == 't1'
+
+
+def keep_reading(world, until, vms=('vm0',)):
+    """Send reads of some VMs until a time, each after the answer to the one before."""
+    while world.now < until:
+        for vm in vms:
+            if world.calls[vm, 1].answer is not None:
+                world.send(vm, 1, StatementKind.READ)
+        world.run_until(world.now + 0.1)
+
+
+def write_and_read(world):
+    """Write on vm1 and then read on vm0, both in new sessions on the primary route."""
+    world.connect('vm1', 2, 'orders')
+    written = world.send('vm1', 2, StatementKind.WRITE, 'new')
+    world.run_until(world.now + 0.4)
+    world.connect('vm0', 2, 'orders')
+    read = world.send('vm0', 2, StatementKind.READ)
+    world.run_until(world.now + 0.5)
+    return written, read
+
+
+@pytest.mark.parametrize('until', [2, 8])
+def test_vm_that_missed_a_handover_does_not_read_from_the_former_primary(until):
+    # The former primary had received a commit of its successor and not applied it. It answered
+    # reads like a primary, confirmed by the third target, which had not heard of the new term.
+    world = World(vms=2)
+    step_down_unseen(world)
+    keep_reading(world, until)
+    written, read = write_and_read(world)
+    assert is_success(written)
+    assert not is_stale(written, read)
+
+
+@pytest.mark.parametrize('route', ['orders', 'prices'])
+def test_former_primary_that_steps_down_late_is_not_read_from(route):
+    # After an unplanned promotion the former primary leads until it reaches its successor, so that
+    # no time since the promotion bounds for how long other VMs take it for the primary.
+    world = World(vms=2)
+    for vm in world.vms:
+        world.connect(vm, 1, 'orders')
+        world.send(vm, 1, StatementKind.READ)
+    world.connect('vm0', 3, route)
+    world.run_until(0.3)
+    world.cut_store('vm0', CUT_S)
+    for side in ('vm0', 't2'):
+        world.cut('t1', side, CUT_S)
+    for side in ('t1', 'vm1'):
+        world.cut('t0', side, 9.7)
+    former = world.targets['t0']
+    former.apply_delay_s = CUT_S
+    keep_reading(world, 11.9, ['vm0', 'vm1'])
+    assert former.is_primary
+    assert world.find_primary().name == 't1'
+    former.is_primary, former.applied = False, len(former.log)
+    world.announce(former)
+    world.replicate()
+    world.run_until(world.now + 0.2)
+    written, read = write_and_read(world)
+    assert is_success(written)
+    assert not is_stale(written, read)
+    keep_reading(world, world.now + MAX_AGE_S)
+    read = world.send('vm0', 3, StatementKind.READ)
+    world.run_until(world.now + 0.5)
+    assert not is_stale(written, read)
+
+
+def test_commits_do_not_wait_for_replicas_to_apply_them():
+    # Replicas that lag apply their log seconds late; writes after a handover ended in doubt when
+    # targets that had led before counted by what they had applied.
+    world = World(vms=1)
+    world.connect('vm0', 1, 'orders')
+    world.send('vm0', 1, StatementKind.READ)
+    world.run_until(0.3)
+    for target in world.targets.values():
+        target.apply_delay_s = 3
+    world.targets['t0'].leaving = True
+    world.announce(world.targets['t0'])
+    world.run_until(2)
+    assert world.find_primary().name != 't0'
+    calls = []
+    for number in range(4):
+        world.connect('vm0', 20 + number, 'orders')
+        calls.append(world.send('vm0', 20 + number, StatementKind.WRITE, f'w{number}'))
+        world.run_until(world.now + 0.3)
+    assert all(is_success(call) for call in calls)
+
+
+def test_poll_that_shows_a_newer_term_counts_although_a_later_reply_came_first():
+    # The reply to a later command arrives first on another connection; the poll was then dropped,
+    # and the VM went on with a primary that follows its successor.
+    group = World(vms=1).vms['vm0'].state.groups[GROUP]
+    leads = ReportedStatus(True, 1, LogPosition(1, 5), 0, 0, 0, 1)
+    follows = ReportedStatus(False, 2, LogPosition(1, 5), 0, 0, 0, 1)
+    quorum.record_status(group, 't0', 10, leads, 10)
+    quorum.record_primary_position(group, 't0', 12.1, LogPosition(1, 5), 12.2)
+    quorum.record_status(group, 't0', 12.0, follows, 12.3)
+    assert group.monitor.primary != 't0'
+
+
+@pytest.mark.parametrize(
+    ('kind', 'begin', 'proves'),
+    [
+        (StatementKind.READ, None, False),
+        (StatementKind.WRITE, None, True),
+        (StatementKind.READ, 'BEGIN', True),
+        (StatementKind.READ, 'BEGIN READ', False),
+    ],
+)
+def test_only_replies_that_replicas_refuse_prove_that_a_target_leads(kind, begin, proves):
+    world = World(vms=1)
+    world.connect('vm0', 1, 'orders')
+    world.send('vm0', 1, StatementKind.READ)
+    world.run_until(1)
+    if begin:
+        world.send('vm0', 1, StatementKind.BEGIN, begin, read_only=begin == 'BEGIN READ')
+    view = world.vms['vm0'].state.groups[GROUP].monitor.targets['t0']
+    world.targets['t0'].polls_busy_until = CUT_S
+    before = view.status_started_at
+    world.send('vm0', 1, kind, 'w')
+    world.run_until(1.3)
+    assert (view.status_started_at > before) is proves
+
+
+def test_lost_reply_to_a_poll_of_the_primary_does_not_hold_up_its_reads():
+    # Reads wait for a poll of the primary that was sent after they began. A poll whose answer was
+    # lost was in flight for 1 s.
+    world = World(vms=1)
+    world.connect('vm0', 1, 'orders')
+    world.send('vm0', 1, StatementKind.READ)
+    world.run_until(1)
+    answer = world.vms['vm0'].answer
+    lost = []
+
+    def lose_first_status(connection_id, event, target):
+        if target.name == 't0' and event.reply.status is not None and not lost:
+            lost.append(event)
+        else:
+            answer(connection_id, event, target)
+
+    world.vms['vm0'].answer = lose_first_status
+    call = world.send('vm0', 1, StatementKind.READ)
+    world.run_until(2)
+    assert lost
+    assert is_success(call)
+    assert call.answered_at - call.sent_at < 0.4
