Search for reads without an acknowledged commit

STALE was reported without a record, and neither plays nor the property test showed it: its callers never began a transaction with a write, all VMs learned of records at the same moment or not at all, targets applied what they received after 20 ms, and member lists were never replaced in a row.

- test_pooler_stale_properties plays transactions that begin with a write or read after one, records that reach a VM up to 4 s late, and targets that apply up to 4 s late, beside the faults of the other property test, and checks every read on all three kinds of routes.

--- a/tests/pooler/test_pooler_promises.py
+++ b/tests/pooler/test_pooler_promises.py
@@ -157,17 +157,21 @@
         if consistency is Consistency.READ_YOUR_WRITES:
             assert set(own_writes) <= seen, f'{call} lacks own {set(own_writes) - seen}'
 
-    def run_transaction(self, vm, session, database, own_writes):
-        world = self.world
-        value = f'{vm}-{session}-{next(self.numbers)}'
-        begun_at = world.now
-        kinds = [
+    def list_statements(self, value):
+        """Return the kind and text of each statement of the next transaction."""
+        return [
             (StatementKind.BEGIN, ''),
             (StatementKind.READ, ''),
             (StatementKind.WRITE, value),
             (StatementKind.COMMIT, ''),
         ]
 
+    def run_transaction(self, vm, session, database, own_writes):
+        world = self.world
+        value = f'{vm}-{session}-{next(self.numbers)}'
+        begun_at = world.now
+        kinds = self.list_statements(value)
+
         def run(index):
             kind, text = kinds[index]
             call = world.send(vm, session, kind, text, begun_at=begun_at)
@@ -192,10 +196,10 @@
         run(0)
 
 
-def play(faults, seed, shared=False):
+def play(faults, seed, shared=False, callers_class=Callers):
     world = World(seed=seed, shared=shared)
     world.run_until(0.5)
-    callers = Callers(world)
+    callers = callers_class(world)
     for fault in faults:
         world.at(fault[1], lambda item=fault: apply_fault(world, item))
     world.run_until(END_S)
--- /dev/null
+++ b/tests/pooler/test_pooler_stale_properties.py
@@ -0,0 +1,55 @@
+"""Property test of reads: VMs learn of changes late while targets apply late and lose logs."""
+
+import os
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from test_pooler_promises import (
+    DURATIONS,
+    FAULTS,
+    TARGETS,
+    TIMES,
+    VMS,
+    Callers,
+    check_promises,
+    play,
+)
+
+from cassiaseam.pooler.commands import StatementKind
+
+# Set POOLER_EXAMPLES=10000 to run more examples with a random seed.
+EXAMPLES = int(os.environ.get('POOLER_EXAMPLES', '30'))
+LATE_S = st.floats(0.1, 4.0)
+LATE_FAULTS = st.one_of(
+    st.tuples(st.just('apply_late'), TIMES, TARGETS, LATE_S, DURATIONS),
+    st.tuples(st.just('delay_records'), TIMES, VMS, LATE_S, DURATIONS),
+    st.tuples(st.just('cut_store'), TIMES, VMS, DURATIONS),
+    st.tuples(st.just('cut_vm'), TIMES, VMS, TARGETS, DURATIONS),
+    st.tuples(st.just('cut_targets'), TIMES, TARGETS, TARGETS, DURATIONS),
+    st.tuples(st.just('leave'), TIMES, TARGETS),
+    FAULTS,
+)
+
+
+class TransactionCallers(Callers):
+    """Callers whose transactions begin with a read or a write, or only read."""
+
+    def list_statements(self, value):
+        """Return the kind and text of each statement of the next transaction."""
+        write = (StatementKind.WRITE, value)
+        read = (StatementKind.READ, '')
+        order = len(self.world.history) % 3
+        inner = ([read, write], [write, read], [write, read, read])[order]
+        return [(StatementKind.BEGIN, ''), *inner, (StatementKind.COMMIT, '')]
+
+
+@settings(
+    max_examples=EXAMPLES,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow],
+    derandomize='POOLER_EXAMPLES' not in os.environ,
+)
+@given(faults=st.lists(LATE_FAULTS, max_size=5), seed=st.integers(0, 10**6), shared=st.booleans())
+def test_no_read_is_stale_while_vms_learn_of_changes_late(faults, seed, shared):
+    world, callers = play(faults, seed, shared, TransactionCallers)
+    check_promises(world, callers)
