Treat a commit without a position as in doubt

A write was answered with success although no majority held it if the READY after it carried no position that can be read: the commit had no position to wait for, and an operation without one was delivered at once. Another VM's read could then lack an acknowledged commit (STALE), and a promotion could lose it (LOST).

Such a write or COMMIT now ends with OUTCOME_UNKNOWN. The outcome is not known: the target has run it, and nothing tells which position a majority has to hold.

test_commit_without_a_position_is_not_acknowledged was answered with success for a single write and for a transaction before and is in doubt now. Found by reading; no run showed a target that leaves the position out. A guard removes the condition.

--- a/src/cassiaseam/pooler/replies.py
+++ b/src/cassiaseam/pooler/replies.py
@@ -108,6 +108,11 @@
     committed = operation.statement.kind is StatementKind.COMMIT and transaction.has_written
     if committed or (transaction is None and operation.is_write):
         operation.commit = reply.position
+        if reply.position is None:
+            text = 'the target gave no position of the commit'
+            return effects + completion.fail_operation(
+                state, operation, ErrorKind.OUTCOME_UNKNOWN, text, now
+            )
     completion.cancel_jobs(operation)
     return effects + deliver_when_confirmed(state, group, operation, now)
 
--- a/tests/pooler/test_pooler_stale_reads.py
+++ b/tests/pooler/test_pooler_stale_reads.py
@@ -1,9 +1,12 @@
 """Reads that could lack an acknowledged commit, each in the state that two VMs differ in."""
 
+import dataclasses
+
 import pytest
-from fake_target import GROUP
-from pooler_world import MAX_AGE_S, World, is_success, poll_targets
+from fake_target import GROUP, FakeTarget
+from pooler_world import MAX_AGE_S, World, get_error, is_success, poll_targets
 
+from cassiaseam.errors import ErrorKind
 from cassiaseam.group.state import QuorumSample
 from cassiaseam.pooler import quorum
 from cassiaseam.pooler.commands import ReportedStatus, StatementKind, TargetFailure, TargetReply
@@ -193,3 +196,26 @@
         if world.now > 14:
             break
     assert is_success(read)
+
+
+@pytest.mark.parametrize('in_transaction', [False, True])
+def test_commit_without_a_position_is_not_acknowledged(in_transaction, monkeypatch):
+    # Without a position no majority can be counted; the commit was answered with success at once.
+    world = World(vms=1)
+    world.connect('vm0', 1, 'orders')
+    world.send('vm0', 1, StatementKind.READ)
+    world.run_until(0.3)
+    if in_transaction:
+        for kind in (StatementKind.BEGIN, StatementKind.WRITE):
+            world.send('vm0', 1, kind, 'own')
+            world.run_until(world.now + 0.2)
+    reply = FakeTarget.reply
+    monkeypatch.setattr(
+        FakeTarget,
+        'reply',
+        lambda *args, **fields: dataclasses.replace(reply(*args, **fields), position=None),
+    )
+    kind = StatementKind.COMMIT if in_transaction else StatementKind.WRITE
+    call = world.send('vm0', 1, kind, 'own')
+    world.run_until(2)
+    assert get_error(call) is ErrorKind.OUTCOME_UNKNOWN
