Record that a target without its log counts on VMs that did not poll it

A VM notices that a target lost entries by what the target had reported to it. One that had never polled the target has nothing to compare with, and until the record with the new `born` arrives it takes a sample from that target and one that lags: a bounded read then lacks an acknowledged commit (STALE).

test_vm_that_had_not_polled_a_target_does_not_count_its_shorter_log shows it in the virtual deployment, with the record late. Weighed: to ignore every restarted target until it has caught up with a majority of the others. That waits for the third target of a group whenever one has restarted and another one is away, which is ordinary trouble, and helps only once the record is there.

--- a/tests/pooler/test_pooler_log_loss.py
+++ b/tests/pooler/test_pooler_log_loss.py
@@ -2,7 +2,7 @@
 
 import pytest
 from fake_target import GROUP
-from pooler_world import World, is_success, poll_targets
+from pooler_world import MAX_AGE_S, World, is_success, poll_targets
 from test_pooler_quorum import FAR, NEAR, PRIMARY, build_group, follows, leads
 
 from cassiaseam.group.view import find_quorum_floor
@@ -157,3 +157,23 @@
         world.run_until(1.7 + 1.2 * number)
     assert world.find_primary().name != 't0'
     assert [value for _, value in world.find_primary().log] == ['new']
+
+
+def test_vm_that_had_not_polled_a_target_does_not_count_its_shorter_log():
+    # t0 and t2 held a commit that t1 lacked, and t2 lost it. A VM that had never polled t2 has
+    # nothing to compare its log with, and the record of the restart is late.
+    world = World(vms=2)
+    world.connect('vm0', 1, 'orders')
+    world.connect('vm1', 1, 'prices')
+    world.run_until(0.2)
+    world.cut('t0', 't1', CUT_S)
+    written = world.send('vm0', 1, StatementKind.WRITE, 'new')
+    world.run_until(0.5)
+    assert is_success(written)
+    world.cut('vm1', 't0', CUT_S)
+    world.cut('t2', 't0', CUT_S)
+    world.wipe('t2', 0.2, CUT_S)
+    world.run_until(written.answered_at + MAX_AGE_S + 0.1)
+    read = world.send('vm1', 1, StatementKind.READ)
+    world.run_until(world.now + 1.2)
+    assert not is_success(read) or 'new' in read.answer.rows
