Play a split and a handover that one VM misses in the search for stale reads

The search played its faults one by one, and all VMs had many callers. A VM with many statements soon notices that it lost targets, and refuses; the stale reads that were found need a VM that sends rarely, on one side with the former primary or without the store while it is replaced.

--- a/tests/pooler/pooler_world.py
+++ b/tests/pooler/pooler_world.py
@@ -336,6 +336,22 @@
 
         self.after(for_s, heal)
 
+    def split(self, vm, target, for_s):
+        """Leave a VM and a target on one side, without the store, and the others on the other."""
+        names = {*self.vms, *self.targets} - {vm, target}
+        for other in names:
+            self.cut(vm, other, for_s)
+            self.cut(target, other, for_s)
+        self.cut_store(vm, for_s)
+
+    def hide_handover(self, vm, name, for_s):
+        """Let a target leave unseen by a VM, and apply late, while the others are apart."""
+        self.cut_store(vm, for_s)
+        self.apply_late(name, for_s, for_s)
+        self.cut(*sorted(set(self.targets) - {name})[:2], for_s)
+        self.targets[name].leaving = True
+        self.announce(self.targets[name])
+
     def freeze(self, name, for_s):
         self.vms[name].frozen_until = max(self.vms[name].frozen_until, self.now + for_s)
 
--- a/tests/pooler/test_pooler_stale_properties.py
+++ b/tests/pooler/test_pooler_stale_properties.py
@@ -7,6 +7,7 @@
 from test_pooler_promises import (
     DURATIONS,
     FAULTS,
+    LONG_DURATIONS,
     TARGETS,
     TIMES,
     VMS,
@@ -26,13 +27,23 @@
     st.tuples(st.just('cut_store'), TIMES, VMS, DURATIONS),
     st.tuples(st.just('cut_vm'), TIMES, VMS, TARGETS, DURATIONS),
     st.tuples(st.just('cut_targets'), TIMES, TARGETS, TARGETS, DURATIONS),
-    st.tuples(st.just('leave'), TIMES, TARGETS),
+    st.tuples(st.just('split'), TIMES, VMS, TARGETS, LONG_DURATIONS),
+    st.tuples(st.just('hide_handover'), TIMES, VMS, TARGETS, DURATIONS),
     FAULTS,
 )
 
 
 class TransactionCallers(Callers):
-    """Callers whose transactions begin with a read or a write, or only read."""
+    """Callers whose transactions begin with a read or a write; those of one VM send rarely.
+
+    A VM with many statements notices soon that it lost targets.
+    """
+
+    def schedule_next(self, call, database, own_writes):
+        """Send the next statement of a session after a pause."""
+        longest_s = 3.0 if call.vm == 'vm0' else 0.2
+        pause_s = 0.02 + self.world.rng.random() * longest_s
+        self.world.after(pause_s, lambda: self.step(call.vm, call.session, database, own_writes))
 
     def list_statements(self, value):
         """Return the kind and text of each statement of the next transaction."""
