Confirm a read by targets that are in the term of the primary

A read on a primary route could lack an acknowledged commit (STALE) while two primaries worked. A target was promoted that reached no other one; the promotion ended the fence of a replica all the same, which then held what the former primary acknowledged in its own term. A VM that reached the promoted target and the former primary confirmed reads by these two: any target that is not fenced above the term counted, also one that leads a lower term. Commits, and the check before a write is sent, count only targets in the term, so the two majorities did not meet in one that shows the newer term.

The owner role keeps its rule, by which a new primary is adopted before all have heard of its term.

--- a/src/cassiaseam/group/quorum.py
+++ b/src/cassiaseam/group/quorum.py
@@ -60,26 +60,33 @@
     return view is not None and view.status is not None and view.status.leaving
 
 
-def has_confirmed_primary(group: GroupState, polled_after: float = -1) -> bool:
+def has_confirmed_primary(
+    group: GroupState, polled_after: float = -1, in_term: bool = False
+) -> bool:
     """Return whether the known primary leads the highest term known to a majority.
 
     Args:
         group: State of the group.
         polled_after: Only statuses whose poll started at or after this time in seconds count.
+        in_term: Whether only instances that are in the term of the primary count.
     """
     view = group.targets.get(group.primary)
     if view is None or not _leads(view, group.term) or view.status_started_at < polled_after:
         return False
-    return count_supporters(group, group.term, polled_after) >= count_majority(group)
+    return count_supporters(group, group.term, polled_after, in_term) >= count_majority(group)
 
 
-def count_supporters(group: GroupState, term: int, polled_after: float = -1) -> int:
-    """Return how many trusted instances are not fenced above `term`."""
+def count_supporters(
+    group: GroupState, term: int, polled_after: float = -1, in_term: bool = False
+) -> int:
+    """Return how many trusted instances are not fenced above `term`, and are in it if asked."""
     supporters = 0
     for name, view in group.targets.items():
         status = view.status
         if status is None or status.fenced_term > term or view.status_started_at < polled_after:
             continue
+        if in_term and status.term != term:
+            continue
         # The first condition avoids the call in the common case.
         if (status.term and view.catch_up_position is None) or is_trusted(group, name):
             supporters += 1
--- a/src/cassiaseam/pooler/quorum.py
+++ b/src/cassiaseam/pooler/quorum.py
@@ -202,10 +202,12 @@
     """Return whether a majority confirmed a target as the current primary at or after `since`.
 
     A promotion first fences enough targets to meet every majority. A newer primary that
-    acknowledged a commit before `since` would therefore show in one of the statuses.
+    acknowledged a commit before `since` would therefore show in one of the statuses. So would a
+    former primary: a target that has not heard of the newer term may still hold what the former
+    primary acknowledges, if its fence has ended, and does not count.
     """
     return name == group.monitor.primary and has_confirmed_primary(
-        group.monitor, polled_after=since
+        group.monitor, polled_after=since, in_term=True
     )
 
 
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -126,6 +126,7 @@
     Guard('pooler/replies.py', ' and job.command.floor == commit', ''),
     Guard('pooler/quorum.py', 'return operation.sent_term == group.monitor.term and ', 'return '),
     Guard('pooler/quorum.py', ', applied_by=group.leaders', ''),
+    Guard('pooler/quorum.py', ', in_term=True', ''),
     Guard('pooler/replies.py', 'if reply.position is None:', 'if False:'),
     Guard(
         'pooler/discovery.py',
--- a/tests/pooler/test_pooler_quorum.py
+++ b/tests/pooler/test_pooler_quorum.py
@@ -50,6 +50,14 @@
         [(PRIMARY, 10, leads(1, 9)), (NEAR, 10, follows(2, 8, position_term=1))],
         False,
     ),
+    'replica has not heard of the term': (
+        [(PRIMARY, 10, leads(2, 9)), (NEAR, 10, follows(1, 8))],
+        False,
+    ),
+    'former primary has not heard of the term': (
+        [(PRIMARY, 10, leads(2, 9)), (NEAR, 9, leads(1, 10)), (NEAR, 10, leads(1, 10))],
+        False,
+    ),
     'another target leads a newer term': (
         [(PRIMARY, 10, leads(1, 9)), (FAR, 11, leads(2, 9)), (NEAR, 11, follows(2, 9))],
         False,
--- a/tests/pooler/test_pooler_stale_properties.py
+++ b/tests/pooler/test_pooler_stale_properties.py
@@ -64,3 +64,15 @@
 def test_no_read_is_stale_while_vms_learn_of_changes_late(faults, seed, shared):
     world, callers = play(faults, seed, shared, TransactionCallers)
     check_promises(world, callers)
+
+
+def test_read_is_not_stale_when_fences_end_out_of_reach():
+    # t1 leads term 2 and reaches nobody. The promotion ended the fence of t2 all the same, so t0
+    # and t2 acknowledge a write in term 1, while t1 and t0, which supports the newer term, confirm
+    # a read at t1 that lacks it.
+    faults = [
+        ('cut_vm', 2.5821516359088474, 'vm0', 't0', 1.8),
+        ('split', 3.6268086303594957, 'vm0', 't1', 5.569086343896123),
+    ]
+    world, callers = play(faults, 11010, shared=True, callers_class=TransactionCallers)
+    check_promises(world, callers)
