Test the comparison of terms in a confirmation directly

The guard that removes the comparison of the term in which a read was sent no longer made a test fail: since only targets in the term of the primary confirm a read, the virtual deployment of the test notices the newer term before the confirmation is complete, and the read runs again.

test_read_is_confirmed_only_in_the_term_in_which_it_was_sent gives both statuses of the later term at once and fails without the comparison (run with the guard removed), so the rule does not depend on the order in which statuses arrive.

--- a/tests/pooler/test_pooler_quorum.py
+++ b/tests/pooler/test_pooler_quorum.py
@@ -1,5 +1,7 @@
 """Quorum decisions: acknowledgement, confirmation of the primary, positions for reads."""
 
+from types import SimpleNamespace
+
 import pytest
 from fake_target import GROUP, ConnectionState
 from pooler_world import World
@@ -72,6 +74,14 @@
     assert quorum.is_primary_confirmed(group, PRIMARY, 10) is expected
 
 
+@pytest.mark.parametrize(('sent_term', 'expected'), [(1, False), (3, True)])
+def test_read_is_confirmed_only_in_the_term_in_which_it_was_sent(sent_term, expected):
+    # The target may have been a lagging replica in the term between.
+    group = build_group([(NEAR, 10, follows(3, 8)), (PRIMARY, 10, leads(3, 9))])
+    read = SimpleNamespace(sent_term=sent_term, reply_target=PRIMARY, started_at=10)
+    assert quorum.is_read_confirmed(group, read) is expected
+
+
 # Guards against losing a commit at (1, 9) in a promotion.
 COMMITS = {
     'one replica holds it': ([(PRIMARY, 1, leads(1, 9)), (NEAR, 1, follows(1, 9))], True),
