--- a/src/cassiaseam/pooler/quorum.py
+++ b/src/cassiaseam/pooler/quorum.py
@@ -16,6 +16,7 @@
 from cassiaseam.group.view import find_quorum_floor, is_committed
 from cassiaseam.messages import TargetRole, TargetStatus
 from cassiaseam.pooler.commands import ReportedStatus
+from cassiaseam.pooler.evidence import log_loss
 from cassiaseam.pooler.state import GroupView, Operation, TargetState
 from cassiaseam.positions import ZERO_POSITION, LogPosition
 
@@ -102,29 +103,35 @@
     if view is None or target is None:
         return
     target.reported_connections = reported.connections
+    log_loss.track_report(group, name, started_at, reported, now)
     if now < target.distrusted_until and not reported.is_primary:
         return
+    if view.status is not None and started_at < view.status_started_at:
+        has_lost_lead = reported.term > group.monitor.term and not reported.is_primary
+        if has_lost_lead and name == group.monitor.primary:
+            group.monitor.known_term = max(group.monitor.known_term, reported.term)
+            group.monitor.primary = ''
+        return
+    if not log_loss.counts_as_evidence(group, name, reported):
+        reset_status(group, name)
+        return
     status = TargetStatus(
         instance=name,
         incarnation=target.record.incarnation,
         term=reported.term,
-        # A promotion ends the fence; the newer term then excludes older primaries.
-        fenced_term=max(reported.fenced_term, reported.term),
+        # A promotion ends the fence; the newer term then excludes older primaries, also after a
+        # restart in which the target forgot it.
+        fenced_term=max(reported.fenced_term, target.history.term),
         last=reported.last,
         applied=ZERO_POSITION,
         role=TargetRole.PRIMARY if reported.is_primary else TargetRole.REPLICA,
         primary_contact_age_s=reported.lag_s,
         leaving=target.record.leaving,
     )
-    group.monitor.known_term = max(group.monitor.known_term, reported.term)
-    if view.status is not None and started_at < view.status_started_at:
-        has_lost_lead = reported.term > group.monitor.term and not reported.is_primary
-        if has_lost_lead and name == group.monitor.primary:
-            group.monitor.primary = ''
-        return
     view.status = status
     view.status_started_at = started_at
     view.answered_at = now
+    group.monitor.known_term = max(group.monitor.known_term, reported.term)
     if reported.is_primary:
         adopt_primary(group, name, reported.term, now)
     elif name == group.monitor.primary and reported.term >= group.monitor.term:
@@ -171,6 +178,7 @@
     )
     view.status_started_at = started_at
     view.answered_at = now
+    log_loss.track_primary_position(group, name, view.status.last, now)
     add_quorum_samples(monitor, members_are_fixed=False)
 
 
@@ -180,8 +188,10 @@
 
 
 def reset_status(group: GroupView, name: str) -> None:
-    """Discard the status of a target that restarted."""
+    """Discard the status and the fence of a target that restarted or lost its log."""
     group.monitor.targets[name] = TargetView()
+    if group.promotion is not None:
+        group.promotion.fenced_positions.pop(name, None)
     if group.monitor.primary == name:
         group.monitor.primary = ''
 
@@ -190,10 +200,12 @@
     """Return whether a majority confirmed a target as the current primary at or after `since`.
 
     A promotion first fences enough targets to meet every majority. A newer primary that
-    acknowledged a commit before `since` would therefore show in one of the statuses.
+    acknowledged a commit before `since` would therefore show in one of the statuses. So would a
+    former primary: a target that has not heard of the newer term may still hold what the former
+    primary acknowledges, if its fence has ended, and does not count.
     """
     return name == group.monitor.primary and has_confirmed_primary(
-        group.monitor, polled_after=since
+        group.monitor, polled_after=since, in_term=True
     )
 
 
--- a/src/cassiaseam/pooler/sampling.py
+++ b/src/cassiaseam/pooler/sampling.py
@@ -4,6 +4,7 @@
 from cassiaseam.pooler import connections, routing
 from cassiaseam.pooler.accounts import pool
 from cassiaseam.pooler.admission import poll_backoff
+from cassiaseam.pooler.evidence import log_loss
 from cassiaseam.pooler.state import GroupView, PoolerState
 from cassiaseam.pooler.target_use.causes import PollCause
 
@@ -16,6 +17,7 @@
 ) -> list:
     """Poll any majority at or after `since`, preferring idle targets with open connections."""
     needed = count_majority(group.monitor) if group.monitor.primary else len(group.targets)
+    needed += log_loss.count_lost_logs(group)
     names = routing.list_by_access_cost(state, group, now)
     names.sort(
         key=lambda name: (
@@ -67,9 +69,10 @@
 ) -> list:
     """Poll the nearest targets that form a majority together with the primary."""
     if group.monitor.primary:
+        needed = max(group.size // 2, 1) + log_loss.count_lost_logs(group)
         names = routing.list_replicas_by_access_cost(state, group, now)
         names.sort(key=lambda name: poll_backoff.is_backing_off(group.targets[name], now))
-        names = names[: max(group.size // 2, 1)]
+        names = names[:needed]
     else:
         names = list_discovery_targets(state, group, now)
     effects: list = []
--- a/src/cassiaseam/pooler/targets.py
+++ b/src/cassiaseam/pooler/targets.py
@@ -19,6 +19,7 @@
     ConnectionRefused,
     WriteLog,
 )
+from cassiaseam.pooler.evidence import log_loss
 from cassiaseam.pooler.pacing import concurrency
 from cassiaseam.pooler.state import (
     Connection,
@@ -274,7 +275,10 @@
     poll_backoff.record_poll_reply(target, reply, state.rng, now)
     concurrency.record_status(target, job, reply, now)
     if reply.status is not None:
+        had_lost_log = log_loss.has_lost_log(target)
         quorum.record_status(group, name, job.sent_at, reply.status, now)
+        if log_loss.has_lost_log(target) != had_lost_log:
+            effects.append(log_loss.build_log(group, target))
         target_load.record_running(target, reply.status.running, now)
     effects += failover.handle_control_reply(state, group, name, job, reply, now)
     if target.poll_again is not None and isinstance(job.command, ReadStatus):
--- a/tests/pooler/test_pooler_stale_reads.py
+++ b/tests/pooler/test_pooler_stale_reads.py
@@ -1,9 +1,12 @@
 """Reads that could lack an acknowledged commit, each in the state that two VMs differ in."""
 
+import dataclasses
+
 import pytest
-from fake_target import GROUP
-from pooler_world import MAX_AGE_S, World, is_success
+from fake_target import GROUP, FakeTarget
+from pooler_world import MAX_AGE_S, World, get_error, is_success, poll_targets
 
+from cassiaseam.errors import ErrorKind
 from cassiaseam.group.state import QuorumSample
 from cassiaseam.pooler import quorum
 from cassiaseam.pooler.commands import ReportedStatus, StatementKind, TargetFailure, TargetReply
@@ -284,3 +287,59 @@
     assert lost
     assert is_success(call)
     assert call.answered_at - call.sent_at < 0.4
+
+
+@pytest.mark.parametrize('record_late_s', [0.2, CUT_S], ids=['record in time', 'record late'])
+@pytest.mark.parametrize('blank_s', [0.0, 0.5, 3.0])
+@pytest.mark.parametrize('database', ['orders', 'prices', 'stock'])
+def test_target_that_lost_its_log_proves_nothing_until_it_caught_up(
+    database, blank_s, record_late_s
+):
+    # t0 and t2 held a commit that t1 lacked. After t2 had started again with the log of t1, a VM
+    # that did not reach t0 took its sample from t1 and t2.
+    world = World(vms=2)
+    for vm in world.vms:
+        world.connect(vm, 1, database)
+        world.connect(vm, 2, 'orders')
+        world.send(vm, 2, StatementKind.READ)
+    world.run_until(0.2)
+    world.cut('t0', 't1', 9.0)
+    written = world.send('vm0', 2, StatementKind.WRITE, 'new')
+    world.run_until(0.5)
+    assert is_success(written)
+    poll_targets(world.vms['vm1'])
+    world.run_until(0.6)
+    world.cut('vm1', 't0', 9.0)
+    world.cut('t2', 't0', 9.0)
+    world.wipe('t2', blank_s, record_late_s)
+    for _ in range(40):
+        read = world.send('vm1', 1, StatementKind.READ)
+        world.run_until(world.now + 1.0)
+        due = database == 'orders' or read.sent_at > written.answered_at + MAX_AGE_S
+        assert not (due and is_success(read) and 'new' not in read.answer.rows), read
+        if world.now > 14:
+            break
+    assert is_success(read)
+
+
+@pytest.mark.parametrize('in_transaction', [False, True])
+def test_commit_without_a_position_is_not_acknowledged(in_transaction, monkeypatch):
+    # Without a position no majority can be counted; the commit was answered with success at once.
+    world = World(vms=1)
+    world.connect('vm0', 1, 'orders')
+    world.send('vm0', 1, StatementKind.READ)
+    world.run_until(0.3)
+    if in_transaction:
+        for kind in (StatementKind.BEGIN, StatementKind.WRITE):
+            world.send('vm0', 1, kind, 'own')
+            world.run_until(world.now + 0.2)
+    reply = FakeTarget.reply
+    monkeypatch.setattr(
+        FakeTarget,
+        'reply',
+        lambda *args, **fields: dataclasses.replace(reply(*args, **fields), position=None),
+    )
+    kind = StatementKind.COMMIT if in_transaction else StatementKind.WRITE
+    call = world.send('vm0', 1, kind, 'own')
+    world.run_until(2)
+    assert get_error(call) is ErrorKind.OUTCOME_UNKNOWN
