Tell other VMs of a place that the targets are too busy to answer

What callers could see: with targets that answered BUSY to status polls for 40 ms or more, all VMs of a place polled them for a second, which kept their queues full, so that statements were rejected as busy and reads waited for their samples.

Cause: a sample request expires after 60 ms. The VM that samples was alive, but its polls were answered BUSY; the others took it for dead for two seconds and polled the targets themselves. The reaction to the load added to it.

Change: the VM that samples answers without samples once a majority has answered it with a status or with BUSY. The others keep the request open and ask again after 0.1 s. A VM that dies or is cut off sends no such answer, or none any more once its latest BUSY is 0.06 s past its backoff, and is replaced as before. A request says whether its sender knows the answer: earlier versions take an empty list of samples for a sample and would ask again at once, and they ignore the new field.

The tests of a sampling VM that dies or is cut off while targets are busy hold the other side.

--- a/src/cassiaseam/pooler/admission/poll_backoff.py
+++ b/src/cassiaseam/pooler/admission/poll_backoff.py
@@ -14,6 +14,9 @@
 # further one. A full queue of 16 statements of 9 ms drains from two slots in 0.07 s.
 MIN_BACKOFF_S = 0.02
 MAX_BACKOFF_EXPONENT = 2
+# Seconds after the end of its backoff for which a target still counts as busy. They cover the next
+# poll; a target that answers nothing any more is not busy.
+BUSY_EVIDENCE_S = 0.06
 
 
 def record_poll_reply(
@@ -31,3 +34,8 @@
 def is_backing_off(target: TargetState, now: float) -> bool:
     """Return whether a target was too busy for the latest poll and is not polled again yet."""
     return target.busy_polls > 0 and now < target.next_poll_at
+
+
+def is_busy(target: TargetState, now: float) -> bool:
+    """Return whether a target was too busy for the latest poll, a short time ago."""
+    return target.busy_polls > 0 and now < target.next_poll_at + BUSY_EVIDENCE_S
--- a/src/cassiaseam/pooler/datagrams.py
+++ b/src/cassiaseam/pooler/datagrams.py
@@ -39,18 +39,24 @@
 
 
 class SampleRequestMessage(_Message):
-    """Request for a sample of a group."""
+    """Request for a sample of a group.
+
+    Earlier versions do not send `accepts_busy` and take a response without samples for a sample:
+    they would ask again at once. They ignore the field in a request.
+    """
 
     kind: Literal['sample?'] = 'sample?'
     nonce: NonNegativeInt
     group: str
     max_age_s: Seconds
     loads: dict[str, LoadWords] = {}
+    accepts_busy: bool = False
 
 
 class SampleResponseMessage(_Message):
     """Response to a sample request.
 
+    A response without samples says that the targets are too busy to answer the VM that samples.
     Each sample is a tuple of its age in seconds, the term and the offset of its position, and its
     fenced term.
     """
@@ -85,6 +91,7 @@
             group=effect.group,
             max_age_s=effect.max_age_s,
             loads=encode_loads(effect.loads),
+            accepts_busy=effect.accepts_busy,
         )
     else:
         message = SampleResponseMessage(
@@ -98,8 +105,9 @@
             connections=effect.connections,
             loads=encode_loads(effect.loads),
         )
-    # Without adaptive admission the datagrams are those of earlier versions.
-    unused = None if effect.loads else {'loads'}
+    # Without adaptive admission, responses with samples are those of earlier versions.
+    optional = {'loads': effect.loads, 'accepts_busy': getattr(message, 'accepts_busy', False)}
+    unused = {name for name, content in optional.items() if not content}
     return message.model_dump_json(exclude=unused).encode()
 
 
@@ -128,7 +136,8 @@
         return messages.build_event(message, host, port)
     if isinstance(message, SampleRequestMessage):
         loads = {name: TargetReport(*words) for name, words in message.loads.items()}
-        return SampleRequested(host, port, message.nonce, message.group, message.max_age_s, loads)
+        fields = message.nonce, message.group, message.max_age_s, loads, message.accepts_busy
+        return SampleRequested(host, port, *fields)
     positions = tuple(
         AgedPosition(age_s, LogPosition(position_term, offset), term)
         for age_s, position_term, offset, term in message.samples
--- a/src/cassiaseam/pooler/events.py
+++ b/src/cassiaseam/pooler/events.py
@@ -236,6 +236,7 @@
     group: str
     max_age_s: float
     loads: dict[str, TargetReport] = field(default_factory=dict)
+    accepts_busy: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -245,7 +246,7 @@
     Attributes:
         nonce: Nonce of the request.
         group: Database group.
-        positions: Samples, oldest first.
+        positions: Samples, oldest first; none if the targets are too busy to answer the other VM.
         group_size: Number of targets over which the other VM counts majorities.
         connections: Connections from all VMs per target, as last reported to the other VM.
         loads: What the other VM and its place observed of the targets.
@@ -416,6 +417,7 @@
     group: str
     max_age_s: float
     loads: dict[str, TargetReport] = field(default_factory=dict)
+    accepts_busy: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiaseam/pooler/peer_state.py
+++ b/src/cassiaseam/pooler/peer_state.py
@@ -29,12 +29,15 @@
         vm: Name of the peer.
         sent_at: Time at which the request was sent.
         expired: Whether the request has timed out.
+        busy_until: Time at which the peer is asked again after it answered that the targets are
+            too busy, or 0.
     """
 
     nonce: int
     vm: str
     sent_at: float
     expired: bool = False
+    busy_until: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +50,7 @@
         nonce: Nonce of its request.
         since: Earliest acceptable start time of the sample.
         until: Time at which its request expires.
+        accepts_busy: Whether it may be told that the targets are too busy; it has not been yet.
     """
 
     host: str
@@ -54,3 +58,4 @@
     nonce: int
     since: float
     until: float
+    accepts_busy: bool = False
--- a/src/cassiaseam/pooler/sample_sharing.py
+++ b/src/cassiaseam/pooler/sample_sharing.py
@@ -5,14 +5,20 @@
 every single read, and hold connections to the targets for that. Instead it sends a sample request
 to the VM that its place agrees on, which polls at most once per accepted age for all of them.
 
+Load pattern: the targets are too busy to answer the VM that samples. The other VMs are told so.
+They ask again at a bounded rate and do not poll the busy targets as well.
+
 A sample remains valid in transit: the response carries the age of the sample at the time of the
 response, and the response is sent after the request.
 """
 
+import dataclasses
+
+from cassiaseam.group.quorum import count_majority
 from cassiaseam.group.samples import add_sample
 from cassiaseam.group.state import QuorumSample
 from cassiaseam.pooler import peers, routing, sampling
-from cassiaseam.pooler.admission import headroom, target_load
+from cassiaseam.pooler.admission import headroom, poll_backoff, target_load
 from cassiaseam.pooler.events import (
     AgedPosition,
     SampleReceived,
@@ -28,6 +34,8 @@
 # Covers a round trip within a place and a poll of targets in other regions, with headroom for a
 # busy VM. After the timeout, the VM polls the targets itself.
 SAMPLE_REQUEST_TIMEOUT_S = 0.06
+# Seconds after which a VM is asked again that has answered that the targets are busy.
+REPEAT_REQUEST_AFTER_S = 0.1
 # Seconds for which a VM polls the targets itself after a request failed.
 LOCAL_SAMPLING_S = 1.0
 # Fractions of the accepted age: the age above which the latest sample is refreshed in the
@@ -40,7 +48,7 @@
 def obtain_sample(state: PoolerState, group: GroupView, since: float, now: float) -> list:
     """Obtain a sample as of `since` or later, from a peer or by polling the targets."""
     sample_request = group.sample_request
-    if sample_request is not None and now - sample_request.sent_at < SAMPLE_REQUEST_TIMEOUT_S:
+    if sample_request is not None and now < find_request_end(sample_request):
         return []
     peer = peers.choose_sampler(state, group.name, now)
     if peer is None or now < group.samples_locally_until:
@@ -49,7 +57,13 @@
     group.sample_request = SampleRequest(nonce, peer.record.vm, now)
     host, port = peer.record.host, peer.record.port
     loads = target_load.take_unsent_reports(state, group, now)
-    return [SendSampleRequest(host, port, nonce, group.name, max(now - since, 0), loads)]
+    max_age_s = max(now - since, 0)
+    return [SendSampleRequest(host, port, nonce, group.name, max_age_s, loads, accepts_busy=True)]
+
+
+def find_request_end(sample_request: SampleRequest) -> float:
+    """Return the time until which no other request is sent and no targets are polled instead."""
+    return sample_request.busy_until or sample_request.sent_at + SAMPLE_REQUEST_TIMEOUT_S
 
 
 def refresh_sample(state: PoolerState, group: GroupView, max_age_s: float, now: float) -> list:
@@ -78,15 +92,16 @@
 
 
 def expire_sample_requests(state: PoolerState, group: GroupView, now: float) -> None:
-    """Fall back to local sampling when the request timed out; a late response is still used."""
+    """Fall back to local sampling when the request timed out; a late response is still used.
+
+    A VM that has answered that the targets are busy is asked again instead.
+    """
     sample_request = group.sample_request
-    if (
-        sample_request is None
-        or sample_request.expired
-        or now - sample_request.sent_at < SAMPLE_REQUEST_TIMEOUT_S
-    ):
+    if sample_request is None or sample_request.expired or now < find_request_end(sample_request):
         return
     sample_request.expired = True
+    if sample_request.busy_until:
+        return
     group.samples_locally_until = now + LOCAL_SAMPLING_S
     peer = state.peers.get(sample_request.vm)
     if peer is not None:
@@ -107,11 +122,17 @@
     since = now - event.max_age_s
     samples = group.monitor.samples
     waiter = SampleWaiter(
-        event.host, event.port, event.nonce, since, now + SAMPLE_REQUEST_TIMEOUT_S
+        event.host,
+        event.port,
+        event.nonce,
+        since,
+        now + SAMPLE_REQUEST_TIMEOUT_S,
+        event.accepts_busy,
     )
     if not samples or samples[-1].started_at < since:
         group.sample_waiters.append(waiter)
-        return sampling.poll_majority(state, group, since, PollCause.PEER_SAMPLE, now)
+        effects = sampling.poll_majority(state, group, since, PollCause.PEER_SAMPLE, now)
+        return effects + report_busy_targets(group, now)
     response = build_sample_response(state, group, waiter, now)
     return [response, *refresh_sample(state, group, event.max_age_s, now)]
 
@@ -129,9 +150,36 @@
         elif now < waiter.until:
             still_waiting.append(waiter)
     group.sample_waiters = still_waiting
+    return effects + report_busy_targets(group, now)
+
+
+def report_busy_targets(group: GroupView, now: float) -> list:
+    """Tell the VMs that wait, once per request, that the targets are too busy to answer.
+
+    They still wait for the sample until they ask again.
+    """
+    effects: list = []
+    for index, waiter in enumerate(group.sample_waiters):
+        if waiter.accepts_busy and are_targets_busy(group, waiter.since, now):
+            group.sample_waiters[index] = dataclasses.replace(
+                waiter, accepts_busy=False, until=now + REPEAT_REQUEST_AFTER_S
+            )
+            to = waiter.host, waiter.port, waiter.nonce
+            effects.append(SendSample(*to, group.name, (), group.size, {}))
     return effects
 
 
+def are_targets_busy(group: GroupView, since: float, now: float) -> bool:
+    """Return whether a sample is missing only because targets are too busy to answer polls.
+
+    A majority must have answered this VM, with a status or with BUSY. Otherwise it may be cut off,
+    and its peers have to poll the targets themselves.
+    """
+    busy = {name for name, target in group.targets.items() if poll_backoff.is_busy(target, now)}
+    answered = [name for name in group.targets if sampling.has_status_since(group, name, since)]
+    return bool(busy) and len(busy.union(answered)) >= count_majority(group.monitor)
+
+
 def build_sample_response(
     state: PoolerState, group: GroupView, waiter: SampleWaiter, now: float
 ) -> SendSample:
@@ -161,16 +209,22 @@
 ) -> bool:
     """Store the samples of a peer and return whether they are usable.
 
-    They are not usable when the peer takes majorities of fewer targets.
+    They are not usable when the peer takes majorities of fewer targets. A response without samples
+    says that the targets are too busy to answer the peer; the request then stays open.
     """
     sample_request = group.sample_request
     if sample_request is None or sample_request.nonce != event.nonce:
         return False
-    group.sample_request = None
     target_load.merge_response(group, event.loads, now)
     peer = state.peers.get(sample_request.vm)
     if peer is not None:
         peers.mark_responsive(peer)
+    if not event.positions:
+        sample_request.busy_until = now + REPEAT_REQUEST_AFTER_S
+        sample_request.expired = False
+        group.samples_locally_until = 0
+        return False
+    group.sample_request = None
     if event.group_size < group.size:
         group.samples_locally_until = now + LOCAL_SAMPLING_S
         return False
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -425,6 +425,27 @@
     ),
     Guard('pooler/sample_sharing.py', 'if not headroom.is_count_assumed(target)', 'if True'),
     Guard('pooler/ticks.py', 'sample_sharing.poll_for_waiters(state, group, now)', '[]'),
+    Guard(
+        'pooler/sample_sharing.py',
+        'waiter.accepts_busy and are_targets_busy(group, waiter.since, now)',
+        'False',
+    ),
+    Guard(
+        'pooler/sample_sharing.py',
+        'waiter.accepts_busy and are_targets_busy(group, waiter.since, now)',
+        'are_targets_busy(group, waiter.since, now)',
+    ),
+    Guard(
+        'pooler/sample_sharing.py',
+        'return bool(busy) and len(busy.union(answered)) >= count_majority(group.monitor)',
+        'return bool(busy)',
+    ),
+    Guard('pooler/sample_sharing.py', 'if sample_request.busy_until:', 'if False:'),
+    Guard(
+        'pooler/admission/poll_backoff.py',
+        'return target.busy_polls > 0 and now < target.next_poll_at + BUSY_EVIDENCE_S',
+        'return target.busy_polls > 0',
+    ),
     Guard('pooler/relay/pipe.py', 'self.close(cause)', 'self.on_end()'),
     Guard('pooler/accounts/revocation.py', 'changed.setdefault(session.session_id, now)', 'pass'),
     Guard(
--- a/tests/pooler/test_pooler_peers_io.py
+++ b/tests/pooler/test_pooler_peers_io.py
@@ -1,5 +1,6 @@
 """Records of VMs in the store, and the datagrams between VMs."""
 
+import dataclasses
 import random
 from types import SimpleNamespace
 
@@ -146,7 +147,15 @@
     ('effect', 'event'),
     [
         (REQUEST, SampleRequested('10.0.0.1', 9, 5, 'g', 1.25)),
+        (
+            dataclasses.replace(REQUEST, accepts_busy=True),
+            SampleRequested('10.0.0.1', 9, 5, 'g', 1.25, {}, accepts_busy=True),
+        ),
         (RESPONSE, SampleReceived(5, 'g', RESPONSE.positions, 3, {'t0': 12})),
+        (
+            dataclasses.replace(RESPONSE, positions=(), connections={}),
+            SampleReceived(5, 'g', (), 3, {}),
+        ),
     ],
 )
 def test_datagram_round_trip(effect, event):
--- a/tests/pooler/test_pooler_sample_sharing.py
+++ b/tests/pooler/test_pooler_sample_sharing.py
@@ -207,3 +207,106 @@
     waiter = SampleWaiter('vm1', 0, 1, 0, 1)
     response = sample_sharing.build_sample_response(state, group, waiter, 0.5)
     assert response.connections == {'t0': 7, 't1': 0}
+
+
+class SampledWorld(World):
+    """VMs of one place whose reads need a new sample from 3 s on.
+
+    Attributes:
+        sampler: Name of the VM that samples for the others.
+        others: Names of the other VMs.
+        datagrams: Events of the datagrams that were sent, with the names of sender and receiver.
+    """
+
+    def __init__(self, vms):
+        self.datagrams = []
+        super().__init__(vms=vms, shared=True)
+        self.sampler = max(self.vms, key=lambda name: peers.rank_vm(name, GROUP))
+        self.others = [name for name in self.vms if name != self.sampler]
+        for number, name in enumerate(self.others):
+            self.connect(name, number, 'prices')
+            self.send(name, number, StatementKind.READ)
+        self.run_until(3)
+        self.datagrams.clear()
+
+    def send_datagram(self, sender, receiver, event):
+        self.datagrams.append((sender, receiver, event))
+        super().send_datagram(sender, receiver, event)
+
+    def keep_busy(self, until, names=('t0', 't1', 't2')):
+        """Let targets answer BUSY to status polls until a time."""
+        for name in names:
+            self.targets[name].polls_busy_until = until
+
+    def read_on_others(self):
+        return [
+            self.send(name, number, StatementKind.READ) for number, name in enumerate(self.others)
+        ]
+
+    def count_polls_of_others(self):
+        return sum(self.vms[name].state.commands_sent.get('ReadStatus', 0) for name in self.others)
+
+    def count_failures(self):
+        """Return how many requests to the sampling VM count as not answered."""
+        return sum(self.vms[name].state.peers[self.sampler].failures for name in self.others)
+
+
+@pytest.mark.parametrize('busy_s', [0.01, 0.04, 0.08, 0.15, 0.4])
+def test_vms_do_not_poll_targets_that_are_too_busy_to_answer_the_sampling_vm(busy_s):
+    # After 60 ms of BUSY, all VMs of a place polled the busy targets themselves for a second and
+    # took the VM that samples for dead.
+    world = SampledWorld(vms=20)
+    polls = world.count_polls_of_others()
+    world.keep_busy(3 + busy_s)
+    calls = world.read_on_others()
+    world.run_until(3 + busy_s + 0.25)
+    assert all(is_success(call) for call in calls)
+    requests = [event for *_, event in world.datagrams if isinstance(event, SampleRequested)]
+    requests_per_vm = 2 + busy_s / sample_sharing.REPEAT_REQUEST_AFTER_S
+    assert len(requests) <= len(world.others) * requests_per_vm
+    world.run_until(5.5)
+    assert world.count_polls_of_others() == polls
+    assert world.count_failures() == 0
+
+
+def test_sampling_vm_that_dies_while_targets_are_busy_is_replaced():
+    # An answer that targets are busy holds for a limited time.
+    world = SampledWorld(vms=4)
+    world.keep_busy(3.2)
+    calls = world.read_on_others()
+    world.run_until(3.05)
+    world.freeze(world.sampler, 20)
+    world.run_until(3.45)
+    assert all(is_success(call) for call in calls)
+
+
+@pytest.mark.parametrize('busy_before', [False, True])
+def test_sampling_vm_that_is_cut_off_does_not_answer_that_targets_are_busy(busy_before):
+    # One busy target, or an earlier BUSY, does not show that a majority is only busy.
+    world = SampledWorld(vms=3)
+    if busy_before:
+        world.keep_busy(3.1)
+        request = SampleRequested(world.others[0], 0, 1, GROUP, 0)
+        world.vms[world.sampler].dispatch(request)
+        world.run_until(3.1)
+    for name in ('t1', 't2'):
+        world.cut(world.sampler, name, 20)
+    world.run_until(world.now + 0.3)
+    world.keep_busy(9, ('t0',))
+    calls = world.read_on_others()
+    world.run_until(world.now + 0.3)
+    assert all(is_success(call) for call in calls)
+
+
+def test_earlier_versions_are_not_told_that_targets_are_busy():
+    # They take a response without samples for a sample and ask again at once.
+    world = SampledWorld(vms=2)
+    world.keep_busy(9)
+    (other,) = world.others
+    world.vms[world.sampler].dispatch(SampleRequested(other, 0, 1, GROUP, 0))
+    world.run_until(3.5)
+    assert not world.datagrams
+    request = SampleRequested(other, 0, 1, GROUP, 0, accepts_busy=True)
+    world.vms[world.sampler].dispatch(request)
+    world.run_until(4)
+    assert [event.positions for *_, event in world.datagrams] == [()]
--- a/tests/pooler/virtual_vm.py
+++ b/tests/pooler/virtual_vm.py
@@ -235,7 +235,13 @@
     def send_sample_request(self, effect):
         """Send a request to a peer, whose host is its name."""
         asked = SampleRequested(
-            self.name, 0, effect.nonce, effect.group, effect.max_age_s, effect.loads
+            self.name,
+            0,
+            effect.nonce,
+            effect.group,
+            effect.max_age_s,
+            effect.loads,
+            effect.accepts_busy,
         )
         self.world.send_datagram(self.name, effect.host, asked)
 
