Tell other VMs only connection counts that are as recent as the sample

What callers could see besides: a VM took an idle target for full, or a full one for idle, because the VM that samples for its place polls a majority and told its old count of the third.

Cause: a target that refuses a connection as too many gets the assumed count as well. The counts that were still told carried no age and replaced newer ones.

Change: the time is kept as of which a target reported its connections or refused one. A response tells the counts that are as recent as its sample, also that of a target that has refused a connection since, and the receiver keeps a count that it got by itself since then.

The test of assumed counts now also says as of when its counts are known.

--- a/src/cassiaseam/pooler/connections.py
+++ b/src/cassiaseam/pooler/connections.py
@@ -172,6 +172,7 @@
     target.reported_connections = max(
         target.reported_connections, headroom.FULL_TARGET_CONNECTIONS
     )
+    target.connections_known_at = now
 
 
 def is_usage_unknown(target: TargetState, now: float) -> bool:
--- a/src/cassiaseam/pooler/quorum.py
+++ b/src/cassiaseam/pooler/quorum.py
@@ -111,6 +111,7 @@
     if view is None or target is None:
         return
     target.reported_connections = reported.connections
+    target.connections_known_at = started_at
     if now < target.distrusted_until and not reported.is_primary:
         return
     status = TargetStatus(
--- a/src/cassiaseam/pooler/sample_sharing.py
+++ b/src/cassiaseam/pooler/sample_sharing.py
@@ -18,7 +18,7 @@
 from cassiaseam.group.samples import add_sample
 from cassiaseam.group.state import QuorumSample
 from cassiaseam.pooler import peers, routing, sampling
-from cassiaseam.pooler.admission import headroom, poll_backoff, target_load
+from cassiaseam.pooler.admission import poll_backoff, target_load
 from cassiaseam.pooler.events import (
     AgedPosition,
     SampleReceived,
@@ -27,7 +27,7 @@
     SendSampleRequest,
 )
 from cassiaseam.pooler.peer_state import SampleRequest, SampleWaiter
-from cassiaseam.pooler.state import GroupView, PoolerState
+from cassiaseam.pooler.state import GroupView, PoolerState, TargetState
 from cassiaseam.pooler.target_use.causes import PollCause
 from cassiaseam.reducer.registry import handles
 
@@ -192,11 +192,12 @@
     positions = tuple(
         AgedPosition(now - sample.started_at, sample.position, sample.term) for sample in chosen
     )
-    # An assumed count would replace the one that a target has reported to the other VM.
+    # A count that is only assumed, or older than the sample, would replace a newer one of the
+    # other VM. A target that has refused a connection since then is full.
     in_use = {
         name: target.reported_connections
         for name, target in group.targets.items()
-        if not headroom.is_count_assumed(target)
+        if is_connection_count_known(target, chosen[-1].started_at)
     }
     loads = target_load.build_reports(state, group, now)
     return SendSample(
@@ -204,6 +205,11 @@
     )
 
 
+def is_connection_count_known(target: TargetState, since: float) -> bool:
+    """Return whether the connection count of a target as of `since` or later is known."""
+    return target.connections_known_at is not None and target.connections_known_at >= since
+
+
 def apply_sample_response(
     state: PoolerState, group: GroupView, event: SampleReceived, now: float
 ) -> bool:
@@ -233,6 +239,10 @@
         # The response was sent after the request, so the sample started no earlier than this.
         started_at = sample_request.sent_at - aged.age_s
         add_sample(group.monitor, QuorumSample(started_at, aged.position, aged.term))
+    known_at = sample_request.sent_at - event.positions[-1].age_s
     for name, target in group.targets.items():
-        target.reported_connections = event.connections.get(name, target.reported_connections)
+        # A count that this VM got by itself since then is kept.
+        if name in event.connections and not is_connection_count_known(target, known_at):
+            target.reported_connections = event.connections[name]
+            target.connections_known_at = known_at
     return True
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -246,6 +246,8 @@
         lagging_until: Time before which reads that need `missing_position` are not sent to it.
         lag_refusals: Reads that it refused in a row because it lags behind.
         reported_connections: Connections from all VMs, as last reported.
+        connections_known_at: Time as of which the target reported them, or refused a connection
+            because it has too many, or None.
         service_time_s: Moving average of the time per statement in seconds.
         failure_rate: Moving average of the share of failed statements.
         failure_streak: Failed statements since the latest successful one.
@@ -275,6 +277,7 @@
     lagging_until: float = 0
     lag_refusals: int = 0
     reported_connections: int = 0
+    connections_known_at: float | None = None
     service_time_s: float = 0.02
     failure_rate: float = 0
     failure_streak: FailureStreak = field(default_factory=FailureStreak)
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -423,7 +423,17 @@
         'poll_backoff.is_backing_off(group.targets[name], now),\n',
         '0,\n',
     ),
-    Guard('pooler/sample_sharing.py', 'if not headroom.is_count_assumed(target)', 'if True'),
+    Guard(
+        'pooler/sample_sharing.py',
+        'if is_connection_count_known(target, chosen[-1].started_at)',
+        'if True',
+    ),
+    Guard(
+        'pooler/sample_sharing.py',
+        ' and not is_connection_count_known(target, known_at):',
+        ':',
+    ),
+    Guard('pooler/connections.py', 'target.connections_known_at = now', 'pass'),
     Guard('pooler/ticks.py', 'sample_sharing.poll_for_waiters(state, group, now)', '[]'),
     Guard(
         'pooler/sample_sharing.py',
--- a/tests/pooler/test_pooler_sample_sharing.py
+++ b/tests/pooler/test_pooler_sample_sharing.py
@@ -7,7 +7,7 @@
 from pooler_world import MAX_AGE_S, World, is_success
 
 from cassiaseam.group.state import QuorumSample
-from cassiaseam.pooler import peers, sample_sharing
+from cassiaseam.pooler import connections, peers, sample_sharing
 from cassiaseam.pooler.admission import headroom
 from cassiaseam.pooler.commands import StatementKind
 from cassiaseam.pooler.events import (
@@ -202,8 +202,10 @@
     state = world.vms['vm0'].state
     group = state.groups[GROUP]
     group.monitor.samples.append(QuorumSample(0, LogPosition(1, 1), 1))
-    for name, count in (('t0', 7), ('t1', 0), ('t2', headroom.FULL_TARGET_CONNECTIONS)):
+    full = headroom.FULL_TARGET_CONNECTIONS
+    for name, count, known_at in (('t0', 7, 0), ('t1', 0, 0.1), ('t2', full, None)):
         group.targets[name].reported_connections = count
+        group.targets[name].connections_known_at = known_at
     waiter = SampleWaiter('vm1', 0, 1, 0, 1)
     response = sample_sharing.build_sample_response(state, group, waiter, 0.5)
     assert response.connections == {'t0': 7, 't1': 0}
@@ -310,3 +312,51 @@
     world.vms[world.sampler].dispatch(request)
     world.run_until(4)
     assert [event.positions for *_, event in world.datagrams] == [()]
+
+
+@pytest.mark.parametrize(
+    ('known_at', 'count', 'told'),
+    [(None, 95, False), (98.9, 95, False), (99, 95, True), (99.5, 95, True)],
+)
+def test_connection_counts_older_than_the_sample_are_not_told(known_at, count, told):
+    # The VM that samples polls a majority. Its count of the third target may be minutes old and
+    # replaced newer ones of the other VMs.
+    world = World(vms=1)
+    state = world.vms['vm0'].state
+    group = state.groups[GROUP]
+    group.monitor.samples.append(QuorumSample(99, LogPosition(1, 1), 1))
+    group.targets['t2'].reported_connections = count
+    group.targets['t2'].connections_known_at = known_at
+    waiter = SampleWaiter('vm1', 0, 1, 99, 101)
+    response = sample_sharing.build_sample_response(state, group, waiter, 100)
+    assert response.connections == ({'t2': count} if told else {})
+
+
+def test_target_that_has_just_refused_a_connection_is_told_as_full():
+    # Otherwise each VM of a place opens connections to a full target until it is refused as well.
+    world = World(vms=1)
+    state = world.vms['vm0'].state
+    group = state.groups[GROUP]
+    group.monitor.samples.append(QuorumSample(99, LogPosition(1, 1), 1))
+    connections.record_connection_limit(group.targets['t2'], random.Random(1), 99.5)
+    waiter = SampleWaiter('vm1', 0, 1, 99, 101)
+    response = sample_sharing.build_sample_response(state, group, waiter, 100)
+    assert response.connections == {'t2': headroom.FULL_TARGET_CONNECTIONS}
+
+
+@pytest.mark.parametrize(
+    ('known_at', 'expected'), [(None, 95), (98.85, 95), (98.95, 5), (99.95, 5)]
+)
+def test_told_connection_count_does_not_replace_a_newer_one(known_at, expected):
+    # The request was sent at 99.9 s and the sample is 1 s old: the count is as of 98.9 s or later.
+    world = World(vms=2, shared=True)
+    vm = world.vms['vm0']
+    group = vm.state.groups[GROUP]
+    target = group.targets['t2']
+    target.reported_connections = 5
+    target.connections_known_at = known_at
+    group.sample_request = SampleRequest(1, 'vm1', 99.9)
+    aged = AgedPosition(1, LogPosition(1, 1), 1)
+    event = SampleReceived(1, GROUP, (aged,), 3, {'t2': 95})
+    assert sample_sharing.apply_sample_response(vm.state, group, event, 100)
+    assert target.reported_connections == expected
