--- a/src/cassiaseam/pooler/quorum.py
+++ b/src/cassiaseam/pooler/quorum.py
@@ -103,6 +103,7 @@
     if view is None or target is None:
         return
     target.reported_connections = reported.connections
+    target.connections_known_at = started_at
     log_loss.track_report(group, name, started_at, reported, now)
     if now < target.distrusted_until and not reported.is_primary:
         return
