End relayed sessions when either VM applies a version

Callers of a VM that relays sessions could see the configuration go back. The version was compared only when the peer got the request and START, and later only at ticks: - The relaying VM could apply a version between its request and the acceptance, and the peer then served START and statements under the former one. The acceptance now counts as a refusal, and the next attempt, within the same limit, names the version in force. - On the peer, a statement before the next tick or behind the one in flight ran under a version that the relaying VM had not seen; SET, PREPARE, BEGIN and ROLLBACK left the session open. Idle sessions now end in the event that applies the version, others with the answer that leaves them idle, and queued statements are refused as not run. An open transaction keeps its route. - On the relaying side, a session that was outstanding at each tick stayed. It now ends with the answer that leaves it idle. - Acceptances outlived the version that they were given for, so that idle sessions were closed early although no peer took them. They are forgotten, and a late answer to a probe does not count.

--- a/src/cassiaseam/pooler/completion.py
+++ b/src/cassiaseam/pooler/completion.py
@@ -7,6 +7,7 @@
 from cassiaseam.pooler.commands import Rollback, SessionState, Statement, StatementKind
 from cassiaseam.pooler.events import CallerDisconnected, StatementArrived, WriteLog
 from cassiaseam.pooler.quotas import tokens
+from cassiaseam.pooler.relay import versions
 from cassiaseam.pooler.state import CallerSession, Job, Operation, PoolerState, Purpose
 from cassiaseam.pooler.target_use.causes import CloseCause
 from cassiaseam.reducer.registry import handles, reduce_event
@@ -86,10 +87,11 @@
     # A caller that receives the answer and the end of the session together has no statement in
     # flight.
     idle = session.current is None and session.state is SessionState.IDLE
-    ends = sessions.is_closing_sessions(state, now) or sessions.is_relay_outdated(state, session)
+    ends = sessions.is_closing_sessions(state, now)
     if idle and ends and session.session_id in state.sessions:
         effects += sessions.close_session(state, session)
-    return effects + revocation.end_if_idle(state, session)
+    effects += revocation.end_if_idle(state, session)
+    return effects + versions.end_if_idle(state, session)
 
 
 def abandon_transaction(state: PoolerState, session: CallerSession, now: float) -> list:
--- a/src/cassiaseam/pooler/discovery.py
+++ b/src/cassiaseam/pooler/discovery.py
@@ -14,6 +14,7 @@
     WriteLog,
 )
 from cassiaseam.pooler.model import RoutingConfig, TargetRecord
+from cassiaseam.pooler.relay import versions
 from cassiaseam.pooler.state import GroupView, PoolerState, TargetState
 from cassiaseam.pooler.store_era import get_store_era
 from cassiaseam.pooler.target_use.causes import CloseCause, PollCause
@@ -41,6 +42,7 @@
     )
     effects = [log, *kept, *revocation.close_unused_connections(state)]
     effects += revocation.apply_accounts(state, now)
+    effects += versions.apply_version(state)
     return effects + sessions.resolve_pending_sessions(state, now)
 
 
--- a/src/cassiaseam/pooler/operations.py
+++ b/src/cassiaseam/pooler/operations.py
@@ -26,6 +26,7 @@
 from cassiaseam.pooler.events import StatementArrived
 from cassiaseam.pooler.model import Consistency, Route
 from cassiaseam.pooler.quotas import tokens
+from cassiaseam.pooler.relay import versions
 from cassiaseam.pooler.state import (
     CallerSession,
     GroupView,
@@ -54,9 +55,12 @@
             session.waiting.append(event.statement)
         return []
     effects = revocation.refuse_statement(state, session)
+    if effects is None:
+        effects = versions.refuse_statement(state, session, event.statement)
     if effects is None:
         effects = run_statement(state, session, event.statement, now)
-    return effects + revocation.end_if_idle(state, session)
+    effects += revocation.end_if_idle(state, session)
+    return effects + versions.end_if_idle(state, session)
 
 
 def run_statement(
--- a/src/cassiaseam/pooler/relay/decisions.py
+++ b/src/cassiaseam/pooler/relay/decisions.py
@@ -166,6 +166,22 @@
     return 'full' if len(state.relay.incoming) >= MAX_INCOMING else ''
 
 
+def find_answer_refusal(cause: str, asked_version: int, version: int) -> str:
+    """Return why a session is not relayed to a peer that answered, or '' if it is.
+
+    Between the request and an acceptance, this VM may apply another version. Its own callers are
+    then served under that one, and the accepted session must not be served under the former one.
+
+    Args:
+        cause: Why the peer refuses, or '' if it accepts.
+        asked_version: Version that the request named.
+        version: Version in force on this VM.
+    """
+    if not cause and asked_version != version:
+        return 'other_version'
+    return cause
+
+
 def is_refusal_logged(relay: RelayState, group: str, vm: str, now: float) -> bool:
     """Return whether to log the refusal of a peer: once while it keeps refusing a group."""
     refusing_until = relay.refusing_until.get((group, vm))
--- a/src/cassiaseam/pooler/relay/pipe.py
+++ b/src/cassiaseam/pooler/relay/pipe.py
@@ -19,11 +19,20 @@
     Attributes:
         tracker: Whether a statement is outstanding.
         cause: Which side closed the session first, or '' while it is open.
+        on_receive: Called after bytes of the peer were passed on.
+        on_end: Called when both connections are closed.
     """
 
-    def __init__(self, caller: Any, connection: PeerConnection, on_end: Callable[[], None]):
+    def __init__(
+        self,
+        caller: Any,
+        connection: PeerConnection,
+        on_receive: Callable[[], None],
+        on_end: Callable[[], None],
+    ):
         self.caller = caller
         self.connection = connection
+        self.on_receive = on_receive
         self.on_end = on_end
         self.tracker = StatementTracker()
         self.cause = ''
@@ -51,6 +60,11 @@
         """Pass bytes to the caller."""
         self.tracker.count_from_peer(data)
         self.caller.transport.write(data)
+        self.on_receive()
+
+    def is_idle(self) -> bool:
+        """Return whether no statement is outstanding and no transaction is open."""
+        return not self.tracker.is_outstanding() and not self.tracker.in_transaction
 
     def lose_caller(self) -> None:
         """Close the connection to the peer after the caller has disconnected."""
--- a/src/cassiaseam/pooler/relay/service.py
+++ b/src/cassiaseam/pooler/relay/service.py
@@ -30,7 +30,7 @@
 
     Attributes:
         session_id: Session of the caller.
-        version: Version of the configuration under which it is relayed.
+        version: Version of the configuration that its latest request named.
         peer: Name of the peer that accepted it, or ''.
         pipe: Both connections, or None before a peer has accepted it.
     """
@@ -66,15 +66,19 @@
         self, record: PeerRecord, cause: str, responded: bool, connection: PeerConnection | None
     ) -> None:
         """Connect the caller to a peer that accepts its session, or ask the next one."""
+        in_force = self.service.get_version()
+        cause = decisions.find_answer_refusal(cause, self.version, in_force)
         self.service.dispatch(PeerAnswered(record.vm, self.group, cause, responded))
-        if connection is None:
+        if connection is not None and (cause or self.caller_lost):
+            connection.transport.loseConnection()
+        if cause:
+            self.version = in_force
             self.ask_next_peer()
         elif self.caller_lost:
-            connection.transport.loseConnection()
             self.end('caller_closed')
         else:
             self.peer = record.vm
-            self.pipe = SessionPipe(self.caller, connection, self.finish)
+            self.pipe = SessionPipe(self.caller, connection, self.close_if_outdated, self.finish)
             self.pipe.start(self.caller.take_input())
             self.caller.transport.resumeProducing()
             took_s = self.service.reactor.seconds() - self.started_at
@@ -93,6 +97,16 @@
         if self.pipe is not None:
             self.pipe.lose_caller()
 
+    def close_if_outdated(self) -> None:
+        """Close this session if it is idle and was relayed under another version.
+
+        Its caller connects again and is served under one version on both VMs.
+        """
+        if self.pipe is None or self.pipe.cause or self.version == self.service.get_version():
+            return
+        if self.pipe.is_idle():
+            self.pipe.close('other_version')
+
     def finish(self) -> None:
         """Report the end of both connections."""
         self.end(self.pipe.cause, self.pipe.tracker.is_outstanding())
@@ -109,13 +123,17 @@
     Attributes:
         reactor: Twisted reactor.
         dispatch: Callback for events.
+        get_version: Returns the version of the configuration in force, or 0 without one.
         listener: Factory for the connections of peers.
         sessions: Sessions of callers that are relayed to a peer.
     """
 
-    def __init__(self, reactor: Any, dispatch: Callable[[Any], None]):
+    def __init__(
+        self, reactor: Any, dispatch: Callable[[Any], None], get_version: Callable[[], int]
+    ):
         self.reactor = reactor
         self.dispatch = dispatch
+        self.get_version = get_version
         self.listener = RelayListener(reactor, dispatch)
         self.sessions: dict[int, OutgoingRelay] = {}
 
@@ -137,23 +155,17 @@
         ) -> None:
             if connection is not None:
                 connection.transport.loseConnection()
+            cause = decisions.find_answer_refusal(cause, effect.version, self.get_version())
             self.dispatch(PeerAnswered(record.vm, effect.group, cause, responded))
 
         PeerRequest(
             self.reactor, effect.peer, effect.group, effect.version, receive_answer
         ).start()
 
-    def close_outdated(self, version: int) -> None:
-        """Close the idle sessions that are relayed under another version than the one in force.
-
-        Their callers connect again and are served under one version on both VMs.
-        """
+    def close_outdated(self) -> None:
+        """Close the idle sessions that are relayed under another version than the one in force."""
         for relay in list(self.sessions.values()):
-            pipe = relay.pipe
-            if pipe is None or pipe.cause or relay.version == version:
-                continue
-            if not pipe.tracker.is_outstanding() and not pipe.tracker.in_transaction:
-                pipe.close('other_version')
+            relay.close_if_outdated()
 
     def close_for_stop(
         self, stopping_s: float | None, grace_s: float, transaction_grace_s: float, limit_s: float
--- a/src/cassiaseam/pooler/relay/wire.py
+++ b/src/cassiaseam/pooler/relay/wire.py
@@ -1,8 +1,8 @@
 """Messages that open the connection between two VMs, ahead of the bytes of a session.
 
 The relaying VM sends `RELAY group version`, with the version of the configuration that it has in
-force. The peer answers `RELAY OK`, and the bytes of the session
-follow in both directions, or `RELAY NO cause`, and closes the connection. Lines end in CR LF.
+force. The peer answers `RELAY OK`, and the bytes of the session follow in both directions, or
+`RELAY NO cause`, and closes the connection. Lines end in CR LF.
 """
 
 LINE_END = b'\r\n'
--- a/src/cassiaseam/pooler/runtime.py
+++ b/src/cassiaseam/pooler/runtime.py
@@ -133,7 +133,7 @@
         self.watcher = StoreWatcher(
             reactor, self.environment, self.node.dispatch, self.log, rng, watch_timeout_s
         )
-        self.relay = RelayService(reactor, self.node.dispatch)
+        self.relay = RelayService(reactor, self.node.dispatch, lambda: sessions.get_version(state))
         self.node.services[RelayService] = self.relay
         is_set = settings.relay is not None
         state.relay.enabled = settings.relay if is_set else state.adaptive_admission
@@ -281,8 +281,7 @@
             self.log('daemon_stopping', sessions=len(self.node.state.sessions))
             self.node.dispatch(PoolerStopping())
         self.node.dispatch(PoolerTick(suspended_s=late_s))
-        if self.node.state.config is not None:
-            self.relay.close_outdated(self.node.state.config.version)
+        self.relay.close_outdated()
         limit_s = self.settings.stop_limit - STOP_MARGIN_S
         if self.node.state.stopping_since is not None:
             self.relay.close_for_stop(
--- a/src/cassiaseam/pooler/sessions.py
+++ b/src/cassiaseam/pooler/sessions.py
@@ -187,6 +187,11 @@
     return state.stopping_since is not None and now - state.stopping_since >= STOP_GRACE_S
 
 
+def get_version(state: PoolerState) -> int:
+    """Return the version of the configuration in force, or 0 without one."""
+    return state.config.version if state.config is not None else 0
+
+
 def is_relay_outdated(state: PoolerState, session: CallerSession) -> bool:
     """Return whether a peer relays a session under another version than the one in force here.
 
--- a/tests/pooler/relay/test_relay_bytes.py
+++ b/tests/pooler/relay/test_relay_bytes.py
@@ -14,14 +14,15 @@
 from cassiaseam.pooler import runtime
 from cassiaseam.pooler.clock import BootTimeReactor, read_clock
 from cassiaseam.pooler.environments import Environment
-from cassiaseam.pooler.events import PeerRecord
+from cassiaseam.pooler.events import ConfigurationRead, PeerRecord
 from cassiaseam.pooler.peer_state import PeerState
 from cassiaseam.pooler.relay import requests, wire
-from cassiaseam.pooler.relay.decisions import INITIAL_BACKOFF_S
+from cassiaseam.pooler.relay.decisions import INITIAL_BACKOFF_S, is_relay_working
 from cassiaseam.pooler.relay.events import ProbeRelay
 from cassiaseam.pooler.relay.pipe import BUFFER_BYTES, SessionPipe
 from cassiaseam.pooler.relay.service import RelayService
 from cassiaseam.pooler.relay.tracking import StatementTracker
+from cassiaseam.pooler.sessions import get_version
 
 HOST = '127.0.0.1'
 SECRET = 'key-5f3a'
@@ -29,6 +30,7 @@
 SET = b'QUERY r1 SET a 1\r\n'
 SET_ANSWER = b'DONE -\r\nREADY I -\r\n'
 READY = b'READY I -\r\n'
+READY_IN_TRANSACTION = b'DONE -\r\nREADY T -\r\n'
 WAIT_S = 3.0
 
 
@@ -60,7 +62,7 @@
         self.lines = []
         self.node = Node(self.state, read_clock)
         self.callers = CallerFactory(self.node.dispatch)
-        self.relay = RelayService(reactor, self.node.dispatch)
+        self.relay = RelayService(reactor, self.node.dispatch, lambda: get_version(self.state))
         self.node.services[Environment] = SimpleNamespace(callers=self.callers)
         self.node.services[RelayService] = self.relay
         self.node.services[runtime.PoolerRuntime] = SimpleNamespace(
@@ -72,6 +74,10 @@
     def get_record(self):
         return PeerRecord(self.state.vm, 'p0', HOST, self.relay_port.getHost().port)
 
+    def apply_version(self, version):
+        config = replace(self.state.config, version=version)
+        self.node.dispatch(ConfigurationRead(config))
+
     def list_events(self, kind):
         return [fields for event, fields in self.lines if event == kind]
 
@@ -173,23 +179,107 @@
     near = world.vms[0]
     client = world.connect(START + SET)
     world.wait(lambda: client.received == READY + SET_ANSWER)
-    near.relay.close_outdated(version)
+    near.apply_version(version)
+    near.relay.close_outdated()
     world.turn(0.1)
     assert client.closed is closed
 
 
 def test_outstanding_statement_of_an_outdated_relay_is_not_cut_off(deploy):
+    # The session must end with this answer: a caller that sends the next statement at once would
+    # be outstanding at each tick and be served under the former version without end.
     world = deploy(True, False)
     near = world.vms[0]
     client = world.connect()
     world.wait(lambda: client.received == READY)
     client.transport.write(b'QUERY r1 SET a')
     world.turn(0.05)
-    near.relay.close_outdated(2)
+    near.apply_version(2)
+    near.relay.close_outdated()
     client.transport.write(b' 1\r\n')
     world.wait(lambda: client.received == READY + SET_ANSWER)
-    near.relay.close_outdated(2)
     world.wait(lambda: client.closed)
+    world.wait(lambda: not near.relay.sessions)
+    assert near.list_events('relay_ended')[0]['cause'] == 'other_version'
+
+
+@pytest.mark.parametrize('outdated', ['relaying VM', 'peer'])
+def test_open_transaction_of_an_outdated_relay_may_finish(deploy, outdated):
+    # A transaction that is cut off has to be repeated as a whole.
+    world = deploy(True, False)
+    near, far = world.vms
+    client = world.connect(START + b'QUERY r1 BEGIN\r\n')
+    world.wait(lambda: client.received == READY + READY_IN_TRANSACTION)
+    (near if outdated == 'relaying VM' else far).apply_version(2)
+    near.relay.close_outdated()
+    client.transport.write(b'QUERY r2 SET a 1\r\n')
+    world.wait(lambda: client.received == READY + 2 * READY_IN_TRANSACTION)
+    world.turn(0.05)
+    assert not client.closed
+    client.transport.write(b'QUERY r3 ROLLBACK\r\n')
+    world.wait(lambda: client.closed)
+    assert client.received == READY + 2 * READY_IN_TRANSACTION + SET_ANSWER
+
+
+def hold_request(world):
+    """Connect a caller, and return it and the peers of its session that are asked later."""
+    near, far = world.vms[:2]
+    client = Client()
+    factory = ClientFactory()
+    factory.noisy = False
+    factory.buildProtocol = lambda addr: client
+    world.reactor.connectTCP(HOST, near.port.getHost().port, factory)
+    world.wait(lambda: client.transport is not None)
+    client.transport.write(START + SET)
+    world.wait(lambda: near.relay.sessions)
+    assert not far.state.sessions
+    relay = next(iter(near.relay.sessions.values()))
+    return client, [record.vm for record in relay.remaining]
+
+
+def test_acceptance_of_a_request_with_a_former_version_is_not_used(deploy):
+    # The relaying VM applied version 2 after it had asked under version 1, and the peer served
+    # the session under 1, while other callers of the relaying VM had seen 2.
+    world = deploy(True, False)
+    near, far = world.vms
+    client, _ = hold_request(world)
+    near.apply_version(2)
+    world.wait(lambda: client.received == READY + SET_ANSWER)
+    assert len(near.state.sessions) == 1
+    assert not far.state.sessions
+    assert near.list_events('relay_refused')[0]['cause'] == 'other_version'
+    assert not is_relay_working(near.state.relay, GROUP, read_clock())
+    world.wait(lambda: not far.relay.listener.connections)
+    assert not far.state.relay.incoming
+
+
+def test_next_peer_is_asked_under_the_version_that_is_in_force(deploy):
+    # Later attempts named the former version, so that a peer that had the same one refused.
+    world = deploy(True, False, False)
+    near = world.vms[0]
+    client, later = hold_request(world)
+    near.apply_version(2)
+    peer = next(vm for vm in world.vms if vm.state.vm in later)
+    peer.apply_version(2)
+    world.wait(lambda: client.received == READY + SET_ANSWER)
+    assert [session.relayed_version for session in peer.state.sessions.values()] == [2]
+    assert near.list_events('session_relayed')[0]['attempts'] == 2
+    world.turn(0.05)
+    assert not client.closed
+
+
+def test_idle_session_ends_as_soon_as_the_peer_applies_another_version(deploy):
+    # Until the next tick, statements on the session ran under a version that the relaying VM had
+    # not seen.
+    world = deploy(True, False)
+    far = world.vms[1]
+    client = world.connect()
+    world.wait(lambda: client.received == READY)
+    far.apply_version(2)
+    client.transport.write(SET)
+    world.wait(lambda: client.closed)
+    assert client.received == READY
+    assert far.list_events('session_closed')[0]['cause'] == 'other_version'
 
 
 def test_next_peer_is_asked_after_a_refusal(deploy):
@@ -282,6 +372,17 @@
     world.wait(lambda: len(client.received) == len(READY) + total, 20)
 
 
+def test_probe_with_a_former_version_is_no_evidence(deploy):
+    # The VM closed its idle sessions early, although peers refused to take them.
+    world = deploy(True, False)
+    near, far = world.vms
+    near.relay.probe(ProbeRelay(far.get_record(), GROUP, 1))
+    near.apply_version(2)
+    world.wait(lambda: near.list_events('relay_refused'))
+    assert near.list_events('relay_refused')[0]['cause'] == 'other_version'
+    assert not is_relay_working(near.state.relay, GROUP, read_clock())
+
+
 def test_probe_changes_only_what_is_known_about_the_peer(deploy):
     world = deploy(True, False)
     near, far = world.vms
@@ -370,7 +471,7 @@
     ends = []
     caller = SimpleNamespace(transport=StringTransport())
     connection = SimpleNamespace(transport=StringTransport(), receiver=None)
-    pipe = SessionPipe(caller, connection, lambda: ends.append(pipe.cause))
+    pipe = SessionPipe(caller, connection, lambda: None, lambda: ends.append(pipe.cause))
     pipe.start(START)
     assert connection.transport.value() == START
     pipe.lose_peer()
