Poll a farther replica if the nearest one is not in the term of the primary

What callers saw: writes of a VM whose nearest replica had not heard of a new term were refused as overloaded after 1 s, three in a row, while another VM's write succeeded. Reads on primary routes waited as well since they are confirmed by targets in the term of the primary.

Cause: for a majority with the primary, the nearest replicas were polled again and again, also when their status said that they do not follow it.

Change: a replica whose status of the asked time shows another term, or a fence above it, comes after the others. A farther one is then polled with the next attempt.

Evidence: test_farther_replica_is_polled_if_the_nearest_has_not_heard_of_the_term fails for reads and writes without the change.

--- a/src/cassiaseam/pooler/sampling.py
+++ b/src/cassiaseam/pooler/sampling.py
@@ -67,11 +67,19 @@
 def poll_replicas(
     state: PoolerState, group: GroupView, since: float, cause: PollCause, now: float
 ) -> list:
-    """Poll the nearest targets that form a majority together with the primary."""
+    """Poll the nearest targets that form a majority together with the primary.
+
+    A replica that is known not to be in the term of the primary is passed over for a farther one.
+    """
     if group.monitor.primary:
         needed = max(group.size // 2, 1) + log_loss.count_lost_logs(group)
         names = routing.list_replicas_by_access_cost(state, group, now)
-        names.sort(key=lambda name: poll_backoff.is_backing_off(group.targets[name], now))
+        names.sort(
+            key=lambda name: (
+                is_outside_term(group, name, since),
+                poll_backoff.is_backing_off(group.targets[name], now),
+            )
+        )
         names = names[:needed]
     else:
         names = list_discovery_targets(state, group, now)
@@ -87,6 +95,14 @@
     return view is not None and view.status is not None and view.status_started_at >= since
 
 
+def is_outside_term(group: GroupView, name: str, since: float) -> bool:
+    """Return whether a status as of `since` or later shows another term than the primary's."""
+    if not has_status_since(group, name, since):
+        return False
+    status = group.monitor.targets[name].status
+    return status.term != group.monitor.term or status.fenced_term > group.monitor.term
+
+
 def poll_unless_known(
     state: PoolerState,
     group: GroupView,
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -473,6 +473,7 @@
     Guard('pooler/targets.py', 'transaction is None or transaction.statement.read_only', 'False'),
     Guard('pooler/quorum.py', 'if has_lost_lead and name == group.monitor.primary:', 'if False:'),
     Guard('pooler/connections.py', ' and not is_poll_late(target.status_job, now):', ':'),
+    Guard('pooler/sampling.py', 'is_outside_term(group, name, since),', 'False,'),
     Guard('pooler/sampling.py', ' or poll_backoff.is_backing_off(target, now):', ':'),
     Guard(
         'pooler/sampling.py',
--- a/tests/pooler/test_pooler_stale_reads.py
+++ b/tests/pooler/test_pooler_stale_reads.py
@@ -4,7 +4,8 @@
 
 import pytest
 from fake_target import GROUP, FakeTarget
-from pooler_world import MAX_AGE_S, World, get_error, is_success, poll_targets
+from pooler_world import MAX_AGE_S, World, build_config, get_error, is_success, poll_targets
+from virtual_vm import VirtualVm
 
 from cassiaseam.errors import ErrorKind
 from cassiaseam.group.state import QuorumSample
@@ -343,3 +344,25 @@
     call = world.send('vm0', 1, kind, 'own')
     world.run_until(2)
     assert get_error(call) is ErrorKind.OUTCOME_UNKNOWN
+
+
+@pytest.mark.parametrize('kind', [StatementKind.READ, StatementKind.WRITE])
+def test_farther_replica_is_polled_if_the_nearest_has_not_heard_of_the_term(kind):
+    # Only the nearest replica was polled, again and again. Writes of such a VM were refused after
+    # 1 s, although another replica followed the primary.
+    world = World(vms=2)
+    step_down_unseen(world, apply_delay_s=0.02)
+    vm = VirtualVm(world, 'vm9', 'p2')
+    world.vms['vm9'] = vm
+    world.targets['t0'].leaving = False
+    world.announce(world.targets['t0'])
+    world.run_until(world.now + 0.1)
+    vm.follow_store()
+    world.start_vm(vm, build_config(), world.targets)
+    world.run_until(world.now + 0.1)
+    calls = []
+    for number in range(3):
+        world.connect('vm9', number, 'orders')
+        calls.append(world.send('vm9', number, kind, f'w{number}'))
+        world.run_until(world.now + 0.4)
+    assert all(is_success(call) for call in calls[1:])
