Let the backoff of status polls grow with the number of VMs

What callers could see: polls of many VMs took part in keeping a busy target busy. 40 VMs that read from the primary sent 1,627 polls in 2 s that were all answered BUSY, and a VM that did not know the connection count of a busy target polled it four times a second for that alone.

Cause: the longest backoff of 40 to 120 ms was chosen for one VM and held for any number of them. The probes for a connection count heeded no backoff at all.

Change: the longest mean backoff is the number of VMs divided by 240 polls a second, at least 80 ms as before and at most 167 ms, which the jitter extends to 250 ms. A probe for a connection count waits for the end of the backoff, and its interval doubles to 1 s while the target stays busy. Probes of silent and unreachable targets, surveys and polls of promotions keep their intervals, so that a failed primary is found out as fast as before.

What remains: above 40 VMs, polls grow in proportion to their number again, and surveys of busy targets do not back off.

--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -231,6 +231,7 @@
         poll_again: Why another poll follows the one in flight, or None.
         next_poll_at: Time before which no further status poll is sent.
         busy_polls: Status polls in a row that it was too busy to answer.
+        poll_backoff_s: Mean backoff in seconds after the latest of these.
         next_probe_at: Time before which no further probe is sent because it is silent.
         silent_since: Time of the oldest command that is unanswered since the latest reply.
         unreachable_since: Time since which connection attempts fail, or None.
@@ -262,6 +263,7 @@
     poll_again: PollCause | None = None
     next_poll_at: float = 0
     busy_polls: int = 0
+    poll_backoff_s: float = 0
     next_probe_at: float = 0
     silent_since: float | None = None
     unreachable_since: float | None = None
--- a/src/cassiaseam/pooler/targets.py
+++ b/src/cassiaseam/pooler/targets.py
@@ -264,7 +264,7 @@
     if target.status_job is job:
         target.status_job = None
     target.next_poll_at = now + replies.STATUS_POLL_INTERVAL_S
-    poll_backoff.record_poll_reply(target, reply, state.rng, now)
+    poll_backoff.record_poll_reply(state, target, reply, now)
     concurrency.record_status(target, job, reply, now)
     if reply.status is not None:
         quorum.record_status(group, name, job.sent_at, reply.status, now, reply.position)
--- a/src/cassiaseam/pooler/ticks.py
+++ b/src/cassiaseam/pooler/ticks.py
@@ -15,11 +15,11 @@
     targets,
 )
 from cassiaseam.pooler.accounts import full_targets, grace
-from cassiaseam.pooler.admission import placement, shedding
+from cassiaseam.pooler.admission import placement, poll_backoff, shedding
 from cassiaseam.pooler.commands import SessionState
 from cassiaseam.pooler.events import PoolerStopping, PoolerTick, WriteLog
 from cassiaseam.pooler.relay.decisions import find_close_delay_s
-from cassiaseam.pooler.state import CallerSession, GroupView, PoolerState
+from cassiaseam.pooler.state import CallerSession, GroupView, PoolerState, TargetState
 from cassiaseam.pooler.target_use.causes import PollCause
 from cassiaseam.reducer.registry import handles
 
@@ -149,7 +149,7 @@
             PollCause.SILENT_TARGET: silent,
             PollCause.UNREACHABLE_TARGET: lost,
             PollCause.FULL_TARGET: at_limit,
-            PollCause.UNKNOWN_CONNECTION_COUNT: connections.is_usage_unknown(target, now),
+            PollCause.UNKNOWN_CONNECTION_COUNT: is_count_probe_due(target, now),
         }
         cause = next((it for it, holds in causes.items() if holds), None)
         if cause is not None:
@@ -158,6 +158,14 @@
     return effects
 
 
+def is_count_probe_due(target: TargetState, now: float) -> bool:
+    """Return whether a target is probed for its connection count, which is not urgent."""
+    if poll_backoff.is_backing_off(target, now):
+        return False
+    due_at = target.next_probe_at + poll_backoff.find_probe_delay_s(target, PROBE_INTERVAL_S)
+    return now >= due_at and connections.is_usage_unknown(target, now)
+
+
 def update_majority_reachability(group: GroupView, now: float) -> list:
     """Update since when this VM reaches no majority of a group, and log changes."""
     cut_off = routing.is_majority_unreachable(group, now)
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -434,6 +434,17 @@
         ':',
     ),
     Guard('pooler/connections.py', 'target.connections_known_at = now', 'pass'),
+    Guard(
+        'pooler/admission/poll_backoff.py',
+        'min(max(LONGEST_BACKOFF_S, vms / MAX_POLLS_PER_S), LONGEST_SHARED_BACKOFF_S)',
+        'LONGEST_BACKOFF_S',
+    ),
+    Guard(
+        'pooler/admission/poll_backoff.py',
+        'interval_s * (2 ** min(target.busy_polls, MAX_PROBE_DOUBLINGS) - 1)',
+        '0',
+    ),
+    Guard('pooler/ticks.py', 'if poll_backoff.is_backing_off(target, now):', 'if False:'),
     Guard('pooler/ticks.py', 'sample_sharing.poll_for_waiters(state, group, now)', '[]'),
     Guard(
         'pooler/sample_sharing.py',
--- a/tests/pooler/test_pooler_polls.py
+++ b/tests/pooler/test_pooler_polls.py
@@ -3,9 +3,12 @@
 import pytest
 from pooler_world import World, is_success
 
+from cassiaseam.pooler import ticks
+from cassiaseam.pooler.admission import headroom, poll_backoff
 from cassiaseam.pooler.commands import StatementKind
 from cassiaseam.pooler.quorum import PRIMARY_STATUS_TTL_S
 from cassiaseam.pooler.sampling import REFRESH_STATUS_RATIO
+from cassiaseam.pooler.target_use.causes import PollCause, PollOutcome
 
 READS = 20
 
@@ -86,3 +89,93 @@
     call = world.send('vm0', 1, StatementKind.READ)
     world.run_until(3.1)
     assert is_success(call)
+
+
+@pytest.mark.parametrize(
+    ('vms', 'longest_s'), [(1, 0.08), (19, 0.08), (24, 0.1), (40, 1 / 6), (200, 1 / 6)]
+)
+def test_longest_backoff_grows_with_the_number_of_vms(vms, longest_s):
+    # With its jitter it stays at 0.25 s, or reads would wait long after the target was busy.
+    assert poll_backoff.find_longest_backoff_s(vms) == pytest.approx(longest_s)
+
+
+@pytest.mark.parametrize('database', ['prices', 'orders'])
+def test_many_vms_together_do_not_poll_a_busy_target_without_bound(database):
+    # The longest backoff was the same for any number of VMs: 40 VMs sent each busy target hundreds
+    # of polls a second.
+    world = World(vms=40, shared=True)
+    for number, name in enumerate(world.vms):
+        world.connect(name, number, database)
+        world.send(name, number, StatementKind.READ)
+    world.run_until(3)
+    for target in world.targets.values():
+        target.polls_busy_until = 5
+    # Half a second later, the backoff of each VM has reached the longest.
+    counts = []
+    while world.now < 5:
+        for number, name in enumerate(world.vms):
+            if world.calls[name, number].answer is not None:
+                world.send(name, number, StatementKind.READ)
+        world.run_until(world.now + 0.05)
+        counts.append((world.now, count_polls(world)))
+    (since, first), (until, last) = counts[10], counts[-1]
+    bound = poll_backoff.MAX_POLLS_PER_S * (until - since) * len(world.targets)
+    assert last - first <= bound
+
+
+def test_busy_targets_are_rarely_probed_for_their_connection_counts():
+    # A VM polled a target that was too busy to report its connections four times a second.
+    world = World(vms=1)
+    world.connect('vm0', 1, 'orders')
+    world.send('vm0', 1, StatementKind.READ)
+    world.run_until(1)
+    state = world.vms['vm0'].state
+    for name, target in state.groups['g'].targets.items():
+        world.targets[name].polls_busy_until = 9
+        target.reported_connections = headroom.FULL_TARGET_CONNECTIONS
+    for number in range(60):
+        # Keeps connections open, so that polls could correct the count.
+        world.connect('vm0', number + 2, 'orders')
+        world.send('vm0', number + 2, StatementKind.READ)
+        world.run_until(world.now + 0.1)
+    probes = state.target_use.polls[PollCause.UNKNOWN_CONNECTION_COUNT, PollOutcome.BUSY]
+    # After two probes, the interval is 1 s.
+    busy = [target for target in state.groups['g'].targets.values() if target.busy_polls]
+    assert 0 < probes <= len(busy) * (2 + 6)
+
+
+def test_probe_of_a_silent_target_does_not_wait_for_its_connection_count():
+    # A primary that was busy and then fails has to be found out as fast as any other.
+    world = World(vms=1)
+    world.connect('vm0', 1, 'orders')
+    world.send('vm0', 1, StatementKind.READ)
+    world.run_until(1)
+    state = world.vms['vm0'].state
+    group = state.groups['g']
+    target = group.targets['t0']
+    target.busy_polls = 5
+    target.reported_connections = headroom.FULL_TARGET_CONNECTIONS
+    target.next_probe_at = world.now
+    target.silent_since = world.now - ticks.PROBE_DELAY_S - 0.01
+    ticks.probe_targets(state, group, world.now)
+    assert target.status_job.poll_cause is PollCause.SILENT_TARGET
+
+
+@pytest.mark.parametrize(
+    ('busy_polls', 'delay_s'), [(0, 0), (1, 0.25), (2, 0.75), (3, 0.75), (99, 0.75)]
+)
+def test_probe_for_a_connection_count_is_delayed_by_busy_answers(busy_polls, delay_s):
+    # The interval of 0.25 s did not change while a target was too busy to answer.
+    world = World(vms=1)
+    world.connect('vm0', 1, 'orders')
+    world.send('vm0', 1, StatementKind.READ)
+    world.run_until(1)
+    target = world.vms['vm0'].state.groups['g'].targets['t0']
+    target.reported_connections = headroom.FULL_TARGET_CONNECTIONS
+    target.busy_polls = busy_polls
+    target.next_probe_at = 2
+    assert not ticks.is_count_probe_due(target, 2 + delay_s - 0.01)
+    assert ticks.is_count_probe_due(target, 2 + delay_s)
+    target.busy_polls = busy_polls + 1
+    target.next_poll_at = 5
+    assert not ticks.is_count_probe_due(target, 4.9)
