--- a/src/cassiaseam/pooler/admission/headroom.py
+++ b/src/cassiaseam/pooler/admission/headroom.py
@@ -45,7 +45,7 @@
 
     Args:
         used_share: Share of the connection limit of the target that all VMs use.
-        reopening_s: With headroom, the idle timeout in seconds below which VMs would spend too
+        reopening_s: Minimum idle timeout with headroom in seconds, so that VMs do not spend too
             many slots of the target on opening connections again; None without headroom.
     """
     longest_s = _find_step(IDLE_TIMEOUT_STEPS, used_share)
@@ -59,10 +59,11 @@
 
 
 def find_reopening_time_s(state: PoolerState, target: TargetState) -> float:
-    """Return the idle timeout in seconds that bounds the slots spent on opening connections.
+    """Return the minimum idle timeout with headroom in seconds.
 
-    A VM opens a connection again at most once per idle timeout. All VMs together then spend at
-    most `MAX_REOPENING_SHARE` of the slots of the target on that.
+    A VM with one connection to the target opens it again at most once per idle timeout. All VMs
+    together then spend at most `MAX_REOPENING_SHARE` of the slots of the target on that. Where the
+    idle timeout without headroom is shorter, connections are scarcer than slots, and it holds.
     """
     vms = len(state.peers) + 1
     slots = max(target.record.slots, 1)
--- a/tests/pooler/admission/test_headroom.py
+++ b/tests/pooler/admission/test_headroom.py
@@ -113,5 +113,15 @@
     state.peers = {str(number): None for number in range(vms - 1)}
     reopening_s = headroom.find_reopening_time_s(state, TargetState(record))
     assert headroom.find_idle_timeout_s(used_share, reopening_s) == pytest.approx(timeout_s)
-    opened_per_s = vms / reopening_s
+
+
+@pytest.mark.parametrize('used_share', [0.2, 0.35, 0.5, 0.69])
+@pytest.mark.parametrize(('vms', 'slots'), [(123, 2), (112, 4), (35, 4), (8, 16)])
+def test_opening_again_takes_a_quarter_of_the_slots_at_most(vms, slots, used_share):
+    # Below 0.7 of the limit, slots are scarcer than connections.
+    record = TargetRecord('t0', 'g', '10.0.0.1', 1, 'p0', slots, False, True, '1')
+    state = PoolerState('vm9', 'p0', random.Random(1))
+    state.peers = {str(number): None for number in range(vms - 1)}
+    reopening_s = headroom.find_reopening_time_s(state, TargetState(record))
+    opened_per_s = vms / headroom.find_idle_timeout_s(used_share, reopening_s)
     assert opened_per_s * headroom.OPENING_SLOT_TIME_S <= 0.25 * slots + 1e-9
