Adapt two guards to the merged code

The text of the guard of datagrams of earlier versions and that of the poll of an idle target no longer occurred once after the merges.

--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -232,7 +232,11 @@
         'target_load.merge_response(group, event.loads, now)',
         'pass',
     ),
-    Guard('pooler/datagrams.py', "None if effect.loads else {'loads'}", 'None'),
+    Guard(
+        'pooler/datagrams.py',
+        '{name for name, content in optional.items() if not content}',
+        'None',
+    ),
     Guard('pooler/admission/retries.py', 'budget.tokens >= 1 and ', ''),
     Guard(
         'pooler/admission/retries.py',
@@ -477,8 +481,8 @@
     Guard('pooler/sampling.py', ' or poll_backoff.is_backing_off(target, now):', ':'),
     Guard(
         'pooler/sampling.py',
-        'poll_backoff.is_backing_off(group.targets[name], now),\n',
-        '0,\n',
+        'since),\n            poll_backoff.is_backing_off(group.targets[name], now),',
+        'since),',
     ),
     Guard(
         'pooler/sample_sharing.py',
