Reserve the ports of daemons for as long as their deployment lasts

Cause: the soak asked the kernel for free ports, closed them, and started the daemon that listens on them half a second later. Until then, and while a daemon is killed, the same port is given to others.

Change: ReservedPorts binds each port exclusively, allows SO_REUSEADDR on it afterwards and never listens, so that only the daemon can use it. It replaces both functions that looked for free ports. The relay test checks the exit codes of the daemons, too, which names this cause.

`test_port_of_a_killed_daemon_is_not_given_to_another_process` and the test beside it fail if the socket is closed after its bind.

--- a/src/cassiaseam_soak/installation.py
+++ b/src/cassiaseam_soak/installation.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import os
+import random
 import signal
-import socket
 import subprocess
 import sys
 from dataclasses import dataclass, field
@@ -16,6 +16,7 @@
 from cassiaseam_standin.line_group import LineGroup
 from cassiaseam_standin.line_store import LineStore
 from cassiaseam_standin.line_target import LineTarget
+from cassiaseam_standin.ports import ReservedPorts
 
 PLACES = ('north', 'middle', 'south')
 ROUTES = {'orders': 'primary', 'prices': 'bounded_staleness', 'stock': 'read_your_writes'}
@@ -25,18 +26,6 @@
 POLL_S = 0.02
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return ports that are currently unused."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for unbound in sockets:
-            unbound.bind((LOOPBACK, 0))
-        return [bound.getsockname()[1] for bound in sockets]
-    finally:
-        for listener in sockets:
-            listener.close()
-
-
 def get_version_database(version: int) -> str:
     """Return the name of the database that only one version of the configuration has."""
     return f'version-{version}'
@@ -121,6 +110,7 @@
         store_proxies: Proxy to the store per daemon.
         promotion_proxies: Proxy to the promotion API per daemon if `separate_promotions` is set.
             Otherwise the proxy to the store carries these calls too, as older seeds require.
+        ports: Ports of the daemons, kept also while a daemon is killed.
         extra_settings: Lines that are added to the settings of each daemon.
         accounts: Client accounts of the configuration, or None if it has none.
     """
@@ -143,6 +133,7 @@
         self.extra_settings = extra_settings
         self.daemons: list[Daemon] = []
         self.count = daemons
+        self.ports = ReservedPorts()
         self.version = 1
         self.accounts = accounts
 
@@ -192,7 +183,7 @@
             promotions = HoldingProxy(lambda: self.store.port)
             await promotions.start()
             self.promotion_proxies.append(promotions)
-        callers_port, readiness_port, peers_port = find_free_ports(3)
+        callers_port, readiness_port, peers_port = self.ports.reserve(3, random.Random())
         settings = self.folder / f'vm-{index}.yaml'
         regions = ''.join(f'  {place}: {place}\n' for place in PLACES)
         quotas = ''
@@ -264,6 +255,7 @@
         for target in self.group.targets.values():
             await target.crash()
         await self.store.stop()
+        self.ports.release()
 
 
 def read_vm_name(first: bytes) -> str:
--- a/src/cassiaseam_standin/cluster.py
+++ b/src/cassiaseam_standin/cluster.py
@@ -12,7 +12,6 @@
     DaemonError,
     DaemonPorts,
     DaemonProcess,
-    find_free_ports,
 )
 from cassiaseam_standin.group_control import LOOPBACK
 from cassiaseam_standin.group_launcher import (
@@ -22,6 +21,7 @@
     start_group,
     start_platform,
 )
+from cassiaseam_standin.ports import ReservedPorts
 
 PORTS_PER_DAEMON = 3
 START_ATTEMPTS = 3
@@ -72,6 +72,7 @@
         platform: Stand-in platform.
         groups: Stand-in groups by database name.
         daemons: Daemons by VM name.
+        ports: Ports of the daemons.
     """
 
     shape: ClusterShape
@@ -79,6 +80,7 @@
     platform: StandinProcess | None = None
     groups: dict[str, StandinGroup] = field(default_factory=dict)
     daemons: dict[str, DaemonProcess] = field(default_factory=dict)
+    ports: ReservedPorts = field(default_factory=ReservedPorts)
 
     def list_daemons(self) -> list[DaemonProcess]:
         """Return the daemons in start order."""
@@ -128,7 +130,8 @@
         """Choose ports and write the settings files."""
         for name, secret in SECRETS.items():
             (self.folder / name).write_text(secret)
-        ports = iter(find_free_ports(self.shape.daemons * PORTS_PER_DAEMON, rng))
+        self.ports.release()
+        ports = iter(self.ports.reserve(self.shape.daemons * PORTS_PER_DAEMON, rng))
         for number in range(self.shape.daemons):
             place = self.shape.places[number % len(self.shape.places)]
             vm = f'vm-{number + 1}'
@@ -204,6 +207,7 @@
             group.stop()
         if self.platform is not None:
             kill_processes([self.platform])
+        self.ports.release()
 
 
 def describe_target(target: TargetConfig) -> dict[str, Any]:
--- a/src/cassiaseam_standin/daemon_process.py
+++ b/src/cassiaseam_standin/daemon_process.py
@@ -1,9 +1,7 @@
 """Starts `cassiaseamd` processes on loopback, each with its own settings file."""
 
 import asyncio
-import random
 import signal
-import socket
 import subprocess
 import sys
 from dataclasses import dataclass
@@ -16,10 +14,6 @@
 
 DAEMON_MODULE = 'cassiaseam.daemon.main'
 WATCHED_DAEMON_MODULE = 'cassiaseam_standin.watched_daemon'
-# Below the ephemeral port range of the kernel, so that outgoing connections do not take a port
-# between the check and its use.
-FIRST_PORT = 12_000
-LAST_PORT = 30_000
 READY_TIMEOUT_S = 20.0
 READY_POLL_S = 0.05
 STOP_TIMEOUT_S = 40.0
@@ -29,26 +23,6 @@
     """A daemon failed to start."""
 
 
-def find_free_ports(count: int, rng: random.Random) -> list[int]:
-    """Return ports that nothing listens on, for TCP and UDP."""
-    ports: list[int] = []
-    while len(ports) < count:
-        port = rng.randrange(FIRST_PORT, LAST_PORT)
-        if port not in ports and _is_free(port):
-            ports.append(port)
-    return ports
-
-
-def _is_free(port: int) -> bool:
-    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-        with socket.socket(socket.AF_INET, kind) as probe:
-            try:
-                probe.bind((LOOPBACK, port))
-            except OSError:
-                return False
-    return True
-
-
 @dataclass(slots=True)
 class DaemonPorts:
     """Ports of one daemon."""
--- a/tests/soak/test_relay_daemons.py
+++ b/tests/soak/test_relay_daemons.py
@@ -8,7 +8,7 @@
 from cassiaseam_soak.callers import Caller, Ledger, Session, SessionLost
 from cassiaseam_soak.installation import GROUP, ROUTES, STOP_TIMEOUT_S, Installation, is_ready
 from cassiaseam_soak.proxy import LOOPBACK, LinkFault
-from cassiaseam_soak.run import check_recovery
+from cassiaseam_soak.run import check_exits, check_recovery
 
 CUT_S = 20.0
 # The daemons know each other about 7 s after their start.
@@ -98,6 +98,7 @@
             faults = cut_and_kill(installation)
             await asyncio.gather(faults, *(caller.run_until(end) for caller in callers))
             await check_recovery(installation, ledger)
+            check_exits(installation, ledger)
         finally:
             await installation.stop()
         return ledger, len(read_log(installation, 0, 'session_relayed'))
