Name the remaining reason for soak daemons that do not get ready

Cause: a comment in the soak named ports that other processes bind first. Change: the comment only. A run that does not start still counts as failed.

--- a/src/cassiaseam_soak/main.py
+++ b/src/cassiaseam_soak/main.py
@@ -55,7 +55,7 @@
         try:
             report = run_seed(seed, parsed)
         except TimeoutError:
-            # Another process may bind a chosen port before the daemon does.
+            # A busy machine may start the daemons too slowly.
             sys.stdout.write(f'seed={seed} not run: the daemons did not get ready\n')
             failed.append(seed)
             continue
