Keep ignoring a target without its log when it hears of a newer term

Cause: a target that had lost its log counted again as soon as it reported a newer term. It may report the term of a new primary before it has the log of that primary. A sample of it and of a replica that lags then lacks commits that its lost copy and the primary held, and reads on bounded routes are served without them.

Change: a newer term ends the loss only if the log ends with an entry of that term, which follows everything that the promotion kept. Otherwise the target has to hold what a majority of the others hold in polls after it reported the term, because the promotion may have taken back what they held before.

Result: before, three tests fail: test_target_that_lost_its_log_does_not_count_because_it_has_heard_of_a_newer_term, test_target_that_lost_its_log_counts_in_a_newer_term_once_it_has_the_log_again and the case 'lost entries and heard of a newer term' of test_log_that_went_back_within_a_term_is_a_loss.

--- a/src/cassiaseam/pooler/evidence/log_loss.py
+++ b/src/cassiaseam/pooler/evidence/log_loss.py
@@ -7,7 +7,9 @@
 
 Such a target counts neither for samples and confirmations nor for commits and fences, until it
 holds what a majority of the other targets held after the loss. That majority meets every majority
-that the lost copy was part of.
+that the lost copy was part of. A newer term alone does not end this: the target may hear of the
+term before it has the log of the new primary. An entry of that term follows all entries that the
+promotion kept.
 
 A VM that has not polled the target before sees a loss only while the log is blank.
 """
@@ -27,7 +29,12 @@
     history = group.targets[name].history
     if reported.term > history.term:
         history.term = reported.term
-        history.forget_loss()
+        if reported.last.offset and reported.last.term == reported.term:
+            history.forget_loss()
+        elif history.lost_at is not None:
+            # The promotion may have taken back entries that the others held before.
+            history.lost_at = now
+            history.catch_up = None
     elif started_at < history.answered_at:
         # Commands on two connections may be answered in another order than they were sent.
         return
--- a/tests/pooler/test_pooler_log_loss.py
+++ b/tests/pooler/test_pooler_log_loss.py
@@ -7,7 +7,7 @@
 
 from cassiaseam.group.view import find_quorum_floor
 from cassiaseam.pooler import quorum
-from cassiaseam.pooler.commands import StatementKind
+from cassiaseam.pooler.commands import ReportedStatus, StatementKind
 from cassiaseam.pooler.evidence import log_loss
 from cassiaseam.positions import LogPosition
 
@@ -33,6 +33,10 @@
         [(1, 1.1, follows(1, 9)), (2, 2.1, follows(1, 8)), (3, 3.1, follows(2, 9))],
         False,
     ),
+    'lost entries and heard of a newer term': (
+        [(1, 1.1, follows(1, 9)), (2, 2.1, follows(0, 0)), (3, 3.1, follows(2, 0))],
+        True,
+    ),
     'kept its entries': ([(1, 1.1, AHEAD), (2, 2.1, follows(1, 9))], False),
 }
 
@@ -74,6 +78,49 @@
     assert (group.monitor.targets[NEAR].status is not None) is counts
 
 
+def test_target_that_lost_its_log_does_not_count_because_it_has_heard_of_a_newer_term():
+    # t0 and t2 held a commit that t1 lacked. t2 lost its log, which vm1 saw, and t0 was promoted
+    # again. t2 knew the new term before it had the log; a sample of t1 and t2 lacked the commit.
+    world = World(vms=2)
+    for vm in world.vms:
+        world.connect(vm, 1, 'prices')
+        world.connect(vm, 2, 'orders')
+        world.send(vm, 2, StatementKind.READ)
+    world.run_until(0.2)
+    world.cut('t0', 't1', CUT_S)
+    written = world.send('vm0', 2, StatementKind.WRITE, 'new')
+    world.run_until(0.5)
+    assert is_success(written)
+    poll_targets(world.vms['vm1'])
+    world.run_until(0.6)
+    world.cut('vm1', 't0', CUT_S)
+    world.wipe('t2', CUT_S, CUT_S)
+    for _ in range(3):
+        poll_targets(world.vms['vm1'])
+        world.run_until(world.now + 0.1)
+    assert log_loss.has_lost_log(world.vms['vm1'].state.groups[GROUP].targets['t2'])
+    world.targets['t0'].is_primary = False
+    world.platform.promote(world.targets['t0'])
+    world.run_until(written.answered_at + MAX_AGE_S + 0.1)
+    for _ in range(3):
+        read = world.send('vm1', 1, StatementKind.READ)
+        world.run_until(world.now + 1.2)
+        assert not is_success(read) or 'new' in read.answer.rows
+
+
+def test_target_that_lost_its_log_counts_in_a_newer_term_once_it_has_the_log_again():
+    # Positions that a promotion took back must not keep it out until the next write.
+    lost = [(NEAR, 1, follows(1, 9)), (NEAR, 2, follows(0, 0))]
+    before = [(PRIMARY, 3, leads(1, 12)), (FAR, 3, follows(1, 9)), (NEAR, 3.5, follows(1, 1))]
+    follower = follows(2, 9, position_term=1)
+    leader = ReportedStatus(True, 2, LogPosition(1, 9), 0, 0, 0, 1)
+    after = [(NEAR, 4, follower), (FAR, 5, leader), (PRIMARY, 5, follower)]
+    group = build_group([*lost, *before, *after])
+    assert log_loss.has_lost_log(group.targets[NEAR])
+    quorum.record_status(group, NEAR, 6, follower, 6)
+    assert not log_loss.has_lost_log(group.targets[NEAR])
+
+
 def test_restart_that_is_known_from_the_record_does_not_hide_a_loss():
     # What the target had reported was forgotten with its former incarnation.
     world = World(vms=1)
