Let a late reply prove no lead by a later transaction of its session

Cause: whether a reply shows that its target led was decided from the open transaction of the session, also if the operation of the reply had ended. A read that a second target had answered, or that had timed out, then counted as part of a transaction that began afterwards. Replicas answer such a read, so a former primary that follows its successor was taken for the primary at the time at which the read was sent, and a read on a primary route that had begun before that was confirmed without a commit of the successor.

Change: the reply to an operation that has ended proves a lead only if it is a write or a BEGIN that may write, which replicas refuse in any case.

Result: test_late_reply_to_a_read_proves_no_lead_by_a_later_transaction_of_its_session fails before and passes after, with the other tests of test_pooler_stale_reads.

--- a/src/cassiaseam/pooler/targets.py
+++ b/src/cassiaseam/pooler/targets.py
@@ -202,6 +202,9 @@
         return not job.command.read_only
     if operation.is_write:
         return True
+    if operation.done:
+        # An open transaction of the session is a later one.
+        return False
     session = state.sessions.get(operation.session_id)
     transaction = session.transaction if session is not None else None
     if transaction is None or transaction.statement.read_only:
--- a/tests/pooler/test_pooler_stale_reads.py
+++ b/tests/pooler/test_pooler_stale_reads.py
@@ -266,6 +266,49 @@
     assert (view.status_started_at > before) is proves
 
 
+def follow_unseen_successor(world):
+    """Let t0 follow t1 in term 2 and lack its commit; vm0 and t2 do not hear of the term."""
+    for side in ('vm0', 't2'):
+        world.cut('t1', side, CUT_S)
+    world.cut('t0', 't2', CUT_S)
+    former, successor = world.targets['t0'], world.targets['t1']
+    former.is_primary, successor.is_primary = False, True
+    for target in (former, successor):
+        target.term, target.log, target.applied = 2, [(2, 'new')], 0
+
+
+def test_late_reply_to_a_read_proves_no_lead_by_a_later_transaction_of_its_session():
+    # The reply of t0 to a read that a replica had answered meanwhile arrived after its session had
+    # begun a transaction that may write. It counted as the vote of the primary, although replicas
+    # answer such a read as well, and confirmed the read of another session.
+    world = World(vms=1)
+    for session, database in ((1, 'prices'), (2, 'orders')):
+        world.connect('vm0', session, database)
+        world.send('vm0', session, StatementKind.READ)
+    world.run_until(0.3)
+    follow_unseen_successor(world)
+    world.targets['t0'].polls_busy_until = CUT_S
+    answer = world.vms['vm0'].answer
+    late = []
+
+    def delay_first_reply(connection_id, event, target):
+        if target.name == 't0' and not late:
+            late.append((connection_id, event, target))
+        else:
+            answer(connection_id, event, target)
+
+    world.vms['vm0'].answer = delay_first_reply
+    answered = world.send('vm0', 1, StatementKind.READ)
+    read = world.send('vm0', 2, StatementKind.READ)
+    world.run_until(0.7)
+    assert is_success(answered)
+    assert late
+    world.send('vm0', 1, StatementKind.BEGIN)
+    answer(*late[0])
+    world.run_until(1.5)
+    assert not is_success(read)
+
+
 def test_lost_reply_to_a_poll_of_the_primary_does_not_hold_up_its_reads():
     # Reads wait for a poll of the primary that was sent after they began. A poll whose answer was
     # lost was in flight for 1 s.
