Do not take a reply of a newer term for a status of the known one

Cause: a reply that proves that its target leads updated the status of the primary under the term that this VM knew. A target that leads again after promotions that the VM missed, and followed another primary in between, answers a write in the newer term. That reply confirmed a read of another session that the target had answered while it followed and lagged.

Change: a position of a newer term than the known one is no status of it. It raises the highest known term, so that the targets are polled and the VM learns who leads. A position of an older or the same term counts as before: a commit in a term between would be in the log of a primary of a later term.

Result: test_write_of_a_later_term_does_not_confirm_a_read_of_a_former_one fails before and passes after. test_commit_of_a_primary_that_leads_again_unseen_is_acknowledged, which bounds the wait of the commit by 0.4 s, passes before and after.

--- a/src/cassiaseam/pooler/quorum.py
+++ b/src/cassiaseam/pooler/quorum.py
@@ -158,9 +158,14 @@
 ) -> None:
     """Update the status of the primary by the position in a reply that proves its lead.
 
-    The reply belongs to a command that was sent at `started_at`.
+    The reply belongs to a command that was sent at `started_at`. A position of a newer term shows
+    that the target leads again after promotions that this VM missed. The reply then tells nothing
+    about the known term, and the targets are polled.
     """
     monitor = group.monitor
+    if position.term > monitor.term:
+        monitor.known_term = max(monitor.known_term, position.term)
+        return
     view = monitor.targets.get(name)
     if name != monitor.primary or view is None or view.status is None:
         return
--- a/tests/pooler/test_pooler_stale_reads.py
+++ b/tests/pooler/test_pooler_stale_reads.py
@@ -309,6 +309,40 @@
     assert not is_success(read)
 
 
+def test_write_of_a_later_term_does_not_confirm_a_read_of_a_former_one():
+    # t0 answered a read while it followed t1, led again in term 3 and answered a write. The reply
+    # to the write counted as a status of term 1, which confirmed the read.
+    world = World(vms=1)
+    for session in (1, 2):
+        world.connect('vm0', session, 'orders')
+    world.send('vm0', 1, StatementKind.READ)
+    world.run_until(0.3)
+    follow_unseen_successor(world)
+    first, second = world.targets['t0'], world.targets['t1']
+    first.polls_busy_until = CUT_S
+    read = world.send('vm0', 1, StatementKind.READ)
+    world.run_until(0.34)
+    first.is_primary, second.is_primary = True, False
+    first.term = second.term = 3
+    world.send('vm0', 2, StatementKind.WRITE, 'own')
+    world.run_until(1.5)
+    assert not is_success(read)
+
+
+def test_commit_of_a_primary_that_leads_again_unseen_is_acknowledged():
+    # The reply with a position of the newer term has to make the VM poll the primary.
+    world = World(vms=1)
+    world.connect('vm0', 1, 'orders')
+    world.send('vm0', 1, StatementKind.READ)
+    world.run_until(0.3)
+    for target in world.targets.values():
+        target.term = 3
+    written = world.send('vm0', 1, StatementKind.WRITE, 'own')
+    world.run_until(1.5)
+    assert is_success(written)
+    assert written.answered_at - written.sent_at < 0.4
+
+
 def test_lost_reply_to_a_poll_of_the_primary_does_not_hold_up_its_reads():
     # Reads wait for a poll of the primary that was sent after they began. A poll whose answer was
     # lost was in flight for 1 s.
