Discard samples of a group that has grown

Cause: a sample holds what a majority of the targets held, and stayed in use when the group grew. A majority of the former size need not meet a majority of the new one. A VM that starts while records are missing, and has not read the recorded sizes yet, takes samples for other VMs from the one target that it found. It served its own reads from such a sample when it knew all targets, and told other VMs the new size with it, which they compare.

Change: when the size of a group grows, its samples are discarded, and one is derived from the latest statuses if a majority of the new size is known. A planned replacement costs one new sample per VM or place.

Result: test_sample_of_fewer_targets_is_not_used_after_the_group_has_grown and both cases of test_group_that_has_grown_has_a_sample_if_enough_statuses_are_known fail before and pass after, with the other tests of test_pooler_majorities.

--- a/src/cassiaseam/pooler/quorum.py
+++ b/src/cassiaseam/pooler/quorum.py
@@ -57,9 +57,22 @@
     elif now - group.shrunk_at > SHRINK_DELAY_S:
         group.size = max(count, 1)
         group.shrunk_at = None
-    if len(monitor.config.targets) != group.size:
+    known_size = len(monitor.config.targets)
+    if known_size != group.size:
         slots = tuple(TargetConfig(f'{slot}', '', 0, '') for slot in range(group.size))
         monitor.config = DatabaseConfig(group.name, slots)
+    if known_size < group.size:
+        rebuild_samples(monitor)
+
+
+def rebuild_samples(monitor: GroupState) -> None:
+    """Discard the samples of a group that has grown, and derive one from the latest statuses.
+
+    A majority of fewer targets need not meet the majorities that other VMs count.
+    """
+    monitor.samples.clear()
+    monitor.sampled_at.clear()
+    add_quorum_samples(monitor, members_are_fixed=False)
 
 
 def count_not_leaving(group: GroupView) -> int:
--- a/tests/pooler/test_pooler_majorities.py
+++ b/tests/pooler/test_pooler_majorities.py
@@ -5,13 +5,22 @@
 
 import pytest
 from fake_target import GROUP
-from pooler_world import World, is_success
+from pooler_world import MAX_AGE_S, World, build_config, is_success
+from virtual_vm import VirtualVm
 
+from cassiaseam.group.view import find_quorum_floor
 from cassiaseam.pooler import quorum
-from cassiaseam.pooler.commands import StatementKind
-from cassiaseam.pooler.events import TargetChanged, TargetsListed
+from cassiaseam.pooler.commands import ReportedStatus, StatementKind
+from cassiaseam.pooler.events import (
+    ConfigurationRead,
+    SampleRequested,
+    StoreReachability,
+    TargetChanged,
+    TargetsListed,
+)
 from cassiaseam.pooler.model import TargetRecord
 from cassiaseam.pooler.state import GroupView, TargetState
+from cassiaseam.positions import LogPosition
 
 ISOLATION_S = 30
 
@@ -58,6 +67,52 @@
     assert not world.promotion_calls
 
 
+def test_sample_of_fewer_targets_is_not_used_after_the_group_has_grown():
+    # A VM that had found one record and could not read the recorded sizes yet took a sample for
+    # another VM from that target alone. It served its own reads from the sample once it knew all.
+    world = World(vms=1)
+    world.connect('vm0', 1, 'orders')
+    world.run_until(0.2)
+    world.cut('t0', 't2', ISOLATION_S)
+    written = world.send('vm0', 1, StatementKind.WRITE, 'value')
+    vm = VirtualVm(world, 'vm1', 'p2')
+    world.vms['vm1'] = vm
+    vm.follow_store()
+    vm.store_cut = True
+    for event in (StoreReachability(True), ConfigurationRead(build_config())):
+        vm.dispatch(event)
+    vm.dispatch(TargetsListed((world.targets['t2'].get_record(),)))
+    vm.tick()
+    world.run_until(0.6)
+    assert is_success(written)
+    vm.dispatch(SampleRequested('vm0', 0, 1, GROUP, 0))
+    world.run_until(0.9)
+    vm.store_cut = False
+    world.run_until(1.9)
+    assert vm.state.sizes.known
+    vm.dispatch(TargetsListed(tuple(it.get_record() for it in world.targets.values())))
+    world.connect('vm1', 1, 'prices')
+    world.run_until(written.answered_at + MAX_AGE_S + 0.02)
+    read = world.send('vm1', 1, StatementKind.READ)
+    world.run_until(3)
+    assert is_success(read)
+    assert 'value' in read.answer.rows
+
+
+@pytest.mark.parametrize(('known', 'floor'), [(2, None), (3, LogPosition(1, 3))])
+def test_group_that_has_grown_has_a_sample_if_enough_statuses_are_known(known, floor):
+    # A read that waits for a sample polls no target again whose status it knows.
+    group = GroupView(GROUP, quorum.build_monitor(GROUP))
+    for number in range(1, 6):
+        record = TargetRecord(f't{number}', GROUP, '10.0.0.1', 1, 'p0', 5, False, False, '1')
+        group.targets[record.name] = TargetState(record)
+        quorum.refresh_members(group, 1)
+        if number <= known:
+            status = ReportedStatus(False, 1, LogPosition(1, number), 0, 0, 0, 1)
+            quorum.record_status(group, record.name, 1, status, 1)
+    assert find_quorum_floor(group.monitor, 1) == floor
+
+
 def grow_group(joined):
     """Return a world in which a fourth target has joined, which only one of two VMs knows."""
     three = ('t0', 't1', 't2')
