Discard blank statuses once the group is known to have entries

Cause: a target without term and entries counts for nothing in a group of an odd number of targets that has entries. That was decided when its status arrived. A VM that starts and polls the blank target first does not know of entries yet and counts it, and went on counting it when another target then reported entries. Its first sample lacked commits that the former copy of the blank target and the third target held.

Change: blank statuses are checked again before samples are derived, after each status and each reply of the primary, and discarded like one that arrives later. This also covers a group whose size becomes odd.

--- a/src/cassiaseam/pooler/evidence/log_loss.py
+++ b/src/cassiaseam/pooler/evidence/log_loss.py
@@ -15,6 +15,7 @@
 """
 
 from cassiaseam.group.quorum import count_majority
+from cassiaseam.messages import TargetStatus
 from cassiaseam.pooler.commands import ReportedStatus
 from cassiaseam.pooler.events import WriteLog
 from cassiaseam.pooler.evidence.log_history import LogHistory
@@ -84,7 +85,9 @@
     return target.history.lost_at is not None
 
 
-def counts_as_evidence(group: GroupView, name: str, reported: ReportedStatus) -> bool:
+def counts_as_evidence(
+    group: GroupView, name: str, reported: ReportedStatus | TargetStatus
+) -> bool:
     """Return whether a status may count towards a majority.
 
     A target without term and entries in a group that has entries is new or lost its log. Among an
--- a/src/cassiaseam/pooler/quorum.py
+++ b/src/cassiaseam/pooler/quorum.py
@@ -150,9 +150,23 @@
         adopt_primary(group, name, reported.term, now)
     elif name == group.monitor.primary and reported.term >= group.monitor.term:
         group.monitor.primary = ''
+    discard_blank_statuses(group)
     add_quorum_samples(group.monitor, members_are_fixed=False)
 
 
+def discard_blank_statuses(group: GroupView) -> None:
+    """Discard statuses of blank targets from before the group was known to have entries.
+
+    The targets may be polled in any order after the start of a VM.
+    """
+    for name, view in list(group.monitor.targets.items()):
+        status = view.status
+        if status is None or status.term:
+            continue
+        if not log_loss.counts_as_evidence(group, name, status):
+            reset_status(group, name)
+
+
 def adopt_primary(group: GroupView, name: str, term: int, now: float) -> None:
     """Adopt a target as the current primary unless a newer term is known."""
     monitor = group.monitor
@@ -198,6 +212,7 @@
     view.status_started_at = started_at
     view.answered_at = now
     log_loss.track_primary_position(group, name, view.status.last, now)
+    discard_blank_statuses(group)
     add_quorum_samples(monitor, members_are_fixed=False)
 
 
--- a/tests/pooler/test_pooler_log_loss.py
+++ b/tests/pooler/test_pooler_log_loss.py
@@ -144,6 +144,21 @@
     assert (group.monitor.targets[FAR].status is not None) is counts
 
 
+def test_blank_status_counts_no_more_once_a_target_has_reported_entries():
+    # A VM that polled a blank target before any other one counted it, in a sample that lacks a
+    # commit of the other two targets.
+    group = build_group([(FAR, 1, follows(0, 0)), (NEAR, 1, follows(1, 8))])
+    assert find_quorum_floor(group.monitor, 1) is None
+    quorum.record_status(group, PRIMARY, 1, leads(1, 9), 1)
+    assert find_quorum_floor(group.monitor, 1) == LogPosition(1, 9)
+
+
+def test_blank_status_counts_no_more_once_a_reply_shows_entries():
+    group = build_group([(PRIMARY, 1, leads(1, 0)), (FAR, 1, follows(0, 0))])
+    quorum.record_primary_position(group, PRIMARY, 2, LogPosition(1, 9), 2)
+    assert group.monitor.targets[FAR].status is None
+
+
 def test_group_without_entries_is_served_while_targets_are_blank():
     # Guards the start of a deployment.
     group = build_group([(PRIMARY, 1, follows(0, 0)), (FAR, 1, follows(0, 0))])
