--- a/src/cassiaseam/pooler/evidence/log_loss.py
+++ b/src/cassiaseam/pooler/evidence/log_loss.py
@@ -7,12 +7,15 @@
 
 Such a target counts neither for samples and confirmations nor for commits and fences, until it
 holds what a majority of the other targets held after the loss. That majority meets every majority
-that the lost copy was part of.
+that the lost copy was part of. A newer term alone does not end this: the target may hear of the
+term before it has the log of the new primary. An entry of that term follows all entries that the
+promotion kept.
 
 A VM that has not polled the target before sees a loss only while the log is blank.
 """
 
 from cassiaseam.group.quorum import count_majority
+from cassiaseam.messages import TargetStatus
 from cassiaseam.pooler.commands import ReportedStatus
 from cassiaseam.pooler.events import WriteLog
 from cassiaseam.pooler.evidence.log_history import LogHistory
@@ -27,7 +30,12 @@
     history = group.targets[name].history
     if reported.term > history.term:
         history.term = reported.term
-        history.forget_loss()
+        if reported.last.offset and reported.last.term == reported.term:
+            history.forget_loss()
+        elif history.lost_at is not None:
+            # The promotion may have taken back entries that the others held before.
+            history.lost_at = now
+            history.catch_up = None
     elif started_at < history.answered_at:
         # Commands on two connections may be answered in another order than they were sent.
         return
@@ -77,7 +85,9 @@
     return target.history.lost_at is not None
 
 
-def counts_as_evidence(group: GroupView, name: str, reported: ReportedStatus) -> bool:
+def counts_as_evidence(
+    group: GroupView, name: str, reported: ReportedStatus | TargetStatus
+) -> bool:
     """Return whether a status may count towards a majority.
 
     A target without term and entries in a group that has entries is new or lost its log. Among an
--- a/src/cassiaseam/pooler/quorum.py
+++ b/src/cassiaseam/pooler/quorum.py
@@ -57,9 +57,22 @@
     elif now - group.shrunk_at > SHRINK_DELAY_S:
         group.size = max(count, 1)
         group.shrunk_at = None
-    if len(monitor.config.targets) != group.size:
+    known_size = len(monitor.config.targets)
+    if known_size != group.size:
         slots = tuple(TargetConfig(f'{slot}', '', 0, '') for slot in range(group.size))
         monitor.config = DatabaseConfig(group.name, slots)
+    if known_size < group.size:
+        rebuild_samples(monitor)
+
+
+def rebuild_samples(monitor: GroupState) -> None:
+    """Discard the samples of a group that has grown, and derive one from the latest statuses.
+
+    A majority of fewer targets need not meet the majorities that other VMs count.
+    """
+    monitor.samples.clear()
+    monitor.sampled_at.clear()
+    add_quorum_samples(monitor, members_are_fixed=False)
 
 
 def count_not_leaving(group: GroupView) -> int:
@@ -137,9 +150,23 @@
         adopt_primary(group, name, reported.term, now)
     elif name == group.monitor.primary and reported.term >= group.monitor.term:
         group.monitor.primary = ''
+    discard_blank_statuses(group)
     add_quorum_samples(group.monitor, members_are_fixed=False)
 
 
+def discard_blank_statuses(group: GroupView) -> None:
+    """Discard statuses of blank targets from before the group was known to have entries.
+
+    The targets may be polled in any order after the start of a VM.
+    """
+    for name, view in list(group.monitor.targets.items()):
+        status = view.status
+        if status is None or status.term:
+            continue
+        if not log_loss.counts_as_evidence(group, name, status):
+            reset_status(group, name)
+
+
 def adopt_primary(group: GroupView, name: str, term: int, now: float) -> None:
     """Adopt a target as the current primary unless a newer term is known."""
     monitor = group.monitor
@@ -158,9 +185,14 @@
 ) -> None:
     """Update the status of the primary by the position in a reply that proves its lead.
 
-    The reply belongs to a command that was sent at `started_at`.
+    The reply belongs to a command that was sent at `started_at`. A position of a newer term shows
+    that the target leads again after promotions that this VM missed. The reply then tells nothing
+    about the known term, and the targets are polled.
     """
     monitor = group.monitor
+    if position.term > monitor.term:
+        monitor.known_term = max(monitor.known_term, position.term)
+        return
     view = monitor.targets.get(name)
     if name != monitor.primary or view is None or view.status is None:
         return
@@ -180,6 +212,7 @@
     view.status_started_at = started_at
     view.answered_at = now
     log_loss.track_primary_position(group, name, view.status.last, now)
+    discard_blank_statuses(group)
     add_quorum_samples(monitor, members_are_fixed=False)
 
 
