Hold promotion calls in the soak only until another daemon may take over

Cause: a proxy of the soak acknowledges bytes before it forwards them. Connections that were opened during a silence of the link to the promotion API kept their call in the proxy and delivered it when the silence ended, also when a reset fault had ended the connection long before; a delay of up to 4.0 s did the same.

Why the case is not allowed: docs/platform.md ends the connection of a call that was not acknowledged for 0.5 s, and others act 3.5 s after a claim. A silent link acknowledges nothing, a reset connection delivers nothing, and over a link that delays by more than 0.5 s no connection stands within the 1.0 s of the client.

Change: the proxy to the promotion API drops a request that a fault has held beyond the takeover of the claim under which it was sent (3.5 s after the claim), or for more than 3.0 s, the longest delivery that the lease rules state. Shorter holds stay, although they exceed 0.5 s. A call that a daemon sends after the takeover or without a claim is always forwarded. The check of the fencing tokens is unchanged, and the bounds are constants of the soak, so that a shorter takeover in the daemons does not shorten the faults.

Five of the cases of the new test fail without the limit. tests/soak and tests/standin passed.

--- a/src/cassiaseam_soak/installation.py
+++ b/src/cassiaseam_soak/installation.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from cassiaseam_soak.accounts import CHECK_QUOTAS, QUOTA_SETTINGS, AccountBook
+from cassiaseam_soak.promotion_holds import PromotionHolds
 from cassiaseam_soak.proxy import LOOPBACK, FaultyProxy, HoldingProxy
 from cassiaseam_soak.socket_owners import find_owner
 from cassiaseam_standin.line_group import LineGroup
@@ -110,6 +111,7 @@
         store_proxies: Proxy to the store per daemon.
         promotion_proxies: Proxy to the promotion API per daemon if `separate_promotions` is set.
             Otherwise the proxy to the store carries these calls too, as older seeds require.
+        promotion_holds: Bounds on how long these proxies hold a call.
         ports: Ports of the daemons, kept also while a daemon is killed.
         extra_settings: Lines that are added to the settings of each daemon.
         accounts: Client accounts of the configuration, or None if it has none.
@@ -129,6 +131,8 @@
         self.target_proxies: dict[str, FaultyProxy] = {}
         self.store_proxies: list[FaultyProxy] = []
         self.promotion_proxies: list[HoldingProxy] = []
+        self.promotion_holds = PromotionHolds()
+        self.store.write_observers.append(self.promotion_holds.observe_write)
         self.separate_promotions = separate_promotions
         self.extra_settings = extra_settings
         self.daemons: list[Daemon] = []
@@ -171,6 +175,14 @@
         }
         return names.get(find_owner(names, port, proxy.port), '')
 
+    async def add_promotion_proxy(self, vm: str) -> HoldingProxy:
+        """Start the proxy to the promotion API for a VM."""
+        proxy = HoldingProxy(lambda: self.store.port)
+        proxy.find_hold_limit = partial(self.promotion_holds.find_limit, vm)
+        await proxy.start()
+        self.promotion_proxies.append(proxy)
+        return proxy
+
     async def add_daemon(self, index: int) -> None:
         """Write the settings of a daemon and start it."""
         proxy = FaultyProxy(lambda: self.store.port)
@@ -180,9 +192,7 @@
         self.store_proxies.append(proxy)
         promotions: FaultyProxy = proxy
         if self.separate_promotions:
-            promotions = HoldingProxy(lambda: self.store.port)
-            await promotions.start()
-            self.promotion_proxies.append(promotions)
+            promotions = await self.add_promotion_proxy(f'vm-{index}')
         callers_port, readiness_port, peers_port = self.ports.reserve(3, random.Random())
         settings = self.folder / f'vm-{index}.yaml'
         regions = ''.join(f'  {place}: {place}\n' for place in PLACES)
--- a/src/cassiaseam_soak/proxy.py
+++ b/src/cassiaseam_soak/proxy.py
@@ -47,6 +47,9 @@
         faults: Faults in force; an empty client name means all clients.
         ends_lossy_connections: Whether a connection that lost bytes ends with the fault, as if
             keepalive had found it dead; otherwise it stays silent.
+        find_hold_limit: Returns the time on the clock of the event loop until which a request that
+            is received at a given time may be forwarded, or None if faults hold requests without
+            a limit.
     """
 
     def __init__(
@@ -59,6 +62,7 @@
         self.find_client_name: Callable[[int], str] | None = None
         self.faults: list[ActiveFault] = []
         self.ends_lossy_connections = False
+        self.find_hold_limit: Callable[[float], float] | None = None
         self.port = 0
         self.server: asyncio.Server | None = None
         self.writers: dict[asyncio.StreamWriter, str] = {}
@@ -101,7 +105,10 @@
             if self.find_client_name is not None:
                 client = self.find_client_name(writer.get_extra_info('peername')[1])
             self.writers[writer] = client
-            await self.wait_while_silent(client)
+            if self.find_hold_limit is None:
+                await self.wait_while_silent(client)
+            else:
+                first += await self.hold_request(reader, client, self.find_hold_limit)
             upstream = await asyncio.open_connection(LOOPBACK, self.server_port())
         except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
             self.writers.pop(writer, None)
@@ -119,6 +126,28 @@
         writer.close()
         upstream[1].close()
 
+    async def hold_request(
+        self,
+        reader: asyncio.StreamReader,
+        client: str,
+        find_hold_limit: Callable[[float], float],
+    ) -> bytes:
+        """Return the first bytes of a request after the faults in force have held them.
+
+        Raises:
+            TimeoutError: The faults lasted beyond the hold limit, and the bytes are lost.
+        """
+        loop = asyncio.get_running_loop()
+        request = await reader.read(CHUNK_BYTES)
+        limit = find_hold_limit(loop.time())
+        fault = self.find_fault(client)
+        if fault is not None and fault.kind is LinkFault.DELAY:
+            await asyncio.sleep(fault.delay_s)
+        await self.wait_while_silent(client)
+        if loop.time() > limit:
+            raise TimeoutError('the request was held beyond its limit')
+        return request
+
     async def wait_while_silent(self, client: str) -> None:
         """Wait until a client is no longer silenced."""
         while True:
--- a/tests/soak/test_handover.py
+++ b/tests/soak/test_handover.py
@@ -2,15 +2,19 @@
 
 import asyncio
 import json
+import math
 import random
 
 import pytest
 
+from cassiaseam.platform.records import DUTY_KIND
+from cassiaseam_soak import promotion_holds
 from cassiaseam_soak.callers import Ledger
 from cassiaseam_soak.faults import FAULTS, plan_faults
 from cassiaseam_soak.handover import HANDOVER_FAULTS, plan_handover_faults, wait_for_lease_claim
 from cassiaseam_soak.installation import GROUP, Daemon, Installation
-from cassiaseam_soak.proxy import HoldingProxy
+from cassiaseam_soak.promotion_holds import PromotionHolds
+from cassiaseam_soak.proxy import HoldingProxy, LinkFault
 from cassiaseam_soak.run import check_fencing_tokens, check_former_primaries
 from cassiaseam_standin.line_group import LineGroup
 from cassiaseam_standin.line_store import PromotionCall
@@ -92,6 +96,102 @@
     assert len(asyncio.run(run())) == violations
 
 
+def claim_lease(store, vm):
+    """Write a lease claim of a VM."""
+    store.put(DUTY_KIND, 'promotion', {'holder': vm, 'nonce': 'a', 'released': False})
+
+
+async def send_promotion_call(port):
+    """Send a promotion call of vm-0 on a new connection, and return its writer."""
+    body = json.dumps({'service': GROUP, 'id': 'shop-1'}).encode()
+    _, writer = await asyncio.open_connection('127.0.0.1', port)
+    headers = f'Duty-Holder: vm-0\r\nFencing-Token: 7\r\nContent-Length: {len(body)}\r\n'
+    writer.write(f'POST /promotion HTTP/1.1\r\n{headers}\r\n'.encode() + body)
+    return writer
+
+
+@pytest.mark.parametrize(
+    ('claim_age_s', 'kind', 'hold_s', 'end', 'arrives'),
+    [
+        # Seed 3034: the proxy reset the connections during a silence, and forwarded their calls
+        # after it, when another daemon had promoted.
+        (0, LinkFault.SILENCE, 1.6, 'reset', False),
+        # The caller is killed or paused, so that it does not end the call itself.
+        (0, LinkFault.SILENCE, 1.6, 'close', False),
+        (0, LinkFault.SILENCE, 1.6, 'wait', False),
+        (0, LinkFault.DELAY, 1.6, 'wait', False),
+        (0, LinkFault.DELAY, 1.6, 'close', False),
+        # Calls that arrive late, but before a takeover, must stay among the faults.
+        (0, LinkFault.SILENCE, 0.4, 'wait', True),
+        (0, LinkFault.SILENCE, 0.4, 'reset', True),
+        (0, LinkFault.DELAY, 0.4, 'close', True),
+        # The check of the fencing tokens must see calls that a daemon sends too late, or that it
+        # sends without a claim.
+        (1.2, LinkFault.DELAY, 0.2, 'wait', True),
+        (None, LinkFault.SILENCE, 1.6, 'wait', True),
+        (None, LinkFault.DELAY, 1.6, 'wait', True),
+    ],
+)
+def test_link_faults_hold_a_call_until_the_takeover_at_most(
+    claim_age_s, kind, hold_s, end, arrives, monkeypatch
+):
+    monkeypatch.setattr(promotion_holds, 'TAKEOVER_S', 1.0)
+
+    async def run():
+        installation = Installation('', 0, separate_promotions=True)
+        store = installation.store
+        await store.start()
+        proxy = await installation.add_promotion_proxy('vm-0')
+        if claim_age_s is not None:
+            claim_lease(store, 'vm-0')
+            await asyncio.sleep(claim_age_s)
+        proxy.inject(kind, '', hold_s, hold_s)
+        writer = await send_promotion_call(proxy.port)
+        await asyncio.sleep(0.1)
+        if end == 'reset':
+            proxy.inject(LinkFault.RESET, '', 0)
+        elif end == 'close':
+            writer.close()
+        await asyncio.sleep(hold_s + 0.4)
+        writer.close()
+        proxy.stop()
+        await store.stop()
+        # Lets the closed connections end before the event loop does.
+        await asyncio.sleep(0.05)
+        return [call.token for call in store.promotions]
+
+    assert asyncio.run(run()) == ([7] if arrives else [])
+
+
+@pytest.mark.parametrize(
+    ('vm', 'now', 'limit'),
+    [
+        ('vm-0', 10.0, 13.0),
+        ('vm-0', 12.0, 13.5),
+        ('vm-0', 13.6, math.inf),
+        ('vm-1', 10.0, math.inf),
+    ],
+)
+def test_hold_limit_is_the_earlier_of_takeover_and_delivery(vm, now, limit):
+    # Guards against faults that exceed the rules of the lease, or that spare a daemon's error.
+    holds = PromotionHolds()
+    holds.claimed_at['vm-0'] = 10.0
+    assert holds.find_limit(vm, now) == limit
+
+
+def test_only_claims_start_the_hold_limit():
+    # Guards against a limit that a release, or another object of the store, moves.
+    async def act(store, group):
+        holds = PromotionHolds()
+        store.write_observers.append(holds.observe_write)
+        store.put('config', 'main', {})
+        store.put(DUTY_KIND, 'promotion', {'holder': 'vm-1', 'nonce': 'a', 'released': True})
+        claim_lease(store, 'vm-0')
+        return list(holds.claimed_at)
+
+    assert run_with_store(act) == ['vm-0']
+
+
 async def call_store(store, method, path, document, headers=''):
     """Return the HTTP status of a call to the store, or 'nothing' on timeout."""
     body = json.dumps(document).encode()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -19,7 +19,7 @@
     # from others.
     (7004, SoakShape(daemons=5)),
     # Promotion calls without an answer were treated as finished, but arrived after those of the
-    # next lease holder.
+    # next lease holder. Later a proxy of the soak held such calls beyond the takeover.
     (3034, SoakShape(handover=True)),
     # A stand-in target served a read below its minimum position while stepping down.
     (6112, SoakShape(handover=True)),
