Use no samples of other VMs while a log of the group is known to be lost

Cause: a VM that has seen a target lose its log does not count it, but asked another VM of its place for samples. That one may never have polled the target before and then counts it. Its sample lacked a commit that the former copy of the target held, and the VM that knew of the loss served a read without it.

Change: while a VM knows of a lost log in a group, it polls the targets of the group itself, and rejects a response that arrives. Polls keep their backoff.

Result: test_sample_of_a_vm_that_does_not_know_of_a_lost_log_is_not_used and test_response_that_arrives_after_a_lost_log_was_seen_is_rejected fail before and pass after, with the other tests of test_pooler_sample_sharing.

--- a/src/cassiaseam/pooler/sample_sharing.py
+++ b/src/cassiaseam/pooler/sample_sharing.py
@@ -26,6 +26,7 @@
     SendSample,
     SendSampleRequest,
 )
+from cassiaseam.pooler.evidence import log_loss
 from cassiaseam.pooler.peer_state import SampleRequest, SampleWaiter
 from cassiaseam.pooler.state import GroupView, PoolerState, TargetState
 from cassiaseam.pooler.target_use.causes import PollCause
@@ -51,7 +52,9 @@
     if sample_request is not None and now < find_request_end(sample_request):
         return []
     peer = peers.choose_sampler(state, group.name, now)
-    if peer is None or now < group.samples_locally_until:
+    # A peer that has not polled a target before does not know that it lost its log.
+    is_local = now < group.samples_locally_until or log_loss.count_lost_logs(group) > 0
+    if peer is None or is_local:
         return sampling.poll_majority(state, group, since, PollCause.OWN_SAMPLE, now)
     nonce = state.rng.getrandbits(32)
     group.sample_request = SampleRequest(nonce, peer.record.vm, now)
@@ -215,7 +218,8 @@
 ) -> bool:
     """Store the samples of a peer and return whether they are usable.
 
-    They are not usable when the peer takes majorities of fewer targets. A response without samples
+    They are not usable when the peer takes majorities of fewer targets, or may count a target that
+    this VM knows to have lost its log. A response without samples
     says that the targets are too busy to answer the peer; the request then stays open.
     """
     sample_request = group.sample_request
@@ -231,7 +235,7 @@
         group.samples_locally_until = 0
         return False
     group.sample_request = None
-    if event.group_size < group.size:
+    if event.group_size < group.size or log_loss.count_lost_logs(group):
         group.samples_locally_until = now + LOCAL_SAMPLING_S
         return False
     group.samples_locally_until = 0
--- a/tests/pooler/test_pooler_sample_sharing.py
+++ b/tests/pooler/test_pooler_sample_sharing.py
@@ -4,7 +4,8 @@
 
 import pytest
 from fake_target import GROUP
-from pooler_world import MAX_AGE_S, World, is_success
+from pooler_world import MAX_AGE_S, World, is_success, poll_targets
+from test_pooler_quorum import NEAR, build_group, follows
 
 from cassiaseam.group.state import QuorumSample
 from cassiaseam.pooler import connections, peers, sample_sharing
@@ -17,11 +18,13 @@
     SampleReceived,
     SampleRequested,
 )
+from cassiaseam.pooler.evidence import log_loss
 from cassiaseam.pooler.peer_state import PeerState, SampleRequest, SampleWaiter
 from cassiaseam.pooler.state import PoolerState
 from cassiaseam.positions import LogPosition
 from cassiaseam.reducer.registry import reduce_event
 
+CUT_S = 30.0
 VM_COUNT = 12
 READS_PER_VM = 8
 
@@ -160,6 +163,44 @@
     assert apply_response(world, 0.1, group_size, nonce) == (False, [])
 
 
+def test_sample_of_a_vm_that_does_not_know_of_a_lost_log_is_not_used():
+    # t0 and t2 held a commit that t1 lacked, and t2 lost its log, which one VM saw. It asked
+    # another VM, which had never polled t2, for a sample, and that of t1 and t2 lacked the commit.
+    world = World(vms=2, shared=True)
+    sampler = max(world.vms, key=lambda name: peers.rank_vm(name, GROUP))
+    vm = next(it for it in world.vms.values() if it.name != sampler)
+    world.connect(vm.name, 1, 'prices')
+    world.connect(vm.name, 2, 'orders')
+    world.run_until(0.2)
+    world.cut('t0', 't1', CUT_S)
+    written = world.send(vm.name, 2, StatementKind.WRITE, 'new')
+    world.run_until(0.5)
+    assert is_success(written)
+    poll_targets(vm)
+    world.run_until(0.6)
+    for other in ('t2', *world.vms):
+        world.cut('t0', other, CUT_S)
+    world.wipe('t2', 0.2, CUT_S)
+    for _ in range(3):
+        world.run_until(world.now + 0.2)
+        poll_targets(vm)
+    world.run_until(world.now + 0.1)
+    assert log_loss.has_lost_log(vm.state.groups[GROUP].targets['t2'])
+    world.run_until(written.answered_at + MAX_AGE_S + 0.4)
+    read = world.send(vm.name, 1, StatementKind.READ)
+    world.run_until(world.now + 1.2)
+    assert not is_success(read) or 'new' in read.answer.rows
+
+
+def test_response_that_arrives_after_a_lost_log_was_seen_is_rejected():
+    group = build_group([(NEAR, 1, follows(1, 9)), (NEAR, 2, follows(1, 8))])
+    group.sample_request = SampleRequest(7, 'vm0', 1.5)
+    event = SampleReceived(7, GROUP, (AgedPosition(0, LogPosition(1, 8), 1),), 3, {})
+    state = PoolerState('vm1', 'p0', random.Random(1))
+    assert not sample_sharing.apply_sample_response(state, group, event, 2.5)
+    assert not group.monitor.samples
+
+
 def test_expired_sample_waiters_are_removed():
     # While no target responds, the waiters of all requests would accumulate.
     world = World(vms=2, shared=True)
