--- a/tests/pooler/test_pooler_sample_sharing.py
+++ b/tests/pooler/test_pooler_sample_sharing.py
@@ -188,6 +188,8 @@
     assert log_loss.has_lost_log(vm.state.groups[GROUP].targets['t2'])
     world.run_until(written.answered_at + MAX_AGE_S + 0.4)
     read = world.send(vm.name, 1, StatementKind.READ)
+    # A request whose response is rejected would delay the read.
+    assert vm.state.groups[GROUP].sample_request is None
     world.run_until(world.now + 1.2)
     assert not is_success(read) or 'new' in read.answer.rows
 
