Escape names of the configuration in the labels of metrics

Cause: names of routes, groups, targets were written into the metrics text as they are. A lone surrogate in the name of one route, which JSON can hold, failed every scrape of a VM that had served the route with a UnicodeEncodeError; a quote or a line end made the text unreadable. Change: one function quotes label values in the Prometheus text format, and writes what UTF-8 cannot hold as escapes. The quotas, which used json.dumps for this, use it too.

--- a/src/cassiaseam/pooler/admission/metrics.py
+++ b/src/cassiaseam/pooler/admission/metrics.py
@@ -2,10 +2,12 @@
 
 from typing import Any
 
+from cassiaseam.observability.labels import quote_label
+
 
 def render_group(group: Any) -> list[str]:
     """Return the counters of the retry budget of a `GroupView`, and which targets are avoided."""
-    labels = f'group="{group.name}"'
+    labels = f'group={quote_label(group.name)}'
     budget = group.retry_budget
     lines = [
         f'cassiaseam_first_attempts_total{{{labels}}} {budget.attempts}',
@@ -14,5 +16,5 @@
     ]
     for name, target in sorted(group.targets.items()):
         avoided = int(target.load.avoided)
-        lines.append(f'cassiaseam_target_avoided{{{labels},target="{name}"}} {avoided}')
+        lines.append(f'cassiaseam_target_avoided{{{labels},target={quote_label(name)}}} {avoided}')
     return lines
--- a/src/cassiaseam/pooler/metrics.py
+++ b/src/cassiaseam/pooler/metrics.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from cassiaseam.observability.labels import quote_label
 from cassiaseam.pooler.accounts.metrics import render_account_metrics
 from cassiaseam.pooler.admission import metrics as admission_metrics
 from cassiaseam.pooler.pacing.pace_metrics import render_group_paces
@@ -46,15 +47,15 @@
     ]
     lines += render_relay_metrics(state.relay)
     for (route, outcome), count in sorted(state.counters.items()):
-        labels = f'route="{route}",outcome="{outcome}"'
+        labels = f'route={quote_label(route)},outcome="{outcome}"'
         lines.append(f'cassiaseam_statements_total{{{labels}}} {count}')
     for route, count in sorted(state.shed.items()):
-        lines.append(f'cassiaseam_statements_shed_total{{route="{route}"}} {count}')
+        lines.append(f'cassiaseam_statements_shed_total{{route={quote_label(route)}}} {count}')
     for kind, count in sorted(state.commands_sent.items()):
         lines.append(f'cassiaseam_target_commands_total{{command="{kind}"}} {count}')
     lines += render_target_use(state)
     for group in state.groups.values():
-        labels = f'group="{group.name}"'
+        labels = f'group={quote_label(group.name)}'
         lines.append(f'cassiaseam_group_term{{{labels}}} {group.monitor.term}')
         lines.append(f'cassiaseam_group_operations{{{labels}}} {len(group.operations)}')
         lines.extend(render_group_paces(group))
@@ -72,11 +73,12 @@
 def render_histogram(route: str, histogram: Histogram) -> list[str]:
     """Return the cumulative buckets, the sum and the count of one route."""
     name = 'cassiaseam_statement_seconds'
+    label = f'route={quote_label(route)}'
     lines = []
     total = 0
     for bound, count in zip(BUCKET_LABELS, histogram.counts, strict=True):
         total += count
-        lines.append(f'{name}_bucket{{route="{route}",le="{bound}"}} {total}')
-    lines.append(f'{name}_sum{{route="{route}"}} {histogram.total_s:.6f}')
-    lines.append(f'{name}_count{{route="{route}"}} {total}')
+        lines.append(f'{name}_bucket{{{label},le="{bound}"}} {total}')
+    lines.append(f'{name}_sum{{{label}}} {histogram.total_s:.6f}')
+    lines.append(f'{name}_count{{{label}}} {total}')
     return lines
--- a/src/cassiaseam/pooler/pacing/pace_metrics.py
+++ b/src/cassiaseam/pooler/pacing/pace_metrics.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from cassiaseam.observability.labels import quote_label
 from cassiaseam.pooler.pacing.pace import CutCause, Stage
 
 
@@ -12,7 +13,7 @@
         pace = target.pace
         if pace.stage is Stage.UNUSED:
             continue
-        labels = f'group="{group.name}",target="{name}"'
+        labels = f'group={quote_label(group.name)},target={quote_label(name)}'
         in_flight = sum(it.job is not None for it in target.connections.values())
         lines.append(f'cassiaseam_target_pace_limit{{{labels}}} {int(pace.limit)}')
         lines.append(f'cassiaseam_target_pace_full{{{labels}}} {int(pace.stage is Stage.FULL)}')
--- a/src/cassiaseam/pooler/quotas/metrics.py
+++ b/src/cassiaseam/pooler/quotas/metrics.py
@@ -1,7 +1,6 @@
 """Metrics of the quotas in the Prometheus text format."""
 
-import json
-
+from cassiaseam.observability.labels import quote_label
 from cassiaseam.pooler.quotas.quota_state import QuotaState
 
 
@@ -17,6 +16,6 @@
     ]
     for account, count in sorted(quotas.refused.items()):
         # JSON escapes what would end the value of a label.
-        name = json.dumps(account, ensure_ascii=False)
+        name = quote_label(account)
         lines.append(f'cassiaseam_quota_refused_total{{account={name}}} {count}')
     return lines
--- a/src/cassiaseam/pooler/target_use/metrics.py
+++ b/src/cassiaseam/pooler/target_use/metrics.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+from cassiaseam.observability.labels import quote_label
+
 
 def render_target_use(state: Any) -> list[str]:
     """Return the counters of the status polls and connections of a `PoolerState`."""
@@ -35,6 +37,6 @@
         if not (target.connections or state.adaptive_admission):
             continue
         share = min(target.reported_connections / max(limits.max_connections, 1), 1)
-        labels = f'group="{group.name}",target="{name}"'
+        labels = f'group={quote_label(group.name)},target={quote_label(name)}'
         lines.append(f'cassiaseam_target_connection_share{{{labels}}} {share:.3f}')
     return lines
