Close the connection of the server in the test of held connections

Cause: the server of test_held_connection_completes_after_the_hold never closed its side of the connection. The writer outlived the event loop of the test, and its destructor raised 'Event loop is closed' while Python compiled a module for the summary of pytest. Python 3.11.6 then ended the run with 'SystemError: AST constructor recursion depth mismatch'.

Change: the server closes the connection after its byte. What the test checks is unchanged.

That the destructor triggers the error is concluded from its absence now; it was not traced inside Python.

--- a/tests/soak/test_handover.py
+++ b/tests/soak/test_handover.py
@@ -270,8 +270,12 @@
 
 def test_held_connection_completes_after_the_hold():
     # Guards against a hold that lets connections through, or that breaks them for good.
+    def answer(_, writer):
+        writer.write(b'x')
+        writer.close()
+
     async def run():
-        server = await asyncio.start_server(lambda _, writer: writer.write(b'x'), '127.0.0.1', 0)
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
         proxy = HoldingProxy(lambda: server.sockets[0].getsockname()[1])
         await proxy.start()
         hold = asyncio.ensure_future(proxy.hold_connections(0.3))
