List a call that the soak delays beyond the takeover on a reused connection

Cause: the limit of held promotion calls covers the first request of a connection only. The daemons keep the connection after an answer, and the proxy delays later calls on it without a limit.

--- a/tests/soak/test_handover.py
+++ b/tests/soak/test_handover.py
@@ -166,6 +166,34 @@
     assert asyncio.run(run()) == ([7] if arrives else [])
 
 
+def test_delay_of_a_reused_connection_holds_a_call_until_the_takeover_at_most(monkeypatch):
+    # The limit covers the first request of a connection only. The daemons keep the connection
+    # after an answer, and a later call on it is delivered after the delay, whenever that is.
+    monkeypatch.setattr(promotion_holds, 'TAKEOVER_S', 1.5)
+
+    async def run():
+        installation = Installation('', 0, separate_promotions=True)
+        store = installation.store
+        await store.start()
+        proxy = await installation.add_promotion_proxy('vm-0')
+        claim_lease(store, 'vm-0')
+        writer = await send_promotion_call(proxy.port)
+        await asyncio.sleep(0.3)
+        proxy.inject(LinkFault.DELAY, '', 2.2, 2.2)
+        body = json.dumps({'service': GROUP, 'id': 'shop-1'}).encode()
+        headers = f'Duty-Holder: vm-0\r\nFencing-Token: 8\r\nContent-Length: {len(body)}\r\n'
+        writer.write(f'POST /promotion HTTP/1.1\r\n{headers}\r\n'.encode() + body)
+        await asyncio.sleep(2.8)
+        writer.close()
+        proxy.stop()
+        await store.stop()
+        # Lets the closed connections end before the event loop does.
+        await asyncio.sleep(0.05)
+        return [call.token for call in store.promotions]
+
+    assert asyncio.run(run()) == [7]
+
+
 @pytest.mark.parametrize(
     ('vm', 'now', 'limit'),
     [
