review 7: a promotion ends a fence that the new primary does not reach

The successor is partitioned from its replicas as it begins to lead. The promotion ends the fence of the other replica all the same, which then confirms writes of the former primary that the successor lacks.

--- a/review/lab.py
+++ b/review/lab.py
@@ -309,6 +309,9 @@
         promote_s: Time from the call until a promotion takes effect.
         lag_s: Delay of the replication.
         on_promotion_call: Called with the id when a promotion call arrives, or None.
+        on_promotion: Called with the instance that begins to lead, or None.
+        ends_all_fences: Whether a promotion also ends the fences of instances that the new primary
+            does not reach.
         runs: Runs of clients' statements as (time, instance, request id, verb).
         promotions: Promotions that took effect as (time, id, term, log).
     """
@@ -321,6 +324,8 @@
         self.promote_s = promote_s
         self.lag_s = lag_s
         self.on_promotion_call = None
+        self.on_promotion = None
+        self.ends_all_fences = False
         self.runs = []
         self.promotions = []
         self.cuts = set()
@@ -407,21 +412,19 @@
         return True
 
     def promote(self, instance):
-        """Let an instance lead the next term with what it has received.
-
-        One that has crashed since the call is then a primary that crashed.
-        """
-        if instance.is_primary:
+        """Let an instance lead the next term with what it has received, unless it has crashed."""
+        if not instance.running or instance.is_primary:
             return
         instance.term = max(it.term for it in self.instances.values()) + 1
         instance.is_primary = True
+        if self.on_promotion is not None:
+            self.on_promotion(instance)
         for other in self.instances.values():
-            if instance.running and self.has_link(instance, other):
+            if self.ends_all_fences or self.has_link(instance, other):
                 other.fenced = 0
         self.promotions.append((time.monotonic(), instance.name, instance.term, list(instance.log)))
         self.record.write(f'promoted {instance.name} term {instance.term} log {instance.last}')
-        if instance.running:
-            instance.announce()
+        instance.announce()
 
 
 class Store:
