--- a/review/lab.py
+++ b/review/lab.py
@@ -1,4 +1,4 @@
-"""Small stand-ins of the platform for the cases 6 to 10: store, database instances and clients.
+"""Small stand-ins of the platform for the cases 6 to 8: store, database instances and clients.
 
 They follow PROTOCOL.md of the users' pages. Instances and store run in the process of a case, the
 daemons are processes of their own.
@@ -19,7 +19,6 @@
 LOOPBACK = '127.0.0.1'
 ROOT = Path(__file__).resolve().parent.parent
 ENCODING = 'latin-1'
-NEVER_S = 3600.0
 # A connection whose remote end is unreachable is dropped after this time.
 UNREACHABLE_DROP_S = 3.0
 # A former primary follows the new one a second after it can reach it.
@@ -57,10 +56,8 @@
     Attributes:
         fenced: Term of the fence (PAUSE), or 0.
         log: Entries as (term, request id, text).
-        deaf: Whether it receives nothing from its primary.
         busy: Whether its slots and its queue are full, so that it sheds reads, writes and commits.
         unreachable_from: Names of machines whose packets do not arrive.
-        copy_limit: Entries that it receives in one replication tick.
         register_delay_s: Time from its start until its record is in the store.
     """
 
@@ -72,12 +69,10 @@
         self.fenced = 0
         self.log = []
         self.is_primary = False
-        self.deaf = False
         self.leaving = False
         self.running = False
         self.unreachable_from = set()
         self.busy = False
-        self.copy_limit = 1000
         self.register_delay_s = 0.0
         self.born = 0
         self.sequence = 0
@@ -358,7 +353,7 @@
 
     def replicate(self, primary, other):
         """Copy entries that are older than the lag to one instance."""
-        if not other.running or other.deaf or not self.has_link(primary, other):
+        if not other.running or not self.has_link(primary, other):
             return
         if other.term > primary.term or other.fenced > primary.term:
             return
@@ -376,8 +371,7 @@
             while other.log[same] == primary.log[same]:
                 same += 1
         other.log = other.log[:same]
-        ripe = len(self.ripe(primary))
-        other.log += primary.log[same : min(ripe, same + other.copy_limit)]
+        other.log += primary.log[same : len(self.ripe(primary))]
 
     def ripe(self, primary):
         """Return the entries of a primary that are older than the lag."""
@@ -431,8 +425,6 @@
     """The platform's store and its promotion call.
 
     Attributes:
-        loses_answer: Function (machine, method, path) that tells whether the answer of a call is
-            lost. A connection on which a response was lost returns nothing further.
         promotions: Promotion calls as (time, machine, service, id, token).
     """
 
@@ -443,9 +435,7 @@
         self.revision = 1
         self.events = []
         self.changed = asyncio.Condition()
-        self.loses_answer = lambda machine, method, path: False
         self.promotions = []
-        self.watches = {}
 
     async def listen(self, machine):
         """Return the port of the store for one machine."""
@@ -474,7 +464,6 @@
 
     async def serve(self, machine, reader, writer):
         """Answer the calls of one connection."""
-        is_lost = False
         try:
             while True:
                 method, path, _ = (await reader.readuntil(b'\r\n')).decode().split(' ')
@@ -484,11 +473,6 @@
                     headers[name.lower()] = text.strip()
                 body = await reader.readexactly(int(headers.get('content-length', 0)))
                 status, content = await self.handle(machine, method, path, headers, body)
-                if not is_lost and self.loses_answer(machine, method, path):
-                    self.record.write(f'store: answer to {machine} {method} {path} is lost')
-                    is_lost = True
-                if is_lost:
-                    continue
                 encoded = json.dumps(content).encode()
                 head = f'HTTP/1.1 {status} {REASONS[status]}\r\nContent-Length: {len(encoded)}\r\n\r\n'
                 writer.write(head.encode() + encoded)
@@ -514,7 +498,6 @@
         if method == 'GET' and len(names) > 1:
             return (200, objects[names[1]]) if names[1] in objects else (404, {})
         if method == 'GET' and 'watch' in query:
-            self.watches[machine, names[0]] = time.monotonic()
             wait_s = int(query['waitMs']) / 1000
             return 200, await self.watch(names[0], int(query['watch']), wait_s)
         if method == 'GET':
