Count no target for older commits after its fence ended in a restart

Cause: a promotion relies on its fences until it takes effect, up to a second later. A fenced replica that restarts in that time has no fence and receives from the former primary again. A VM replaced the status with the fence by one without it and counted the replica as a holder, until the record with the new `born` arrived 0.8 s later.

Ruled out: a worse choice among the fenced targets (both were fenced at the same position), the former primary alone (the statuses that count are its own and that of the restarted replica).

Change: a VM remembers the newest fence that a target reported, also over restarts, and does not count the target for older terms while a promotion may rely on it. The VM that promotes tells the others when it calls the platform, so that a VM that has not polled the replica while it was fenced acknowledges nothing either. A VM that lifts fences tells the others, so that writes go on at once. A fence whose connection breaks before the call is sent again.

test_writes_wait_while_another_vm_fences_the_replicas let the fences vanish after 0.4 s without anybody lifting them, which is what a restart looks like. The other VM lifts them now; the bounds are the same.

--- a/src/cassiaseam/group/view.py
+++ b/src/cassiaseam/group/view.py
@@ -1,5 +1,7 @@
 """Queries of the owner role on the monitored state of a group."""
 
+from collections.abc import Collection
+
 from cassiaseam.group.quorum import (
     count_majority,
     has_confirmed_primary,
@@ -38,7 +40,12 @@
     return reached < count_majority(group)
 
 
-def is_committed(group: GroupState, position: LogPosition, term: int) -> bool:
+def is_committed(
+    group: GroupState,
+    position: LogPosition,
+    term: int,
+    excluded: Collection[str] = (),
+) -> bool:
     """Return whether a majority holds a write of the primary of `term`.
 
     Only statuses that the instances report count, including that of the primary. An old status
@@ -46,13 +53,21 @@
     it when it grants a later fence, and every later promoter needs a grant from at least one
     instance of this majority. An entry of a term older than `term` is never confirmed here,
     because a log that ends in `term` need not contain it.
+
+    Args:
+        group: State of the group.
+        position: Position of the write.
+        term: Term of the primary that reported the position.
+        excluded: Names of instances that do not count.
     """
     if position.term != term or position == ZERO_POSITION:
         return False
     holders = 0
-    for view in group.targets.values():
+    for name, view in group.targets.items():
         status = view.status
-        if status is None or status.term != term or status.fenced_term > term:
+        if name in excluded or status is None:
+            continue
+        if status.term != term or status.fenced_term > term:
             continue
         if status.last.covers(position):
             holders += 1
--- a/src/cassiaseam/pooler/datagrams.py
+++ b/src/cassiaseam/pooler/datagrams.py
@@ -1,4 +1,4 @@
-"""Requests and responses between VMs, for samples and quota tokens, as JSON in datagrams."""
+"""Messages between VMs as JSON in datagrams: samples, quota tokens, notices of promotions."""
 
 from collections.abc import Callable
 from typing import Annotated, Any, Literal
@@ -7,6 +7,7 @@
 from twisted.internet.error import InvalidAddressError
 from twisted.internet.protocol import DatagramProtocol
 
+from cassiaseam.daemon.node import Node, executes
 from cassiaseam.observability.refusals import RefusalLog
 from cassiaseam.pooler.admission.load_state import TargetReport
 from cassiaseam.pooler.events import (
@@ -16,6 +17,8 @@
     SendSample,
     SendSampleRequest,
 )
+from cassiaseam.pooler.notices import messages as notice_messages
+from cassiaseam.pooler.notices.events import FencesLifted, PromotionNotice, SendNotice
 from cassiaseam.pooler.quotas import messages
 from cassiaseam.pooler.quotas.events import (
     SendTokenRequest,
@@ -75,9 +78,18 @@
     | SampleResponseMessage
     | messages.TokenRequestMessage
     | messages.TokensMessage
+    | notice_messages.PromotionNoticeMessage
+    | notice_messages.FencesLiftedMessage
 )
 DatagramEffect = SendSampleRequest | SendSample | SendTokenRequest | SendTokens
-DatagramEvent = SampleRequested | SampleReceived | TokensRequested | TokensReceived
+DatagramEvent = (
+    SampleRequested
+    | SampleReceived
+    | TokensRequested
+    | TokensReceived
+    | PromotionNotice
+    | FencesLifted
+)
 _MESSAGES: TypeAdapter[Message] = TypeAdapter(Annotated[Message, Field(discriminator='kind')])
 
 
@@ -134,6 +146,8 @@
     message = _MESSAGES.validate_json(datagram)
     if isinstance(message, messages.TokenRequestMessage | messages.TokensMessage):
         return messages.build_event(message, host, port)
+    if isinstance(message, notice_messages.NoticeMessage):
+        return notice_messages.build_event(message)
     if isinstance(message, SampleRequestMessage):
         loads = {name: TargetReport(*words) for name, words in message.loads.items()}
         fields = message.nonce, message.group, message.max_age_s, loads, message.accepts_busy
@@ -176,13 +190,36 @@
 
         The address is from a record of another VM, so any part of it may be invalid.
         """
+        if self.transport is not None:
+            self.write(encode_datagram(effect), effect.host, effect.port)
+
+    def send_notice(self, effect: SendNotice) -> None:
+        """Send a notice to each of its addresses."""
         if self.transport is None:
             return
-        peer = f'{effect.host}:{effect.port}'
-        datagram = encode_datagram(effect)
+        datagram = notice_messages.build_message(effect.notice).model_dump_json().encode()
+        for host, port in effect.addresses:
+            self.write(datagram, host, port)
+
+    def write(self, datagram: bytes, host: str, port: int) -> None:
+        """Send a datagram; log one that cannot be sent."""
+        peer = f'{host}:{port}'
         try:
-            self.transport.write(datagram, (effect.host, effect.port))
+            self.transport.write(datagram, (host, port))
         except (OSError, OverflowError, InvalidAddressError) as error:
-            self.refusals.report('datagram_not_sent', peer, str(error), peer=effect.host)
+            self.refusals.report('datagram_not_sent', peer, str(error), peer=host)
         else:
             self.refusals.forget('datagram_not_sent', peer)
+
+
+@executes(SendSampleRequest)
+@executes(SendSample)
+def send_datagram(node: Node, effect: SendSampleRequest | SendSample) -> None:
+    """Send a sample request or a sample response to a peer."""
+    node.services[PeerProtocol].send(effect)
+
+
+@executes(SendNotice)
+def send_notice(node: Node, effect: SendNotice) -> None:
+    """Send a notice of a promotion, or of lifted fences, to the peers."""
+    node.services[PeerProtocol].send_notice(effect)
--- a/src/cassiaseam/pooler/discovery.py
+++ b/src/cassiaseam/pooler/discovery.py
@@ -205,6 +205,7 @@
     track_leaving(fresh, now)
     fresh.joined_at = target.joined_at
     fresh.history = target.history
+    fresh.fence = target.fence
     fresh.distrusted_until = now + quorum.RESTART_DISTRUST_S
     group.targets[name] = fresh
     quorum.reset_status(group, name)
--- a/src/cassiaseam/pooler/failover.py
+++ b/src/cassiaseam/pooler/failover.py
@@ -16,6 +16,7 @@
     WriteLog,
 )
 from cassiaseam.pooler.evidence import log_loss
+from cassiaseam.pooler.notices import decisions as notices
 from cassiaseam.pooler.state import (
     GroupView,
     Job,
@@ -145,14 +146,18 @@
     # Fences of an earlier attempt do not count for the new term.
     promotion.fenced_positions = {}
     promotion.final_position = None
+    promotion.announced_at = None
     monitor = group.monitor
     if is_obsolete(group, now):
         return abort_promotion(state, group, 'the primary is in charge again', now)
     terms = [monitor.term, monitor.known_term]
+    fenced_terms = []
     for view in monitor.targets.values():
         if view.status is not None:
-            terms += [view.status.term, view.status.fenced_term]
-    promotion.term = max(terms) + 1
+            terms.append(view.status.term)
+            fenced_terms.append(view.status.fenced_term)
+    promotion.base_term = max(terms)
+    promotion.term = max(terms + fenced_terms) + 1
     log = WriteLog(
         'promotion_started',
         {
@@ -298,7 +303,7 @@
 ) -> list:
     """Call the platform, and repeat the call until it is accepted."""
     if promotion.sent_at >= 0 and now - promotion.sent_at < RESEND_INTERVAL_S:
-        return []
+        return notices.announce_promotion(state, group, promotion, now)
     return call_platform(state, group, now)
 
 
@@ -310,14 +315,14 @@
         return complete_promotion(state, group, now)
     if now - promotion.stage_started_at > AWAIT_PRIMARY_TIMEOUT_S:
         return abort_promotion(state, group, 'the promoted target does not lead', now)
+    effects = notices.announce_promotion(state, group, promotion, now)
     if now - promotion.sent_at < POLL_INTERVAL_S:
-        return []
+        return effects
     promotion.sent_at = now
-    return (
-        connections.submit_status_poll(state, group, promotion.chosen, PollCause.PROMOTION, now)
-        if (promotion.chosen in group.targets)
-        else abort_promotion(state, group, 'the promoted target is gone', now)
-    )
+    if promotion.chosen not in group.targets:
+        return effects + abort_promotion(state, group, 'the promoted target is gone', now)
+    cause = PollCause.PROMOTION
+    return effects + connections.submit_status_poll(state, group, promotion.chosen, cause, now)
 
 
 STEPS = {
@@ -334,6 +339,7 @@
     """Call the platform to promote a target."""
     promotion = group.promotion
     promotion.chosen = name
+    promotion.announced_at = None
     enter_stage(promotion, PromotionStage.PROMOTE, now)
     return call_platform(state, group, now)
 
@@ -356,7 +362,7 @@
         },
     )
     call = CallPromotion(group.name, promotion.chosen, state.vm, promotion.token, send_by)
-    return [log, call]
+    return [log, call, *notices.announce_promotion(state, group, promotion, now)]
 
 
 @handles(PromotionAnswered)
@@ -415,6 +421,19 @@
     return advance_promotion(state, group, now)
 
 
+def forget_lost_fence(group: GroupView, name: str) -> None:
+    """Fence a target again that may have restarted before a promotion was called for.
+
+    A fence that ends after the call cannot be replaced: a target that is fenced then would not
+    follow the new primary.
+    """
+    promotion = group.promotion
+    if promotion is None or promotion.stage is not PromotionStage.FENCE:
+        return
+    if promotion.fenced_positions.pop(name, None) is not None:
+        promotion.sent_at = -1
+
+
 def abort_promotion(state: PoolerState, group: GroupView, reason: str, now: float) -> list:
     """End an attempt that did not succeed, and retry after a backoff."""
     log = WriteLog(
--- a/src/cassiaseam/pooler/fencing.py
+++ b/src/cassiaseam/pooler/fencing.py
@@ -2,6 +2,7 @@
 
 from cassiaseam.pooler import connections, quorum
 from cassiaseam.pooler.commands import Command, Demote, Fence, LiftFence
+from cassiaseam.pooler.notices import decisions as notices
 from cassiaseam.pooler.state import GroupView, Job, PoolerState, Purpose
 
 # Seconds between two requests to a former primary to step down.
@@ -24,14 +25,19 @@
 
 
 def lift_fences(state: PoolerState, group: GroupView, now: float) -> list:
-    """Lift the fences of all fenced targets."""
+    """Lift the fences of all fenced targets, and tell the other VMs."""
     effects: list = []
+    lifted_term = 0
     for name, view in group.monitor.targets.items():
         if name not in group.targets or view.status is None:
             continue
         if quorum.is_fenced(view.status):
             effects += send_control_command(state, group, name, LiftFence(), now)
-    return effects
+            lifted_term = max(lifted_term, view.status.fenced_term)
+    if not lifted_term:
+        return effects
+    notices.record_lift(group, lifted_term, now)
+    return effects + notices.announce_lift(state, group, lifted_term)
 
 
 def demote_former_primary(state: PoolerState, group: GroupView, now: float) -> list:
--- a/src/cassiaseam/pooler/quorum.py
+++ b/src/cassiaseam/pooler/quorum.py
@@ -16,7 +16,7 @@
 from cassiaseam.group.view import find_quorum_floor, is_committed
 from cassiaseam.messages import TargetRole, TargetStatus
 from cassiaseam.pooler.commands import ReportedStatus
-from cassiaseam.pooler.evidence import log_loss
+from cassiaseam.pooler.evidence import fence_history, log_loss
 from cassiaseam.pooler.state import GroupView, Operation, TargetState
 from cassiaseam.positions import ZERO_POSITION, LogPosition
 
@@ -118,6 +118,7 @@
     target.reported_connections = reported.connections
     target.connections_known_at = started_at
     log_loss.track_report(group, name, started_at, reported, now)
+    track_fence(group, target, started_at, reported, now)
     if now < target.distrusted_until and not reported.is_primary:
         return
     if view.status is not None and started_at < view.status_started_at:
@@ -154,6 +155,15 @@
     add_quorum_samples(group.monitor, members_are_fixed=False)
 
 
+def track_fence(
+    group: GroupView, target: TargetState, started_at: float, reported: ReportedStatus, now: float
+) -> None:
+    """Note the fence of a target."""
+    view = group.monitor.targets[target.record.name]
+    if view.status is None or started_at >= view.status_started_at:
+        fence_history.track_fence(target.fence, reported, now)
+
+
 def discard_blank_statuses(group: GroupView) -> None:
     """Discard statuses of blank targets from before the group was known to have entries.
 
@@ -260,9 +270,34 @@
     return operation.sent_term != group.monitor.term
 
 
-def has_commit_quorum(group: GroupView, position: LogPosition) -> bool:
-    """Return whether a majority holds a commit that the primary reported."""
-    return is_committed(group.monitor, position, position.term)
+def has_commit_quorum(group: GroupView, position: LogPosition, now: float) -> bool:
+    """Return whether a majority holds a commit that the primary reported.
+
+    A target that was fenced above the term of the commit does not count, even if it holds it now.
+    """
+    if position.term < find_promised_term(group, now):
+        return False
+    excluded = list_bound_targets(group, position.term, now)
+    return is_committed(group.monitor, position, position.term, excluded)
+
+
+def find_promised_term(group: GroupView, now: float) -> int:
+    """Return the term below which a promotion that may take effect forbids acknowledgements."""
+    pending = group.pending_promotion
+    if pending is None or now > pending.until:
+        return 0
+    monitor = group.monitor
+    has_taken_effect = monitor.primary == pending.target and monitor.term > pending.base_term
+    return 0 if has_taken_effect else pending.term
+
+
+def list_bound_targets(group: GroupView, term: int, now: float) -> list[str]:
+    """Return the targets that the promise of a fence keeps from acknowledging in `term`."""
+    return [
+        name
+        for name, target in group.targets.items()
+        if fence_history.is_promise_in_force(target.fence, term, now)
+    ]
 
 
 def can_acknowledge(group: GroupView, now: float) -> bool:
@@ -273,17 +308,21 @@
     outcome.
     """
     monitor = group.monitor
+    if monitor.term < find_promised_term(group, now):
+        return False
+    excluded = list_bound_targets(group, monitor.term, now)
     following = sum(
-        view.status is not None
+        name not in excluded
+        and view.status is not None
         and view.status.term == monitor.term
         and view.status.fenced_term <= monitor.term
-        for view in monitor.targets.values()
+        for name, view in monitor.targets.items()
     )
     if following < count_majority(monitor):
         return False
     missing = group.unconfirmed
     if missing is not None and missing.term == monitor.term:
-        if not has_commit_quorum(group, missing):
+        if not has_commit_quorum(group, missing, now):
             return False
         group.unconfirmed = None
     return not any(
--- a/src/cassiaseam/pooler/replies.py
+++ b/src/cassiaseam/pooler/replies.py
@@ -124,7 +124,7 @@
     """Deliver a successful reply once its commit or the primary is confirmed by a majority."""
     session = state.sessions[operation.session_id]
     if operation.commit is not None:
-        if not quorum.has_commit_quorum(group, operation.commit):
+        if not quorum.has_commit_quorum(group, operation.commit, now):
             return request_commit_evidence(state, group, operation, now)
         session.last_commit = operation.commit
     elif operation.needs_confirmation:
--- a/src/cassiaseam/pooler/runtime.py
+++ b/src/cassiaseam/pooler/runtime.py
@@ -47,8 +47,6 @@
     ReadLease,
     RefuseCaller,
     SendCommands,
-    SendSample,
-    SendSampleRequest,
     WriteLease,
     WriteLog,
 )
@@ -406,13 +404,6 @@
     node.services[PoolerRuntime].log(effect.kind, **effect.fields)
 
 
-@executes(SendSampleRequest)
-@executes(SendSample)
-def send_datagram(node: Node, effect: SendSampleRequest | SendSample) -> None:
-    """Send a sample request or a sample response to a peer."""
-    node.services[PeerProtocol].send(effect)
-
-
 @executes(ReadLease)
 def read_duty(node: Node, effect: ReadLease) -> None:
     """Read the lease record."""
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -13,6 +13,7 @@
 from cassiaseam.pooler.admission.mode import Admission
 from cassiaseam.pooler.commands import Command, SessionState, Statement, TargetReply
 from cassiaseam.pooler.duty_state import LeaseState
+from cassiaseam.pooler.evidence.fence_history import FenceHistory
 from cassiaseam.pooler.evidence.log_history import LogHistory
 from cassiaseam.pooler.group_sizes import GroupSizesState
 from cassiaseam.pooler.metrics import Histogram
@@ -244,6 +245,7 @@
         leaving_since: Time since which it is known to leave, or None.
         joined_at: Time at which it joined a group whose targets were known, or None.
         history: What it has reported of its log.
+        fence: Newest fence that it has reported.
         distrusted_until: Time before which its statuses are no evidence, after a restart.
         missing_position: Floor of the latest read that it refused because it lags behind.
         lagging_until: Time before which reads that need `missing_position` are not sent to it.
@@ -277,6 +279,7 @@
     leaving_since: float | None = None
     joined_at: float | None = None
     history: LogHistory = field(default_factory=LogHistory)
+    fence: FenceHistory = field(default_factory=FenceHistory)
     distrusted_until: float = 0
     missing_position: LogPosition | None = None
     lagging_until: float = 0
@@ -314,10 +317,12 @@
         sent_at: Time at which the commands of the stage were last sent.
         token: Fencing token, or 0 before this daemon holds the promotion lease.
         term: Term of the fences.
+        base_term: Highest term that this VM knew when it chose the term of the fences.
         old_primary: Primary to replace, or ''.
         final_position: Last position of a demoted primary, or None.
         fenced_positions: Position of each target that granted the fence.
         chosen: Target to promote, or ''.
+        announced_at: Time of the latest notice to the other VMs, or None.
     """
 
     cause: str
@@ -328,10 +333,31 @@
     sent_at: float = -1
     token: int = 0
     term: int = 0
+    base_term: int = 0
     old_primary: str = ''
     final_position: LogPosition | None = None
     fenced_positions: dict[str, LogPosition] = field(default_factory=dict)
     chosen: str = ''
+    announced_at: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PendingPromotion:
+    """Promotion of this VM or another one that relies on fences and may take effect.
+
+    Attributes:
+        target: Target to promote.
+        term: Term of the fences.
+        base_term: Highest term that was known when the fences were sent.
+        fencing_token: Fencing token of the claim.
+        until: Time after which the promotion takes no effect any more.
+    """
+
+    target: str
+    term: int
+    base_term: int
+    fencing_token: int
+    until: float
 
 
 @dataclass(slots=True)
@@ -349,6 +375,7 @@
         operations: Operations without a final answer.
         without_primary_since: Time since which no primary works, or None.
         promotion: Promotion that this daemon attempts, or None.
+        pending_promotion: Latest promotion that some VM has called the platform for, or None.
         retry_promotion_at: Time before which no promotion is started.
         fenced_since: Time since which a target is fenced above the current term, or None.
         last_survey_at: Time of the latest poll of all targets.
@@ -377,6 +404,7 @@
     operations: list[Operation] = field(default_factory=list)
     without_primary_since: float | None = None
     promotion: Promotion | None = None
+    pending_promotion: PendingPromotion | None = None
     retry_promotion_at: float = 0
     fenced_since: float | None = None
     last_survey_at: float = -1
--- a/src/cassiaseam/pooler/targets.py
+++ b/src/cassiaseam/pooler/targets.py
@@ -134,6 +134,7 @@
         return []
     connection, group, target = found
     connections.remove_connection(state, target, connection, CloseCause.LOST)
+    failover.forget_lost_fence(group, target.record.name)
     if not target.connections:
         target.disconnected_at = now
         concurrency.restart(target, now)
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -112,6 +112,32 @@
         'reported.fenced_term',
     ),
     Guard('pooler/quorum.py', 'target.history.term)', 'reported.term)'),
+    Guard(
+        'pooler/quorum.py',
+        'excluded = list_bound_targets(group, position.term, now)',
+        'excluded = []',
+    ),
+    Guard(
+        'pooler/quorum.py',
+        'excluded = list_bound_targets(group, monitor.term, now)',
+        'excluded = []',
+    ),
+    Guard('pooler/quorum.py', 'monitor.term < find_promised_term(group, now)', 'False'),
+    Guard('pooler/quorum.py', 'position.term < find_promised_term(group, now)', 'False'),
+    Guard(
+        'pooler/notices/decisions.py',
+        'event.fencing_token <= pending.fencing_token',
+        'event.fencing_token < pending.fencing_token',
+    ),
+    Guard(
+        'pooler/notices/decisions.py',
+        'event.fencing_token < known.fencing_token',
+        'False',
+    ),
+    Guard('pooler/evidence/fence_history.py', ' or fence.has_ended:', ':'),
+    Guard('pooler/evidence/fence_history.py', 'if is_being_lifted(fence', 'if False and (fence'),
+    Guard('pooler/discovery.py', 'fresh.fence = target.fence', 'pass'),
+    Guard('pooler/failover.py', 'promotion.fenced_positions.pop(name, None) is not None', 'False'),
     Guard(
         'pooler/quorum.py',
         'if group.floor:\n        count += group.floor - staying',
--- a/tests/pooler/test_pooler_fences.py
+++ b/tests/pooler/test_pooler_fences.py
@@ -8,6 +8,7 @@
 from cassiaseam.pooler import failover
 from cassiaseam.pooler.commands import ReportedStatus
 from cassiaseam.pooler.events import (
+    ConnectionLost,
     LeaseRead,
     LeaseRecord,
     LeaseWritten,
@@ -18,7 +19,7 @@
     WriteOutcome,
 )
 from cassiaseam.pooler.quorum import record_status
-from cassiaseam.pooler.state import PromotionStage
+from cassiaseam.pooler.state import Connection, PromotionStage
 from cassiaseam.positions import LogPosition
 from cassiaseam.reducer.registry import reduce_event
 
@@ -109,3 +110,21 @@
     assert group.promotion.stage is PromotionStage.DEMOTE
     effects = failover.abort_promotion(state, group, 'test', 1.2)
     assert bool(select_effects(effects, WriteLease)) is released
+
+
+@pytest.mark.parametrize(
+    ('stage', 'kept'), [(PromotionStage.FENCE, False), (PromotionStage.AWAIT_PRIMARY, True)]
+)
+def test_fence_on_a_lost_connection_is_sent_again_before_the_call(stage, kept):
+    # The target may have restarted without its fence while the choice of the target waited.
+    state = build_state()
+    grant_lease(state, promote(state, 'g', 1), 5, 1)
+    group = state.groups['g']
+    group.promotion.fenced_positions = {'g2': LogPosition(1, 7)}
+    failover.enter_stage(group.promotion, stage, 1)
+    group.promotion.sent_at = 1
+    connection = Connection(77, 'g2', 0)
+    state.connections[77] = group.targets['g2'].connections[77] = connection
+    reduce_event(state, ConnectionLost(77, 'reset'), 1.1)
+    assert ('g2' in group.promotion.fenced_positions) is kept
+    assert (group.promotion.sent_at == 1) is kept
--- a/tests/pooler/test_pooler_quorum.py
+++ b/tests/pooler/test_pooler_quorum.py
@@ -98,7 +98,7 @@
 @pytest.mark.parametrize('case', COMMITS, ids=str)
 def test_commit_without_a_majority_is_not_acknowledged(case):
     statuses, expected = COMMITS[case]
-    assert quorum.has_commit_quorum(build_group(statuses), LogPosition(1, 9)) is expected
+    assert quorum.has_commit_quorum(build_group(statuses), LogPosition(1, 9), 1) is expected
 
 
 @pytest.mark.parametrize(
--- a/tests/pooler/test_pooler_unreachable_targets.py
+++ b/tests/pooler/test_pooler_unreachable_targets.py
@@ -2,11 +2,11 @@
 
 import pytest
 from fake_target import GROUP
-from pooler_world import World, get_error, is_success
+from pooler_world import World, get_error, is_success, poll_targets
 from virtual_vm import EXECUTORS
 
 from cassiaseam.errors import ErrorKind
-from cassiaseam.pooler import ticks
+from cassiaseam.pooler import fencing, ticks
 from cassiaseam.pooler.commands import StatementKind, TargetFailure, TargetReply
 from cassiaseam.pooler.events import ConnectionRefused, OpenConnection, PoolerStopping
 
@@ -123,8 +123,9 @@
 
 
 def test_writes_wait_while_another_vm_fences_the_replicas():
-    # Commits on a primary whose replicas are fenced would only end with an unknown outcome.
-    world = World()
+    # Commits on a primary whose replicas are fenced would only end with an unknown outcome. Writes
+    # go on once the other VM has lifted the fences.
+    world = World(shared=True)
     world.run_until(0.5)
     world.connect('vm0', 1, 'orders')
     for name in ('t1', 't2'):
@@ -138,8 +139,10 @@
     assert group.fenced_since is not None
     assert call.answer is None
     assert world.committed['held'] == 0
-    for name in ('t1', 't2'):
-        world.targets[name].fenced = 0
+    other = world.vms['vm1']
+    poll_targets(other)
+    world.run_until(1)
+    other.execute(fencing.lift_fences(other.state, other.state.groups[GROUP], world.now))
     world.run_until(1.6)
     assert is_success(call)
 
--- a/tests/pooler/virtual_vm.py
+++ b/tests/pooler/virtual_vm.py
@@ -44,6 +44,7 @@
     SizeWritten,
     WriteSize,
 )
+from cassiaseam.pooler.notices.events import SendNotice
 from cassiaseam.pooler.state import PoolerState
 from cassiaseam.reducer.registry import reduce_event
 from cassiaseam.store_revisions import get_era, join_revision
@@ -260,6 +261,11 @@
         )
         self.world.send_datagram(self.name, effect.host, offered)
 
+    def send_notice(self, effect):
+        """Send a notice to the peers, whose hosts are their names."""
+        for host, _ in effect.addresses:
+            self.world.send_datagram(self.name, host, effect.notice)
+
     def answer_caller(self, effect):
         self.world.record_answer(self, effect)
 
@@ -290,6 +296,7 @@
     WriteSize: VirtualVm.write_size,
     SendSampleRequest: VirtualVm.send_sample_request,
     SendSample: VirtualVm.send_sample_response,
+    SendNotice: VirtualVm.send_notice,
     AnswerCaller: VirtualVm.answer_caller,
     AcceptCaller: VirtualVm.ignore,
     RefuseCaller: VirtualVm.refuse_caller,
