Confirm no commit of a former term once a newer one is known

Cause: the promotion ends the fences of all replicas, also of one that the new primary does not reach. That replica receives from the former primary again, and `has_commit_quorum` asked only for a majority in the term of the commit, also on a VM that knew of a newer one.

Change: a known newer term ends all acknowledgements of former ones. A commit that waits for its majority is then answered at once as in doubt, and no write is sent to the former primary. A target that leads after its fence shows that the promotion has used the fences up to that term, so that the other targets count in the new term although the term of a fence may be higher.

Why this works: a status of a former term that arrives after the promotion may be from after the end of a fence, and nothing in it tells.

--- a/src/cassiaseam/pooler/evidence/fence_history.py
+++ b/src/cassiaseam/pooler/evidence/fence_history.py
@@ -29,6 +29,7 @@
 
     Attributes:
         term: Term of the fence, or 0 without one.
+        granted_in: Term that the target was in when it reported the fence.
         reported_at: Time of the first report of the fence.
         has_ended: Whether the target has reported since that it is not fenced.
         lifted_term: Highest term of fences that were lifted on purpose.
@@ -36,6 +37,7 @@
     """
 
     term: int = 0
+    granted_in: int = 0
     reported_at: float = 0
     has_ended: bool = False
     lifted_term: int = 0
@@ -58,6 +60,7 @@
         return
     if reported.fenced_term > fence.term or fence.has_ended:
         fence.term = max(fence.term, reported.fenced_term)
+        fence.granted_in = reported.term
         fence.reported_at = now
         fence.has_ended = False
 
@@ -80,3 +83,12 @@
 def is_promise_in_force(fence: FenceHistory, term: int, now: float) -> bool:
     """Return whether the promise of a fence excludes a status of `term`, in force or ended."""
     return term < fence.term and now - fence.reported_at <= FENCE_RELIANCE_S
+
+
+def is_promoted_after(fence: FenceHistory, reported: ReportedStatus) -> bool:
+    """Return whether a report shows that a promotion took effect after the fence.
+
+    The platform numbers terms by itself, and the term of a fence may be above that of the next
+    primary.
+    """
+    return bool(fence.term) and reported.is_primary and reported.term > fence.granted_in
--- a/src/cassiaseam/pooler/quorum.py
+++ b/src/cassiaseam/pooler/quorum.py
@@ -158,7 +158,17 @@
 def track_fence(
     group: GroupView, target: TargetState, started_at: float, reported: ReportedStatus, now: float
 ) -> None:
-    """Note the fence of a target."""
+    """Note the fence of a target, and end the promises of fences that a promotion has used.
+
+    The promises of the other targets end with that of the target that leads now: a promotion that
+    takes effect ends all fences up to its own.
+    """
+    if fence_history.is_promoted_after(target.fence, reported):
+        used_term = target.fence.term
+        for other in group.targets.values():
+            if other.fence.term <= used_term:
+                other.fence.forget()
+        return
     view = group.monitor.targets[target.record.name]
     if view.status is None or started_at >= view.status_started_at:
         fence_history.track_fence(target.fence, reported, now)
@@ -274,13 +284,20 @@
     """Return whether a majority holds a commit that the primary reported.
 
     A target that was fenced above the term of the commit does not count, even if it holds it now.
+    Once a newer term is known, its promotion has ended the fences of all targets, so that no
+    status of the term of the commit counts.
     """
-    if position.term < find_promised_term(group, now):
+    if is_term_over(group, position.term) or position.term < find_promised_term(group, now):
         return False
     excluded = list_bound_targets(group, position.term, now)
     return is_committed(group.monitor, position, position.term, excluded)
 
 
+def is_term_over(group: GroupView, term: int) -> bool:
+    """Return whether a newer term is known, so that no commit of `term` is acknowledged."""
+    return group.monitor.known_term > term
+
+
 def find_promised_term(group: GroupView, now: float) -> int:
     """Return the term below which a promotion that may take effect forbids acknowledgements."""
     pending = group.pending_promotion
@@ -308,7 +325,7 @@
     outcome.
     """
     monitor = group.monitor
-    if monitor.term < find_promised_term(group, now):
+    if is_term_over(group, monitor.term) or monitor.term < find_promised_term(group, now):
         return False
     excluded = list_bound_targets(group, monitor.term, now)
     following = sum(
--- a/src/cassiaseam/pooler/replies.py
+++ b/src/cassiaseam/pooler/replies.py
@@ -125,6 +125,12 @@
     session = state.sessions[operation.session_id]
     if operation.commit is not None:
         if not quorum.has_commit_quorum(group, operation.commit, now):
+            if quorum.is_term_over(group, operation.commit.term):
+                # No majority can confirm it any more.
+                text = 'the primary was replaced before a majority held the commit'
+                return completion.fail_operation(
+                    state, operation, ErrorKind.OUTCOME_UNKNOWN, text, now
+                )
             return request_commit_evidence(state, group, operation, now)
         session.last_commit = operation.commit
     elif operation.needs_confirmation:
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -124,6 +124,8 @@
     ),
     Guard('pooler/quorum.py', 'monitor.term < find_promised_term(group, now)', 'False'),
     Guard('pooler/quorum.py', 'position.term < find_promised_term(group, now)', 'False'),
+    Guard('pooler/quorum.py', 'return group.monitor.known_term > term', 'return False'),
+    Guard('pooler/quorum.py', 'if other.fence.term <= used_term:', 'if False:'),
     Guard(
         'pooler/notices/decisions.py',
         'event.fencing_token <= pending.fencing_token',
--- a/tests/pooler/test_pooler_ended_fences.py
+++ b/tests/pooler/test_pooler_ended_fences.py
@@ -48,6 +48,8 @@
     ),
     'fence reported for long': ([(NEAR, 0, FENCED[2]), (NEAR, 4, FENCED[2]), *HOLDERS], True),
     'late report of an older poll': ([*HOLDERS, FENCED], True),
+    'newer term is known': ([*HOLDERS, (FAR, 5, leads(2, 8))], False),
+    'newer term of a replica': ([*HOLDERS, (FAR, 5, follows(2, 8))], False),
     'another target was fenced': ([(FAR, 4, follows(1, 8, 2)), *HOLDERS], True),
 }
 
@@ -60,6 +62,17 @@
     assert quorum.can_acknowledge(group, 5) is expected
 
 
+# The term of a fence may be above the next term, after attempts that ended.
+@pytest.mark.parametrize('fenced_term', [2, 5])
+def test_promotion_ends_the_promises_of_all_fences_that_it_used(fenced_term):
+    # Otherwise writes at the new primary wait until the promises are over.
+    fenced = follows(1, 8, fenced_term)
+    promoted = [(NEAR, 2, leads(2, 9)), (FAR, 2, follows(2, 9))]
+    group = build_group([(NEAR, 1, fenced), (FAR, 1, fenced), *promoted])
+    assert quorum.has_commit_quorum(group, LogPosition(2, 9), 2)
+    assert quorum.can_acknowledge(group, 2)
+
+
 NOTICE = PromotionNotice(GROUP, FAR, 2, 1, 7, 3.0)
 OLDER_NOTICE = dataclasses.replace(NOTICE, fencing_token=6, valid_s=0.5)
 LED_BY_FAR = (FAR, 5, leads(2, 9))
