Answer every statement before a stopping daemon ends

Cause: the deadline of a statement did not know of the stop, and `is_shutdown_complete` returns true once the limit has passed, whatever is outstanding. No `request_failed` is logged for these statements, so an answer that was written and lost is ruled out.

Change: a stop sets a time by which each statement has its final answer, 0.3 s before the limit; it bounds the deadlines of outstanding and later statements, which end as at any deadline. Later arrivals are refused at once. Relayed sessions, whose peer owes the answer, get one in doubt. The reactor runs for 0.05 s more, so that answers of the last tick leave the process.

Why this works: the deadline is checked by every tick, and a stopping daemon ticks every 20 ms.

--- a/src/cassiaseam/pooler/admission/retries.py
+++ b/src/cassiaseam/pooler/admission/retries.py
@@ -47,8 +47,11 @@
 ) -> bool:
     """Return whether a statement may be retried after `backoff_s` seconds, and pay for it.
 
-    A retry that would not be answered before the deadline is not made.
+    A retry that would not be answered before the deadline, or before this daemon stops, is not
+    made.
     """
+    if now + backoff_s >= state.answer_by:
+        return False
     if not state.adaptive_admission:
         return True
     budget = group.retry_budget
--- a/src/cassiaseam/pooler/events.py
+++ b/src/cassiaseam/pooler/events.py
@@ -1,6 +1,7 @@
 """Events and effects of the pooler role. Times are in seconds on the monotonic clock."""
 
 import enum
+import math
 from dataclasses import dataclass, field
 
 from cassiaseam.errors import RequestError
@@ -292,7 +293,13 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolerStopping:
-    """Event: the daemon was told to stop."""
+    """Event: the daemon was told to stop.
+
+    Attributes:
+        answer_within_s: Seconds within which each statement gets its final answer.
+    """
+
+    answer_within_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiaseam/pooler/operations.py
+++ b/src/cassiaseam/pooler/operations.py
@@ -110,7 +110,7 @@
         statement=statement,
         route=route,
         arrived_at=now,
-        deadline=now + max(route.statement_timeout_s - ANSWER_MARGIN_S, ANSWER_MARGIN_S),
+        deadline=find_deadline(state, route, now),
         started_at=transaction.started_at if transaction else now,
         is_write=writes,
         needs_primary=writes or is_read_write or on_primary,
@@ -119,6 +119,10 @@
         and not (transaction is not None and transaction.confirmed),
     )
     session.current = operation
+    if now >= state.answer_by:
+        return completion.fail_operation(
+            state, operation, ErrorKind.OVERLOADED, 'the daemon stops', now
+        )
     group = state.groups.get(route.group)
     if group is None:
         return completion.fail_operation(
@@ -138,6 +142,12 @@
     return effects
 
 
+def find_deadline(state: PoolerState, route: Route, now: float) -> float:
+    """Return the time by which the final answer to a statement that arrives now is due."""
+    timeout_s = max(route.statement_timeout_s - ANSWER_MARGIN_S, ANSWER_MARGIN_S)
+    return min(now + timeout_s, state.answer_by)
+
+
 def expire_operations(state: PoolerState, group: GroupView, now: float) -> list:
     """Expire overdue operations, retry waiting ones, and hedge slow reads."""
     effects: list = []
--- a/src/cassiaseam/pooler/relay/pipe.py
+++ b/src/cassiaseam/pooler/relay/pipe.py
@@ -3,6 +3,9 @@
 from collections.abc import Callable
 from typing import Any
 
+from cassiaseam.errors import ErrorKind, RequestError
+from cassiaseam.pooler.commands import SessionState
+from cassiaseam.pooler.events import AnswerCaller
 from cassiaseam.pooler.relay.requests import PeerConnection
 from cassiaseam.pooler.relay.tracking import StatementTracker
 
@@ -66,6 +69,19 @@
         """Return whether no statement is outstanding and no transaction is open."""
         return not self.tracker.is_outstanding() and not self.tracker.in_transaction
 
+    def answer_outstanding(self, session_id: int) -> None:
+        """Answer the statements whose answer the peer owes, with an unknown outcome.
+
+        An answer of which a part of a line was passed on cannot be completed.
+        """
+        if self.tracker.peer.head:
+            return
+        failed = SessionState.FAILED_TRANSACTION
+        session_state = failed if self.tracker.in_transaction else SessionState.IDLE
+        error = RequestError(ErrorKind.OUTCOME_UNKNOWN, 'the daemon stops before the answer')
+        for _ in range(self.tracker.unanswered):
+            self.caller.answer(AnswerCaller(session_id, session_state, error=error))
+
     def lose_caller(self) -> None:
         """Close the connection to the peer after the caller has disconnected."""
         self._lose('caller_closed')
--- a/src/cassiaseam/pooler/relay/service.py
+++ b/src/cassiaseam/pooler/relay/service.py
@@ -190,6 +190,7 @@
                 transaction_grace_s,
                 limit_s - CLOSE_MARGIN_S,
             ):
+                pipe.answer_outstanding(relay.session_id)
                 pipe.close('stopping')
 
 
--- a/src/cassiaseam/pooler/runtime.py
+++ b/src/cassiaseam/pooler/runtime.py
@@ -83,6 +83,10 @@
 WATCH_HISTORY_RATIO = 0.85
 # Part of the stop limit that is reserved for the exit of the process.
 STOP_MARGIN_S = 0.4
+# Part of the rest in which the final answers are delivered, and the delay of the exit after the
+# latest of them is written.
+DELIVERY_MARGIN_S = 0.3
+FLUSH_S = 0.05
 EXIT_START_FAILED = 1
 METRICS_PATH = '/metrics'
 METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
@@ -275,12 +279,12 @@
         """
         if self.signals.consume_reload_request():
             self.reload()
+        limit_s = self.settings.stop_limit - STOP_MARGIN_S
         if self.signals.consume_stop_request():
             self.log('daemon_stopping', sessions=len(self.node.state.sessions))
-            self.node.dispatch(PoolerStopping())
+            self.node.dispatch(PoolerStopping(max(limit_s - DELIVERY_MARGIN_S, 0)))
         self.node.dispatch(PoolerTick(suspended_s=late_s))
         self.relay.close_outdated()
-        limit_s = self.settings.stop_limit - STOP_MARGIN_S
         if self.node.state.stopping_since is not None:
             self.relay.close_for_stop(
                 read_clock() - self.node.state.stopping_since,
@@ -291,7 +295,9 @@
         # Answers may still be buffered after the state has removed their session.
         flushed = not self.environment.callers.sessions and not self.relay.sessions
         if ticks.is_shutdown_complete(self.node.state, read_clock(), limit_s, flushed):
-            self.finish()
+            # The reactor drops what is buffered when it stops, also answers of this tick.
+            self.finished = True
+            self.reactor.callLater(FLUSH_S, self.finish)
 
     def reload(self) -> None:
         """Reload the settings file; keep the current settings if it is invalid."""
@@ -307,7 +313,6 @@
 
     def finish(self) -> None:
         """Stop the reactor."""
-        self.finished = True
         self.log('daemon_stopped', sessions=len(self.node.state.sessions))
         self.reactor.stop()
 
--- a/src/cassiaseam/pooler/state.py
+++ b/src/cassiaseam/pooler/state.py
@@ -1,6 +1,7 @@
 """State of the pooler role."""
 
 import enum
+import math
 import random
 from collections import deque
 from dataclasses import KW_ONLY, dataclass, field
@@ -442,6 +443,7 @@
         prepared_names: Prepared name on the targets, per template and whether it writes.
         next_connection_id: Id of the next connection.
         stopping_since: Time at which the daemon was told to stop, or None.
+        answer_by: Time by which each statement has its final answer because the daemon stops.
         store_reachable: Whether the store answers.
         store_era: Newest era of the store that an answer named, or None before the first answer.
         first_revision: Revision of the first list in that era, or None before it.
@@ -478,6 +480,7 @@
     prepared_names: dict[tuple[str, bool], str] = field(default_factory=dict)
     next_connection_id: int = 1
     stopping_since: float | None = None
+    answer_by: float = math.inf
     store_reachable: bool = False
     store_era: int | None = None
     first_revision: int | None = None
--- a/src/cassiaseam/pooler/ticks.py
+++ b/src/cassiaseam/pooler/ticks.py
@@ -213,9 +213,18 @@
 
 @handles(PoolerStopping)
 def begin_shutdown(state: PoolerState, event: PoolerStopping, now: float) -> list:
-    """Begin a graceful shutdown; idle sessions are closed after `sessions.STOP_GRACE_S`."""
-    if state.stopping_since is None:
-        state.stopping_since = now
+    """Begin a graceful shutdown; idle sessions are closed after `sessions.STOP_GRACE_S`.
+
+    Statements that are outstanding, and those that arrive later, get their final answer before the
+    process ends, also if their own deadline is later.
+    """
+    if state.stopping_since is not None:
+        return []
+    state.stopping_since = now
+    state.answer_by = now + event.answer_within_s
+    for group in state.groups.values():
+        for operation in group.operations:
+            operation.deadline = min(operation.deadline, state.answer_by)
     return []
 
 
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -625,6 +625,11 @@
         'effects = hand_over_connections(state, target, now)',
         'effects = []',
     ),
+    Guard('pooler/operations.py', 'min(now + timeout_s, state.answer_by)', 'now + timeout_s'),
+    Guard('pooler/operations.py', 'if now >= state.answer_by:', 'if False:'),
+    Guard('pooler/ticks.py', 'min(operation.deadline, state.answer_by)', 'operation.deadline'),
+    Guard('pooler/relay/service.py', 'pipe.answer_outstanding(relay.session_id)', 'pass'),
+    Guard('pooler/relay/pipe.py', 'if self.tracker.peer.head:', 'if False:'),
     Guard('pooler/accounts/pool.py', 'now - it.ready_at >= MIN_HOLD_S or not', 'True or not'),
     Guard('pooler/accounts/pool.py', 'rates[it.account] / max(held[it.account], 1),', '0,'),
     Guard(
--- a/tests/pooler/relay/test_relay_bytes.py
+++ b/tests/pooler/relay/test_relay_bytes.py
@@ -10,6 +10,8 @@
 from twisted.internet.testing import StringTransport
 
 from cassiaseam.daemon.node import Node
+from cassiaseam.errors import ErrorKind, RequestError
+from cassiaseam.platform import line_protocol
 from cassiaseam.platform.callers import CallerFactory
 from cassiaseam.pooler import runtime
 from cassiaseam.pooler.clock import BootTimeReactor, read_clock
@@ -341,6 +343,46 @@
     assert near.list_events('relay_ended')[0]['cause'] == cause
 
 
+UNKNOWN = line_protocol.encode_error(
+    RequestError(ErrorKind.OUTCOME_UNKNOWN, 'the daemon stops before the answer')
+)
+
+
+@pytest.mark.parametrize(
+    ('sent', 'passed_on', 'added'),
+    [
+        (b'QUERY r1 READ a\r\n', b'', UNKNOWN + b'READY I -\r\n'),
+        (b'QUERY r1 READ a\r\n', b'ROW one\r\n', UNKNOWN + b'READY I -\r\n'),
+        (b'QUERY r1 READ a\r\n', b'ROW on', b''),
+        (
+            b'QUERY r1 BEGIN\r\nQUERY r2 READ a\r\n',
+            b'DONE -\r\nREADY T -\r\n',
+            UNKNOWN + b'READY E -\r\n',
+        ),
+        (b'', b'', b''),
+    ],
+    ids=['no-answer', 'row', 'part-of-a-line', 'transaction', 'nothing-outstanding'],
+)
+def test_stopping_daemon_answers_outstanding_statements_of_relayed_sessions(
+    deploy, sent, passed_on, added
+):
+    # The connection of the caller was closed at the stop limit without an answer.
+    world = deploy(True, False)
+    near, far = world.vms
+    client = world.connect()
+    world.wait(lambda: client.received == READY)
+    peer = next(iter(far.callers.sessions.values()))
+    peer._read_line = lambda line: None
+    client.transport.write(sent)
+    pipe = next(iter(near.relay.sessions.values())).pipe
+    world.wait(lambda: pipe.tracker.unanswered == sent.count(b'QUERY'))
+    peer.transport.write(passed_on)
+    world.wait(lambda: client.received == READY + passed_on)
+    near.relay.close_for_stop(5.5, 1.6, 3.0, 5.6)
+    world.wait(lambda: client.closed)
+    assert client.received == READY + passed_on + added
+
+
 def test_broken_connection_to_the_peer_closes_the_caller(deploy):
     # The peer may have died in the middle of a statement; a silent caller would wait forever.
     world = deploy(True, False)
