Watch a list of several pages from the lowest revision of its pages

Cause: `list_objects` took the revision of the last page for the whole list. What is written between two pages to an object of an earlier one was neither in the list nor in the watch. A daemon that starts missed a new target and counted a smaller group.

Change: the list is complete up to the lowest revision of its pages. The watch from there repeats changes that a later page has shown, so that changes are compared with the revision of each object, or of the page that would show it. Deletions are compared as well; a repeated deletion removed a target that had been created again. A store that drops its history before the watch begins is listed with a backoff.

Why this works: each page is the state of its names as of its revision, and the watch has every change after the lowest one.

--- a/src/cassiaseam/platform/store.py
+++ b/src/cassiaseam/platform/store.py
@@ -24,6 +24,7 @@
     Change,
     DutySnapshot,
     HistoryGone,
+    ListedPage,
     Listing,
     PromotionFailure,
     StoreError,
@@ -92,11 +93,15 @@
     ) -> Result[Listing, StoreError]:
         """Return all objects of a kind and the revision of the list.
 
+        Each page has the revision at which it was read; that of the list is the lowest one. A page
+        that may be stale can be older than the one before it.
+
         Args:
             kind: Kind of the objects.
             allow_stale: Whether the list may be seconds old, at a tenth of the price.
         """
         changes: list[Change] = []
+        pages: list[ListedPage] = []
         nameless = 0
         stale = ALLOW_STALE_PARAM if allow_stale else ''
         after = ''
@@ -118,11 +123,14 @@
             page, page_nameless = decode_objects(content['items'], era)
             changes += page
             nameless += page_nameless
+            revision = join_revision(era, page_end.ok_value.at)
             if page_end.ok_value.is_last:
-                revision = join_revision(era, page_end.ok_value.at)
-                return Ok(Listing(tuple(changes), revision, nameless))
+                pages.append(ListedPage('', revision))
+                lowest = min(listed.revision for listed in pages)
+                return Ok(Listing(tuple(changes), lowest, nameless, tuple(pages)))
             if page:
                 after = page[-1].name
+                pages.append(ListedPage(after, revision))
         # A list that ended here would lack the objects of the next pages.
         return Err(StoreError('a page of the list names no object to continue after'))
 
--- a/src/cassiaseam/pooler/store_types.py
+++ b/src/cassiaseam/pooler/store_types.py
@@ -23,19 +23,34 @@
     revision: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ListedPage:
+    """Page of a list.
+
+    Attributes:
+        last_name: Name of its last object, or '' for the last page.
+        revision: Revision as of which it shows its objects.
+    """
+
+    last_name: str
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class Listing:
     """Objects or changes of one kind and the revision up to which they are complete.
 
     Attributes:
         changes: Objects or changes that have a name.
-        revision: Revision up to which they are complete.
+        revision: Revision up to which they are complete; the lowest one of the pages of a list.
         nameless: Number of further entries, of which not even the name can be used.
+        pages: Pages of a list, in order.
     """
 
     changes: tuple[Change, ...]
     revision: int
     nameless: int = 0
+    pages: tuple[ListedPage, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/cassiaseam/pooler/store_watcher.py
+++ b/src/cassiaseam/pooler/store_watcher.py
@@ -19,6 +19,7 @@
     TargetsListed,
 )
 from cassiaseam.pooler.model import TargetRecord
+from cassiaseam.pooler.object_revisions import ObjectRevisions
 from cassiaseam.pooler.store_types import Change, HistoryGone, Listing
 from cassiaseam.store_revisions import get_era, get_number
 
@@ -87,19 +88,6 @@
     return isinstance(reply, HistoryGone) or get_era(reply.revision) != get_era(revision)
 
 
-def select_newer_changes(changes: tuple[Change, ...], revision: int) -> tuple[Change, ...]:
-    """Return the changes after a revision, and all deletions.
-
-    A stale reply can repeat older changes, which would restore a target that has left. A deletion
-    carries the revision of the last content of the object, so it cannot be compared.
-    """
-    return tuple(
-        change
-        for change in changes
-        if change.deleted or not change.revision or change.revision > revision
-    )
-
-
 class StoreWatcher:
     """Lists and watches each kind and dispatches its changes as events.
 
@@ -156,6 +144,8 @@
 
         While a watch is lost, the store may have been restored from a copy. Only a list shows what
         was written then at a revision below the one that the watch had reached.
+
+        A store that drops its history before a watch can begin is listed after a backoff.
         """
         backoff_s = INITIAL_BACKOFF_S
         while True:
@@ -166,18 +156,29 @@
                 await self.wait_for_probe(kind)
                 backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
                 continue
-            backoff_s = INITIAL_BACKOFF_S
             revision = listing.ok_value.revision
             self.log('store_listed', kind=kind, **describe_revision(revision))
             self.dispatch(StoreListed(revision))
             self.report_reachability(kind, True)
             report_nameless_entries(self.refusals, kind, listing.ok_value)
             on_list(listing.ok_value.changes)
-            await self.watch(kind, revision, on_change)
+            if await self.watch(kind, listing.ok_value, on_change):
+                backoff_s = INITIAL_BACKOFF_S
+                continue
+            if backoff_s > INITIAL_BACKOFF_S:
+                await self.sleep(backoff_s)
+            backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
 
-    async def watch(self, kind: str, revision: int, on_change: ChangeHandler) -> None:
-        """Watch a kind and handle its changes until a call fails or its history is gone."""
+    async def watch(self, kind: str, listing: Listing, on_change: ChangeHandler) -> bool:
+        """Watch a kind and handle its changes until a call fails or its history is gone.
+
+        Returns:
+            Whether the store had the changes since the list.
+        """
+        revisions = ObjectRevisions(listing)
+        has_answered = False
         while True:
+            revision = revisions.position
             allow_stale = kind == self.environment.kinds.targets
             reply = await self.store.watch_objects(
                 kind, revision, self.watch_timeout_s, allow_stale
@@ -186,16 +187,16 @@
                 self.report_reachability(kind, False, reply.err_value.reason)
                 await self.sleep(INITIAL_BACKOFF_S)
                 await self.wait_for_probe(kind)
-                return
+                return True
             self.report_reachability(kind, True)
             if is_history_gone(reply.ok_value, revision):
                 self.log('store_history_gone', kind=kind, **describe_revision(revision))
-                return
-            listing: Listing = reply.ok_value
-            if listing.nameless:
-                report_nameless_entries(self.refusals, kind, listing)
-            newer_changes = select_newer_changes(listing.changes, revision)
-            revision = max(revision, listing.revision)
+                return has_answered
+            has_answered = True
+            changed: Listing = reply.ok_value
+            if changed.nameless:
+                report_nameless_entries(self.refusals, kind, changed)
+            newer_changes = revisions.select_newer(changed)
             if newer_changes:
                 on_change(newer_changes)
                 await self.batch_startup_changes(kind)
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -5,7 +5,7 @@
 from store_calls import StoreCalls
 
 from cassiaseam.pooler.events import LeaseRecord, StoreEraObserved, WriteOutcome
-from cassiaseam.pooler.store_types import WriteResult
+from cassiaseam.pooler.store_types import ListedPage, WriteResult
 from cassiaseam.store_revisions import get_number, join_revision
 
 LIST = '{"items": [], "hasMore": false, "at": 7}'
@@ -36,6 +36,23 @@
     assert 'restored between two pages' in results[0].err_value.reason
 
 
+@pytest.mark.parametrize(('first', 'second'), [(7, 9), (9, 7)])
+def test_list_of_two_pages_is_complete_up_to_the_lower_revision(first, second):
+    # The watch began at the revision of the last page and missed what was written between the
+    # pages. With a stale copy, the last page may be the older one.
+    calls = StoreCalls()
+    results = calls.run(calls.store.list_objects('servers'))
+    calls.answer(make_list(first, has_more=True), era=1)
+    calls.answer(make_list(second), era=1)
+    listing = results[0].ok_value
+    assert listing.revision == join_revision(1, 7)
+    pages = (
+        ListedPage(f'c{first}', join_revision(1, first)),
+        ListedPage('', join_revision(1, second)),
+    )
+    assert listing.pages == pages
+
+
 def test_answer_from_a_copy_of_a_former_era_is_not_used():
     # A reply that may be stale brought back what the restore had replaced.
     calls = StoreCalls()
--- a/tests/pooler/test_pooler_store_watcher.py
+++ b/tests/pooler/test_pooler_store_watcher.py
@@ -20,7 +20,7 @@
 )
 from cassiaseam.pooler.model import RoutingConfig
 from cassiaseam.pooler.state import PoolerState
-from cassiaseam.pooler.store_types import Change, HistoryGone, Listing, StoreError
+from cassiaseam.pooler.store_types import Change, HistoryGone, ListedPage, Listing, StoreError
 from cassiaseam.pooler.store_watcher import StoreKinds, StoreWatcher
 from cassiaseam.reducer.registry import reduce_event
 from cassiaseam.store_revisions import join_revision
@@ -93,6 +93,35 @@
     assert ('store_history_gone', {'kind': 'config', 'era': 0, 'revision': 5}) in log_lines
 
 
+def test_store_that_drops_its_history_at_once_is_listed_with_a_backoff():
+    # The history between two pages may be gone; without a backoff, all VMs list without a pause.
+    gone = 20
+    lists = {'servers': [Ok(Listing((), number)) for number in range(1, gone)]}
+    watches = {'servers': [Ok(HistoryGone()) for _ in range(gone)]}
+    _, store, clock, _ = run_watcher(lists, watches)
+    assert store.calls.count(('list', 'servers')) == 2
+    clock.pump([0.1] * 30)
+    assert 3 < store.calls.count(('list', 'servers')) < 10
+
+
+def test_change_between_two_pages_is_not_missed_and_a_shown_one_not_repeated():
+    # The new target of the first page was never known (LOST, review/1), the leave of one was not
+    # noticed (DRAIN, review/5).
+    pages = (ListedPage('t2', 5), ListedPage('', 8))
+    listed = (Change('t1', TARGET, False, 3), Change('t3', TARGET, False, 7))
+    leaving = {**TARGET, 'state': 'draining'}
+    changes = (
+        Change('t1', leaving, False, 6),
+        Change('t3', leaving, False, 6),
+        Change('t2', TARGET, False, 8),
+    )
+    lists = {'servers': [Ok(Listing(listed, 5, pages=pages))]}
+    events, store, *_ = run_watcher(lists, {'servers': [Ok(Listing(changes, 9))]})
+    changed = [event.record for event in events if isinstance(event, TargetChanged)]
+    assert [(record.name, record.leaving) for record in changed] == [('t1', True), ('t2', False)]
+    assert ('watch', 'servers', 5) in store.calls
+
+
 def test_failed_list_is_retried_and_reachability_reported():
     listing = Ok(Listing((), 4))
     lists = {'config': [Err(StoreError('down')), listing], 'servers': [listing]}
