End the promises of fences on a VM that was told of their promotion

A VM that had seen one replica fenced, but not the promoted target, waited up to 3.5 s before it counted that replica in the new term if the term of the fence was above it, as after attempts that ended. The notice of the promotion names the target, so that its lead ends the promises as well.

test_notice_allows_commits_of_the_promoted_target[True] fails without it. A test keeps the fence over the record of a restart, whose guard no test noticed before.

--- a/src/cassiaseam/pooler/quorum.py
+++ b/src/cassiaseam/pooler/quorum.py
@@ -163,8 +163,8 @@
     The promises of the other targets end with that of the target that leads now: a promotion that
     takes effect ends all fences up to its own.
     """
-    if fence_history.is_promoted_after(target.fence, reported):
-        used_term = target.fence.term
+    used_term = find_used_fence_term(group, target, reported)
+    if used_term:
         for other in group.targets.values():
             if other.fence.term <= used_term:
                 other.fence.forget()
@@ -174,6 +174,20 @@
         fence_history.track_fence(target.fence, reported, now)
 
 
+def find_used_fence_term(group: GroupView, target: TargetState, reported: ReportedStatus) -> int:
+    """Return the term of the fences that the promotion of a target has used, or 0.
+
+    This VM has seen the target fenced, or was told of the promotion.
+    """
+    used_term = 0
+    if fence_history.is_promoted_after(target.fence, reported):
+        used_term = target.fence.term
+    pending = group.pending_promotion
+    if pending is None or pending.target != target.record.name or not reported.is_primary:
+        return used_term
+    return max(used_term, pending.term) if reported.term > pending.base_term else used_term
+
+
 def discard_blank_statuses(group: GroupView) -> None:
     """Discard statuses of blank targets from before the group was known to have entries.
 
--- a/tests/check_guards.py
+++ b/tests/check_guards.py
@@ -126,6 +126,7 @@
     Guard('pooler/quorum.py', 'position.term < find_promised_term(group, now)', 'False'),
     Guard('pooler/quorum.py', 'return group.monitor.known_term > term', 'return False'),
     Guard('pooler/quorum.py', 'if other.fence.term <= used_term:', 'if False:'),
+    Guard('pooler/quorum.py', 'return max(used_term, pending.term) if', 'return used_term if'),
     Guard(
         'pooler/notices/decisions.py',
         'event.fencing_token <= pending.fencing_token',
--- a/tests/pooler/test_pooler_ended_fences.py
+++ b/tests/pooler/test_pooler_ended_fences.py
@@ -28,11 +28,13 @@
 from cassiaseam.pooler.commands import StatementKind
 from cassiaseam.pooler.datagrams import PeerProtocol, decode_datagram
 from cassiaseam.pooler.duty import LEASE_TAKEOVER_S
+from cassiaseam.pooler.events import TargetChanged
 from cassiaseam.pooler.evidence.fence_history import FENCE_RELIANCE_S, LIFT_DELIVERY_S
 from cassiaseam.pooler.notices import decisions
 from cassiaseam.pooler.notices.events import FencesLifted, PromotionNotice, SendNotice
 from cassiaseam.pooler.notices.messages import build_message
 from cassiaseam.positions import LogPosition
+from cassiaseam.reducer.registry import reduce_event
 
 # Sessions that write steadily, so that some write always waits for a majority.
 BUSY_SESSIONS = range(11, 15)
@@ -118,11 +120,14 @@
     assert quorum.can_acknowledge(group, 5) is expected
 
 
-def test_notice_allows_commits_of_the_promoted_target():
+@pytest.mark.parametrize('was_seen_fenced', [False, True])
+def test_notice_allows_commits_of_the_promoted_target(was_seen_fenced):
     # The term of the fences may be above the next term.
-    group = build_group([(NEAR, 2, follows(2, 9)), LED_BY_FAR])
+    group = build_group([(NEAR, 3, follows(1, 8, 5))] if was_seen_fenced else [])
     state = build_state_with(group)
     decisions.handle_promotion_notice(state, dataclasses.replace(NOTICE, term=5), 4)
+    for name, started_at, status in [LED_BY_FAR, (NEAR, 5, follows(2, 9))]:
+        quorum.record_status(group, name, started_at, status, started_at)
     assert quorum.has_commit_quorum(group, LogPosition(2, 9), 5)
 
 
@@ -137,6 +142,15 @@
     assert quorum.has_commit_quorum(group, COMMIT, 5) is not waits
 
 
+def test_record_of_a_restart_does_not_end_the_promise_of_a_fence():
+    group = build_group([FENCED, *HOLDERS])
+    state = build_state_with(group)
+    state.target_groups = dict.fromkeys(group.targets, GROUP)
+    record = dataclasses.replace(group.targets[NEAR].record, incarnation='2')
+    reduce_event(state, TargetChanged(record), 5)
+    assert group.targets[NEAR].fence.term == 2
+
+
 @pytest.mark.parametrize('notice', [NOTICE, FencesLifted(GROUP, 2, 1 << 62)])
 def test_notice_reaches_the_other_vm(notice):
     sent = []
