End a stopping daemon at once when no caller is connected

Cause: the delay of 0.05 s that lets the last answers leave the process was also taken when no caller was connected; it came with the answers to outstanding statements.

Change: the delay is taken only at the stop limit with callers connected.

--- a/src/cassiaseam/pooler/runtime.py
+++ b/src/cassiaseam/pooler/runtime.py
@@ -83,9 +83,9 @@
 WATCH_HISTORY_RATIO = 0.85
 # Part of the stop limit that is reserved for the exit of the process.
 STOP_MARGIN_S = 0.4
-# Part of the rest in which the final answers are delivered, and the delay of the exit after the
-# latest of them is written.
+# Part of the rest in which the final answers are delivered.
 DELIVERY_MARGIN_S = 0.3
+# Delay of the exit at the stop limit, in which the latest answers leave the process.
 FLUSH_S = 0.05
 EXIT_START_FAILED = 1
 METRICS_PATH = '/metrics'
@@ -295,9 +295,7 @@
         # Answers may still be buffered after the state has removed their session.
         flushed = not self.environment.callers.sessions and not self.relay.sessions
         if ticks.is_shutdown_complete(self.node.state, read_clock(), limit_s, flushed):
-            # The reactor drops what is buffered when it stops, also answers of this tick.
-            self.finished = True
-            self.reactor.callLater(FLUSH_S, self.finish)
+            self.end_process(flushed)
 
     def reload(self) -> None:
         """Reload the settings file; keep the current settings if it is invalid."""
@@ -311,6 +309,18 @@
         quota_service.apply_terms(self.node.state, self.settings)
         self.log('settings_reloaded', file=str(Path(self.path).name))
 
+    def end_process(self, flushed: bool) -> None:
+        """Stop the reactor, and before that write what is buffered for connected callers.
+
+        Without a connected caller it stops at once: one that connected meanwhile would be cut.
+        """
+        self.finished = True
+        if flushed:
+            self.finish()
+        else:
+            # The reactor drops what is buffered when it stops, also answers of the last tick.
+            self.reactor.callLater(FLUSH_S, self.finish)
+
     def finish(self) -> None:
         """Stop the reactor."""
         self.log('daemon_stopped', sessions=len(self.node.state.sessions))
--- a/tests/pooler/test_pooler_stop.py
+++ b/tests/pooler/test_pooler_stop.py
@@ -6,14 +6,17 @@
 import dataclasses
 import math
 from dataclasses import dataclass
+from types import SimpleNamespace
 
 import pytest
 from fake_target import GROUP
 from pooler_world import World, build_config, get_error, is_success
+from twisted.internet.task import Clock
 
 from cassiaseam.errors import ErrorKind
 from cassiaseam.pooler.commands import StatementKind
 from cassiaseam.pooler.events import ConfigurationRead, PoolerStopping
+from cassiaseam.pooler.runtime import FLUSH_S, PoolerRuntime
 
 # Timeout of the statements, which is longer than a stop.
 TIMEOUT_S = 20
@@ -127,6 +130,19 @@
     assert world.committed['last'] == case.committed
 
 
+@pytest.mark.parametrize(('flushed', 'delay_s'), [(True, 0), (False, FLUSH_S)])
+def test_process_ends_at_once_if_no_caller_is_connected(flushed, delay_s):
+    # A caller that connected during the delay was cut (esoviz trouble-2, LOST at 20.711 s).
+    clock, ended = Clock(), []
+    runtime = SimpleNamespace(
+        reactor=clock, finished=False, finish=lambda: ended.append(clock.seconds())
+    )
+    PoolerRuntime.end_process(runtime, flushed)
+    assert runtime.finished
+    clock.advance(FLUSH_S)
+    assert ended == [delay_s]
+
+
 @pytest.mark.parametrize('kind', [READ, WRITE])
 def test_statement_that_arrives_too_late_is_refused_at_once(kind):
     # It was sent to a target although its answer could not be delivered any more.
