Ask the ranked owners again while the ownership of a database moves

Callers saw kind=not_owner ran=no retry_after_ms=50 "vm-1 no longer owns the database" from an entry whose owner had just changed.

Cause: the former owner refuses as soon as it knows of the next one, the next one takes over with an event of its own, and the entry ranks by its own view. For a few milliseconds all of them deny ownership, and the entry asked each only once.

Change: the entry ranks and asks again after 0.05, 0.1, 0.2 and 0.4 s while the deadline allows, only for requests that did not run and are not bound to one owner. Five of the seven new cases fail without the change. The row of test_request_is_retried_only_when_it_cannot_run_twice in which both owners deny ownership counts the messages of all rounds now; it stays exact. The pooler role does not use this module.

--- a/src/cassiaseam/entry/forwarding.py
+++ b/src/cassiaseam/entry/forwarding.py
@@ -25,6 +25,9 @@
 # The owner gets an earlier deadline than the entry, so that its specific error arrives in time.
 ANSWER_MARGIN_S = 0.05
 ANSWER_MARGIN_RATIO = 0.1
+# Delays in seconds before the ranked owners are asked again after all of them denied ownership.
+# Together they last about one gossip period, in which the other daemons learn of a new owner.
+OWNERSHIP_MOVE_DELAYS_S = (0.05, 0.1, 0.2, 0.4)
 
 
 class RequestSender(Protocol):
@@ -162,8 +165,25 @@
             self._release(request.caller)
 
     async def _send_to_ranked_owners(self, request: Request, pinned: str) -> OwnedAnswer:
+        """Ask the ranked owners; while ownership moves, ask them again after a delay.
+
+        The former owner refuses requests as soon as it learns of the next one, which may not have
+        taken over yet or may be unknown to this daemon.
+        """
         if pinned:
             return await self._try_owners(request, [pinned])
+        owned = await self._try_ranked_owners(request)
+        for delay_s in OWNERSHIP_MOVE_DELAYS_S:
+            error = owned.answer.error
+            denied = error is not None and error.kind is ErrorKind.NOT_OWNER and owned.owner
+            if not denied or self.clock() + delay_s >= request.deadline:
+                break
+            await asyncio.sleep(delay_s)
+            owned = await self._try_ranked_owners(request)
+        return owned
+
+    async def _try_ranked_owners(self, request: Request) -> OwnedAnswer:
+        """Ask the owners in the current ranking, the passed-over ones last."""
         ranked = self.rank_owners(request.database)[:MAX_OWNERS_TRIED]
         skipped = self.passed_over_owners.skip_owners(request.database, ranked, self.clock())
         # Passed-over owners are tried last: one may have recovered while no other daemon adopted.
--- a/tests/entry/test_forwarding.py
+++ b/tests/entry/test_forwarding.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cassiaseam.entry.classification import classify_statement
-from cassiaseam.entry.forwarding import Forwarder, ForwardingLimits
+from cassiaseam.entry.forwarding import OWNERSHIP_MOVE_DELAYS_S, Forwarder, ForwardingLimits
 from cassiaseam.entry.passed_over_owners import (
     MAX_PASSED_OVER_OWNERS,
     PASSED_OVER_TTL_S,
@@ -54,6 +54,7 @@
 cut_off = RequestError(ErrorKind.NO_PRIMARY, detail={'cause': OWNER_CUT_OFF})
 UNKNOWN = ErrorKind.OUTCOME_UNKNOWN
 KEYED = {'idempotency_key': 'k'}
+ROUNDS = 1 + len(OWNERSHIP_MOVE_DELAYS_S)
 
 
 @pytest.mark.parametrize(
@@ -73,7 +74,7 @@
         ('read', {}, UNKNOWN, None, None, 2),
         ('read', {'repeatable': False}, UNKNOWN, None, ErrorKind.PEER_UNREACHABLE, 1),
         ('read', {}, UNKNOWN, UNKNOWN, ErrorKind.PEER_UNREACHABLE, 2),
-        ('write', {}, ErrorKind.NOT_OWNER, ErrorKind.NOT_OWNER, ErrorKind.NOT_OWNER, 2),
+        ('write', {}, ErrorKind.NOT_OWNER, ErrorKind.NOT_OWNER, ErrorKind.NOT_OWNER, 2 * ROUNDS),
         ('commit', {}, ErrorKind.PEER_UNREACHABLE, None, ErrorKind.PEER_UNREACHABLE, 1),
     ],
 )
@@ -88,6 +89,56 @@
     assert len(owners.asked) == asked
 
 
+class MovingOwners(Owners):
+    """All daemons deny ownership until `heir` takes over, after some denials.
+
+    Attributes:
+        denials: Number of further denials until the takeover.
+    """
+
+    def __init__(self, ranked, heir, denials):
+        super().__init__(**dict.fromkeys(ranked, ErrorKind.NOT_OWNER))
+        self.heir = heir
+        self.denials = denials
+
+    async def send_request(self, vm, request, now):
+        answer = await super().send_request(vm, request, now)
+        self.denials -= 1
+        if not self.denials:
+            self.errors[self.heir] = None
+        return answer
+
+
+@pytest.mark.parametrize(
+    ('kind', 'heir', 'denials', 'changes', 'expected', 'asked'),
+    [
+        ('write', 'vm1', 2, {}, None, 3),
+        ('write', 'vm2', 2, {}, None, 4),
+        ('write', 'vm3', 2, {}, None, 5),
+        ('read', 'vm2', 4, {}, None, 6),
+        ('write', 'vm2', 2, {'remaining_s': 0.04}, ErrorKind.NOT_OWNER, 2),
+        ('write', 'vm1', 4, {'remaining_s': 0.1}, ErrorKind.NOT_OWNER, 4),
+        ('commit', 'vm1', 1, {'owner': 'vm1'}, ErrorKind.NOT_OWNER, 1),
+    ],
+)
+def test_request_waits_for_the_next_owner_while_ownership_moves(
+    kind, heir, denials, changes, expected, asked
+):
+    # While a daemon that had started again took a database over, the former owner and the next
+    # one both refused requests, and the entry answered its callers with that refusal.
+    owners = MovingOwners(('vm1', 'vm2'), heir, denials)
+    deadline = time.monotonic() + changes.get('remaining_s', 5)
+    forwarder = Forwarder(
+        'vm1', lambda _: list(owners.errors), owners, time.monotonic, peers=owners
+    )
+    request = build_request(kind, deadline=deadline)
+    owned = asyncio.run(forwarder.forward_request(request, changes.get('owner', '')))
+    error = owned.answer.error
+    assert (error.kind if error else None) is expected
+    assert len(owners.asked) == asked
+    assert forwarder.total_in_flight == 0
+
+
 no_target = RequestError(ErrorKind.NO_TARGET, detail={'cause': OWNER_CUT_OFF})
 link_lost = RequestError(UNKNOWN, detail={'cause': OWNER_LINK_LOST})
 
