--- a/review/rig3.py
+++ b/review/rig3.py
@@ -245,6 +245,7 @@
 
     Attributes:
         deaf: Whether it receives nothing from the primary.
+        delay_s: Round trip to it, for an instance in another region.
         rows_of: Rows that reading an item returns, per item; other items return the newest data.
         ran: Statements that ran: (time, id, text).
     """
@@ -260,6 +261,7 @@
         self.held = 0
         self.log: list[tuple[int, str, str]] = []
         self.deaf = False
+        self.delay_s = 0.0
         self.leaving = False
         self.received = asyncio.Event()
         self.born = next(self.births)
@@ -321,6 +323,7 @@
             while True:
                 line = (await reader.readuntil(b'\r\n')).decode('latin-1').rstrip('\r\n')
                 _, number, text = line.split(' ', 2)
+                await asyncio.sleep(self.delay_s)
                 for reply in await self.run(link, number, text):
                     writer.write(f'{reply}\r\n'.encode('latin-1'))
                 self.ready(link)
@@ -413,11 +416,11 @@
             if link.open:
                 link.writes.append((item, data))
             else:
-                self.commit([(item, data)])
+                await self.commit([(item, data)])
             return [signed]
         if verb == 'COMMIT':
             self.ran.append((now(), number, text))
-            self.commit(link.writes)
+            await self.commit(link.writes)
             link.open = link.read_only = False
             link.writes = []
             return [signed]
@@ -436,15 +439,22 @@
             'DONE -',
         ]
 
-    def commit(self, writes: list[tuple[str, str]]) -> None:
+    async def commit(self, writes: list[tuple[str, str]]) -> None:
         self.log += [(self.term, item, data) for item, data in writes]
+        count = len(self.log)
         self.service.replicate(self)
+        while self.service.sync_replicas and not any(
+            other is not self and other.log[:count] == self.log[:count]
+            for other in self.service.instances.values()
+        ):
+            await asyncio.sleep(0.002)
 
 
 class Service:
     """A primary with its replicas. Replicas receive 20 ms late."""
 
     lag_s = 0.02
+    sync_replicas = 0
     promote_s = 0.3
 
     def __init__(self, store: Store, name: str, record: Record, slots=2, max_connections=76):
@@ -454,6 +464,7 @@
         self.slots = slots
         self.max_connections = max_connections
         self.work_s = 0.003
+        self.promotions_down = False
         self.instances = {
             f'i-{name}{index}': Instance(self, f'i-{name}{index}', zone, index == 0)
             for index, zone in enumerate(ZONES)
@@ -495,6 +506,8 @@
             other.log = primary.log[:count]
 
     async def promote(self, vm: str, headers: dict, document: dict) -> tuple[int, dict]:
+        if self.promotions_down:
+            return 503, {}
         self.record.note(f'platform: POST /promotion {document} token {headers["fencing-token"]}')
         chosen = self.instances.get(document['id'])
         if chosen is None or chosen.server is None:
@@ -548,7 +561,7 @@
             {
                 'name': service.name,
                 'maxConnections': service.max_connections,
-                'syncReplicas': 0,
+                'syncReplicas': service.sync_replicas,
             }
         ],
         'limits': {'transactionIdleMs': 3000},
@@ -705,13 +718,14 @@
 class Rig:
     """Store, one service and daemons."""
 
-    def __init__(self, folder: Path, daemons: int):
+    def __init__(self, folder: Path, daemons: int, zones=ZONES):
         self.record = Record(folder)
         self.temporary = tempfile.TemporaryDirectory(prefix='case-')
         self.store = Store(self.record)
         self.service = Service(self.store, 'label', self.record)
         self.store.on_promotion = self.service.promote
         self.count = daemons
+        self.zones = zones
         self.daemons: list[Daemon] = []
 
     async def start(self, routes: list[dict]) -> None:
@@ -722,7 +736,7 @@
         for index in range(self.count):
             vm = f'frontend-{index + 1}'
             port = await self.store.open(vm)
-            zone = ZONES[index % len(ZONES)]
+            zone = self.zones[index % len(self.zones)]
             self.daemons.append(Daemon(vm, zone, Path(self.temporary.name), port))
         for daemon in self.daemons:
             daemon.start()
@@ -744,11 +758,11 @@
         self.temporary.cleanup()
 
 
-def main(folder: Path, daemons: int, case) -> None:
+def main(folder: Path, daemons: int, case, zones=ZONES) -> None:
     """Run a case, which returns whether the rule held, and exit with its result."""
 
     async def run() -> int:
-        rig = Rig(folder, daemons)
+        rig = Rig(folder, daemons, zones)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, asyncio.current_task().cancel)
